The whole path, thin: look-up, key, limits, queue, backend server

Cause: a new repository. Everything that follows needs one path on which a request goes from a caller to a backend server and back, as separate processes. Change: hosts with look-up, admission by key, equal parts of the rate, a queue and a balancer for each service, forwarding over drpc, idempotency records in the platform's table, heartbeats, a followed configuration, and the operators' HTTP interface; stand-ins for the platform and for backend servers; a demo. Not safe yet: parts of a limit are cut by the hosts that are alive, so two hosts that do not hear each other use the same part.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Entry points for people and for CI. `make test` is the README's command.
+GOLANGCI_VERSION := v2.15.0
+BIN := $(CURDIR)/.bin
+GOLANGCI := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: test format lint vet unit build demo generate bench
+
+test: format lint vet unit build demo
+
+format: $(GOLANGCI)
+	$(GOLANGCI) fmt --diff
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) run
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race ./...
+
+build:
+	go build -o celeryreach .
+
+demo: build
+	./celeryreach demo -for 5s
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# The generators are pinned; their output is committed, so a build needs none.
+generate:
+	GOBIN=$(BIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(BIN) go install storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
+	protoc -I wire --plugin=$(BIN)/protoc-gen-go --plugin=$(BIN)/protoc-gen-go-drpc \
+		--go_out=wire --go_opt=paths=source_relative \
+		--go-drpc_out=wire --go-drpc_opt=paths=source_relative wire/wire.proto
+
+# The linter stays outside the product's go.mod.
+$(GOLANGCI):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $@
--- /dev/null
+++ b/account/account.go
@@ -0,0 +1,15 @@
+// Package account describes the client accounts that operators create.
+package account
+
+// Account is one client account and its limits, which count over all hosts
+// together.
+type Account struct {
+	// Name identifies the client account in the configuration.
+	Name string
+	// Rate is the sustained limit in requests per second.
+	Rate float64
+	// Burst is the number of requests that may arrive at once above Rate.
+	Burst float64
+	// Weight is the account's part of a contended queue; zero means one.
+	Weight float64
+}
--- /dev/null
+++ b/bucket/bucket.go
@@ -0,0 +1,77 @@
+// Package bucket is a token bucket in exact integer arithmetic.
+package bucket
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// unit is one token. Tokens are counted in billionths, so that a rate in
+// tokens per second times a time in nanoseconds needs no division.
+const unit = int64(time.Second)
+
+// micro is the resolution of a rate: millionths of tokens per second.
+const micro = 1_000_000
+
+// Bucket admits at most Burst + Rate·t requests in any window t. It is not
+// safe for concurrent use; its owner serializes.
+type Bucket struct {
+	rate   int64 // millionths of tokens per second
+	burst  int64 // billionths of tokens
+	tokens int64 // billionths of tokens
+	last   time.Time
+}
+
+// Set changes rate, in tokens per second, and burst, in tokens. Tokens above
+// the new burst are lost. A bucket starts empty.
+func (b *Bucket) Set(now time.Time, rate, burst float64) {
+	b.refill(now)
+	b.rate = int64(rate * micro)
+	b.burst = int64(burst * float64(unit))
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// Fill makes the bucket full. Only the holder of an unused limit may do so.
+func (b *Bucket) Fill() {
+	b.tokens = b.burst
+}
+
+// Take removes one token and reports whether there was one.
+func (b *Bucket) Take(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < unit {
+		return false
+	}
+	b.tokens -= unit
+	return true
+}
+
+// Return gives back the token of a request that did not run.
+func (b *Bucket) Return() {
+	b.tokens = min(b.tokens+unit, b.burst)
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if !now.After(b.last) {
+		return
+	}
+	d := now.Sub(b.last)
+	b.last = now
+	if b.rate == 0 || b.tokens >= b.burst {
+		return
+	}
+	g := min(product(b.rate, d), b.burst)
+	b.tokens = min(b.burst, b.tokens+g)
+}
+
+// product returns rate, in millionths of tokens per second, times d, in
+// billionths of tokens, rounded down so that rounding never makes tokens.
+func product(rate int64, d time.Duration) int64 {
+	h, l := bits.Mul64(uint64(rate), uint64(d))
+	if h >= micro {
+		return math.MaxInt64
+	}
+	q, _ := bits.Div64(h, l, micro)
+	return int64(min(q, math.MaxInt64))
+}
--- /dev/null
+++ b/cmd/platform.go
@@ -0,0 +1,33 @@
+package cmd
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/httplisten"
+	"celeryreach.example/celeryreach/standin"
+	"celeryreach.example/celeryreach/table"
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "platform",
+		Usage:  "run the stand-in for the users' platform; it keeps everything in memory and is not for production",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "listen", Usage: "`ADDRESS`, IP and port", Value: "127.0.0.1:7300"}},
+		Action: runPlatform,
+	}
+}
+
+func runPlatform(ctx context.Context, c *cli.Command) error {
+	n, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.String("listen"))
+	if err != nil {
+		return err
+	}
+	h := &standin.Standin{Clock: clockwork.NewRealClock(), Table: new(table.Table)}
+	logger().Info("platform stand-in serves", "Address", n.Addr())
+	return (&httplisten.Httplisten{Listener: n, Handler: h, DrainTimeout: time.Second}).Run(ctx)
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,90 @@
+// Package host puts the parts of one entry host together and runs them under
+// a supervisor.
+package host
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/child"
+	"celeryreach.example/celeryreach/counter"
+	"celeryreach.example/celeryreach/httplisten"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/settings"
+	"celeryreach.example/celeryreach/supervisor"
+)
+
+const (
+	configPoll     = time.Second
+	restartBackoff = time.Second
+	announceEvery  = 3 * time.Second
+	dialTimeout    = time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	// Settings say who the host is.
+	Settings settings.Settings
+	// Platform is the users' platform.
+	Platform platform.Platform
+	// Clock is the host's clock.
+	Clock clockwork.Clock
+	// Log receives the host's events.
+	Log *log.Logger
+	// Incarnation is drawn anew for each process.
+	Incarnation uint64
+	// Counter counts how requests ended.
+	Counter *counter.Counter
+}
+
+// Run serves until ctx ends, and then lets the requests in flight finish.
+func (h *Host) Run(ctx context.Context) error {
+	c, err := listen(ctx, h.Settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "CallerAddress")
+	}
+	defer c.Close()
+	p, err := listen(ctx, h.Settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "PeerAddress")
+	}
+	defer p.Close()
+	o, err := listen(ctx, h.Settings.OperatorAddress)
+	if err != nil {
+		return errors.Wrap(err, "OperatorAddress")
+	}
+	defer o.Close()
+	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
+	s := h.assemble(c, p, o)
+	err = s.Run(ctx)
+	h.Log.Info("host ended", "Host", h.Settings.Name)
+	return err
+}
+
+func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
+	x := h.parts()
+	x.peerserver.Listener = p
+	return &supervisor.Supervisor{
+		Clock:   h.Clock,
+		Log:     h.Log,
+		Backoff: restartBackoff,
+		Children: []child.Child{
+			{Name: "announce", Run: x.announce},
+			{Name: "follower", Run: x.follower.Run},
+			{Name: "peerserver", Run: x.peerserver.Run},
+			{Name: "membership", Run: x.membership.Run},
+			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
+			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
+		},
+	}
+}
+
+func listen(ctx context.Context, a string) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(ctx, "tcp", a)
+}
--- /dev/null
+++ b/platformclient/platformclient.go
@@ -0,0 +1,114 @@
+// Package platformclient reaches the platform over HTTP.
+package platformclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/row"
+)
+
+// Platformclient calls the platform at a base URL.
+type Platformclient struct {
+	// URL is the base URL.
+	URL string
+	// Timeout bounds each call: a silent connection must not hold up a part
+	// of the host for ever.
+	Timeout time.Duration
+
+	client http.Client
+}
+
+// Platform returns the functions of the seam.
+func (p *Platformclient) Platform() platform.Platform {
+	return platform.Platform{
+		Read: p.read, Scan: p.scan, Commit: p.commit, PutObject: p.put, GetObject: p.get,
+		Hosts: p.hosts, Announce: p.announce,
+	}
+}
+
+func (p *Platformclient) read(ctx context.Context, key string) (row.Row, error) {
+	var r row.Row
+	err := p.call(ctx, http.MethodGet, "/rows?key="+url.QueryEscape(key), nil, &r)
+	return r, err
+}
+
+func (p *Platformclient) scan(ctx context.Context, prefix string) ([]row.Row, error) {
+	var r []row.Row
+	err := p.call(ctx, http.MethodGet, "/scan?prefix="+url.QueryEscape(prefix), nil, &r)
+	return r, err
+}
+
+func (p *Platformclient) commit(ctx context.Context, c commit.Commit) (bool, error) {
+	var ok bool
+	err := p.call(ctx, http.MethodPost, "/commit", c, &ok)
+	return ok, err
+}
+
+func (p *Platformclient) put(ctx context.Context, name string, content []byte) error {
+	_, err := p.do(ctx, http.MethodPut, "/objects/"+name, content)
+	return err
+}
+
+func (p *Platformclient) get(ctx context.Context, name string) ([]byte, error) {
+	return p.do(ctx, http.MethodGet, "/objects/"+name, nil)
+}
+
+func (p *Platformclient) hosts(ctx context.Context) ([]member.Member, error) {
+	var m []member.Member
+	err := p.call(ctx, http.MethodGet, "/hosts", nil, &m)
+	return m, err
+}
+
+func (p *Platformclient) announce(ctx context.Context, m member.Member) error {
+	return p.call(ctx, http.MethodPost, "/hosts", m, nil)
+}
+
+func (p *Platformclient) call(ctx context.Context, method, path string, in, out any) error {
+	var b []byte
+	if in != nil {
+		v, err := codec.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "platform request")
+		}
+		b = v
+	}
+	a, err := p.do(ctx, method, path, b)
+	if err != nil || out == nil {
+		return err
+	}
+	return errors.Wrap(codec.Unmarshal(a, out), "platform answer")
+}
+
+func (p *Platformclient) do(ctx context.Context, method, path string, b []byte) ([]byte, error) {
+	x, f := context.WithTimeout(ctx, p.Timeout)
+	defer f()
+	q, err := http.NewRequestWithContext(x, method, p.URL+path, io.NopCloser(bytes.NewReader(b)))
+	if err != nil {
+		return nil, errors.Wrap(err, "platform request")
+	}
+	q.ContentLength = int64(len(b))
+	r, err := p.client.Do(q)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
+	defer r.Body.Close()
+	a, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform answer")
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("platform: %s %s: %s", method, path, r.Status)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,51 @@
+// Package refusal writes outcomes to callers.
+package refusal
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/outcome"
+)
+
+// Status returns the HTTP status that fits an outcome.
+func Status(o outcome.Outcome) int {
+	switch o.Outcome {
+	case outcome.KeyUnknown:
+		return http.StatusUnauthorized
+	case outcome.OverRate:
+		return http.StatusTooManyRequests
+	case outcome.NoRoute:
+		return http.StatusNotFound
+	case outcome.BadRequest:
+		return http.StatusBadRequest
+	case outcome.Running, outcome.Conflict:
+		return http.StatusConflict
+	case outcome.BackendFailed, outcome.OutcomeUnknown:
+		return http.StatusBadGateway
+	case outcome.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Write sends an outcome as the whole answer.
+func Write(w http.ResponseWriter, o outcome.Outcome) {
+	b, err := codec.Marshal(o)
+	if err != nil {
+		panic(err) // an Outcome holds nothing that JSON cannot
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	if o.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(o.RetryAfter)/float64(time.Second)))))
+	}
+	w.WriteHeader(Status(o))
+	// A failed write means that the caller left; there is nobody to tell.
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,38 @@
+// Package request describes a caller's request on its way through the system.
+package request
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/service"
+)
+
+// Request is an identified request without its key.
+type Request struct {
+	// ID is drawn by the entry host and unique to this request.
+	ID string
+	// Credential is the key record that came with the request; the key itself
+	// is gone.
+	Credential credential.Credential
+	// Service is the service that the path belongs to.
+	Service service.Service
+	// Method is the HTTP method.
+	Method string
+	// Target is the path and query.
+	Target string
+	// Header are the caller's header fields without key and hop-by-hop fields.
+	Header http.Header
+	// Body is the body; nil when there is none.
+	Body io.Reader
+	// Length is the body's length, -1 when it is not known.
+	Length int64
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// NonIdempotent requests run at most once.
+	NonIdempotent bool
+	// IdempotencyID is the caller's id of a non-idempotent request.
+	IdempotencyID string
+}
--- /dev/null
+++ b/result/result.go
@@ -0,0 +1,19 @@
+// Package result names what became of a request that held a slot.
+package result
+
+// Result tells the balancer what became of the request.
+type Result int
+
+// Values of Result.
+const (
+	// Succeeded is a whole answer.
+	Succeeded Result = iota
+	// Shed is the backend server's own refusal: it did not run the request.
+	Shed
+	// Failed is an error or a broken answer.
+	Failed
+	// Canceled is a caller that left; it says nothing of the backend server.
+	Canceled
+	// Unused is a slot that no request was sent on.
+	Unused
+)
--- /dev/null
+++ b/row/row.go
@@ -0,0 +1,12 @@
+// Package row describes the rows of the platform's table.
+package row
+
+// Row is one row of the platform's transactional table.
+type Row struct {
+	// Key identifies the row.
+	Key string
+	// Value is its content.
+	Value []byte
+	// Version counts the changes of the row; zero means the row is absent.
+	Version uint64
+}
--- /dev/null
+++ b/sample/sample.go
@@ -0,0 +1,151 @@
+// Package sample plays callers for the demo: they look up entry hosts, send
+// requests and often leave before the answer.
+package sample
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/answer"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/counter"
+	"celeryreach.example/celeryreach/outcome"
+)
+
+const (
+	callersPerAccount = 4
+	leaveFraction     = 0.6
+	enrolFraction     = 0.1
+	leaveWithin       = 30 * time.Millisecond
+	pause             = 50 * time.Millisecond
+)
+
+// Sample is a group of callers.
+type Sample struct {
+	// Clock paces the callers.
+	Clock clockwork.Clock
+	// LookupURL is the look-up of one host.
+	LookupURL string
+	// Keys are the callers' keys by client account.
+	Keys map[string]string
+	// Counter counts how the requests ended.
+	Counter *counter.Counter
+	// Seed makes the callers' choices repeatable.
+	Seed uint64
+}
+
+// Run plays the callers until ctx ends. Each request that was begun is ended.
+func (s *Sample) Run(ctx context.Context) error {
+	d := make(chan struct{})
+	n := 0
+	for a, k := range s.Keys {
+		for range callersPerAccount {
+			r := mathrand.New(mathrand.NewPCG(s.Seed, uint64(n)))
+			go s.caller(ctx, a, k, r, d)
+			n++
+		}
+	}
+	for range n {
+		<-d
+	}
+	return nil
+}
+
+func (s *Sample) caller(ctx context.Context, account, key string, r *mathrand.Rand, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	t := new(http.Transport)
+	defer t.CloseIdleConnections()
+	c := &http.Client{Transport: t}
+	for ctx.Err() == nil {
+		// The request outlives ctx: the demo ends with no request cut.
+		s.Counter.Add(s.one(context.WithoutCancel(ctx), c, account, key, r))
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(time.Duration(r.Int64N(int64(2 * pause)))):
+		}
+	}
+}
+
+func (s *Sample) one(ctx context.Context, c *http.Client, account, key string, r *mathrand.Rand) string {
+	h, ok := s.lookup(ctx, c, account)
+	if !ok {
+		return "LookupFailed"
+	}
+	if r.Float64() < leaveFraction {
+		x, f := context.WithTimeout(ctx, time.Duration(r.Int64N(int64(leaveWithin))))
+		defer f()
+		ctx = x
+	}
+	q, err := s.request(ctx, h, key, r)
+	if err != nil {
+		return "BadRequest"
+	}
+	p, err := c.Do(q)
+	if err != nil {
+		return end(ctx)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return end(ctx)
+	}
+	if p.StatusCode == http.StatusOK {
+		return outcome.Answered
+	}
+	var o outcome.Outcome
+	if err := codec.Unmarshal(b, &o); err != nil {
+		return "Unreadable"
+	}
+	return o.Outcome
+}
+
+func (s *Sample) lookup(ctx context.Context, c *http.Client, account string) (string, bool) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, s.LookupURL+"?region=lagos&service=Listings&account="+account, nil)
+	if err != nil {
+		return "", false
+	}
+	p, err := c.Do(q)
+	if err != nil {
+		return "", false
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return "", false
+	}
+	var a answer.Answer
+	if err := codec.Unmarshal(b, &a); err != nil || len(a.EntryHosts) == 0 {
+		return "", false
+	}
+	return a.EntryHosts[0], true
+}
+
+func (s *Sample) request(ctx context.Context, host, key string, r *mathrand.Rand) (*http.Request, error) {
+	m, p, b := http.MethodGet, "/listings/1", io.Reader(nil)
+	if r.Float64() < enrolFraction {
+		m, p, b = http.MethodPost, "/enrolments/1", strings.NewReader("child=1")
+	}
+	q, err := http.NewRequestWithContext(ctx, m, "http://"+host+p, b)
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set("Authorization", "Bearer "+key)
+	if m == http.MethodPost {
+		q.Header.Set("Idempotency-Key", rand.Text())
+	}
+	return q, nil
+}
+
+func end(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return outcome.Left
+	}
+	return "ConnectionBroken"
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,25 @@
+// Package service describes what callers ask for: a set of routes that the
+// same backend servers answer.
+package service
+
+import "time"
+
+// Service is one set of routes.
+type Service struct {
+	// Name identifies the service in the configuration.
+	Name string
+	// Prefix is the start of the request path, "/listings/" for example. The
+	// longest matching prefix decides.
+	Prefix string
+	// NonIdempotent marks every request of the service as non-idempotent,
+	// whatever its method is.
+	NonIdempotent bool `json:",omitzero"`
+	// Deferrable marks work that may wait, such as exports: it is served only
+	// when no other work waits.
+	Deferrable bool `json:",omitzero"`
+	// Timeout is how long a request may take when its caller states no
+	// deadline.
+	Timeout time.Duration
+	// AnswerBytes is the usual size of an answer, for the limits of links.
+	AnswerBytes int64 `json:",omitzero"`
+}
--- /dev/null
+++ b/snapshot/snapshot.go
@@ -0,0 +1,81 @@
+// Package snapshot indexes one accepted configuration for the request path.
+package snapshot
+
+import (
+	"strings"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/service"
+)
+
+// Snapshot is a configuration with its indexes. It never changes, so requests
+// read it without a lock.
+type Snapshot struct {
+	// Config is the indexed configuration.
+	Config *config.Config
+	// Hash is the content hash under which the configuration is stored.
+	Hash string
+	// Preset is the preset in force.
+	Preset preset.Preset
+
+	keys     map[string]credential.Credential
+	accounts map[string]account.Account
+}
+
+// New indexes c.
+func New(c *config.Config, hash string) *Snapshot {
+	s := &Snapshot{
+		Config:   c,
+		Hash:     hash,
+		Preset:   c.InForce(),
+		keys:     make(map[string]credential.Credential, len(c.Keys)),
+		accounts: make(map[string]account.Account, len(c.Accounts)),
+	}
+	for _, k := range c.Keys {
+		s.keys[k.Hash] = k
+	}
+	for _, a := range c.Accounts {
+		s.accounts[a.Name] = a
+	}
+	return s
+}
+
+// Key returns the credential whose hash is given.
+func (s *Snapshot) Key(hash string) (credential.Credential, bool) {
+	k, ok := s.keys[hash]
+	return k, ok
+}
+
+// Account returns a client account by name.
+func (s *Snapshot) Account(name string) (account.Account, bool) {
+	a, ok := s.accounts[name]
+	return a, ok
+}
+
+// Service returns the service whose prefix is the longest match of path.
+func (s *Snapshot) Service(path string) (service.Service, bool) {
+	var b service.Service
+	ok := false
+	for _, v := range s.Config.Services {
+		if strings.HasPrefix(path, v.Prefix) && (!ok || len(v.Prefix) > len(b.Prefix)) {
+			b = v
+			ok = true
+		}
+	}
+	return b, ok
+}
+
+// Backends returns the backend servers of a service in a failure domain.
+func (s *Snapshot) Backends(domain, service string) []backend.Backend {
+	var r []backend.Backend
+	for _, b := range s.Config.Backends {
+		if b.Domain == domain && b.Service == service {
+			r = append(r, b)
+		}
+	}
+	return r
+}
