--- a/host/host.go
+++ b/host/host.go
@@ -38,12 +38,17 @@
 	Log *log.Logger
 	// Incarnation is drawn anew for each process.
 	Incarnation uint64
+	// Dial opens connections to other hosts; nil means plain TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
 func (h *Host) Run(ctx context.Context) error {
+	if h.Dial == nil {
+		h.Dial = dial
+	}
 	c, err := listen(ctx, h.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "CallerAddress")
--- a/host/parts.go
+++ b/host/parts.go
@@ -52,7 +52,7 @@
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
 	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
-	x.peerclient = &peerclient.Peerclient{Dial: dial}
+	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
