Fleet: a whole deployment in one process, for the demo and for scenarios

Cause: the demo wired its own deployment, and scenarios of whole deployments had nothing to cut links or to kill hosts with. Change: package fleet starts the platform stand-in, backend stand-ins and hosts on listeners that are bound once (no port is drawn and given back), waits by condition, cuts links (open connections go silent for good), kills and replaces hosts. The demo uses it and checks that every request has one outcome. Host closes its own connections when it ends. Conclusion: scenarios are a few lines.

--- a/demo/config.go
+++ b/demo/config.go
@@ -1,15 +1,10 @@
 package demo
 
 import (
-	"context"
-	"crypto/rand"
-	"net"
 	"time"
 
 	"celeryreach.example/celeryreach/account"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/config"
-	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
@@ -18,9 +13,8 @@
 )
 
 const (
-	slotsPerBackend       = 4
-	connectionsPerBackend = 400
-	backendsPerService    = 2
+	slotsPerBackend    = 4
+	backendsPerService = 2
 )
 
 var domains = []domain.Domain{
@@ -41,22 +35,13 @@
 	{Name: "hill-camp", Rate: 40, Burst: 20},
 }
 
-// newConfig returns the demo's configuration and the keys it holds hashed.
-func newConfig(b []backend.Backend) (c config.Config, keys map[string]string, operator string) {
-	operator = rand.Text()
-	keys = make(map[string]string)
-	c = config.Config{
-		Preset: "Ordinary", Presets: presets(), Domains: domains, Services: services, Backends: b, Accounts: accounts,
+// newConfig returns the demo's configuration without what the fleet adds.
+func newConfig() config.Config {
+	return config.Config{
+		Preset: "Ordinary", Presets: presets(), Domains: domains, Services: services, Accounts: accounts,
 		Regions:      []region.Region{{Name: "lagos"}, {Name: "abuja"}},
-		Operators:    []credential.Credential{{ID: "demo-operator", Hash: credential.Hash(operator)}},
 		KeyStaleness: staleness.Staleness{Idempotent: 10 * time.Minute, NonIdempotent: time.Minute},
 	}
-	for _, a := range accounts {
-		k := rand.Text()
-		keys[a.Name] = k
-		c.Keys = append(c.Keys, credential.Credential{ID: "demo-" + a.Name, Account: a.Name, Hash: credential.Hash(k)})
-	}
-	return c, keys, operator
 }
 
 func presets() []preset.Preset {
@@ -73,20 +58,3 @@
 	m.ShiftCap = 0.25
 	return []preset.Preset{o, p, m}
 }
-
-// loopback returns an address with a free port. The port is free again when
-// this returns, so another process can take it before the demo does; the
-// demo's listen then fails with a clear error.
-func loopback(ctx context.Context) (string, error) {
-	l, err := listen(ctx)
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
-func listen(ctx context.Context) (net.Listener, error) {
-	var c net.ListenConfig
-	return c.Listen(ctx, "tcp", "127.0.0.1:0")
-}
--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,30 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"celeryreach.example/celeryreach/demo"
+)
+
+// The demo plays callers that leave while others are answered or refused. It
+// ends in the middle of all that; a request without an outcome or a goroutine
+// that goes on would be a leak that a host has too.
+func TestDemoEndsWithNothingLost(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, c := context.WithTimeout(context.Background(), 4*time.Second)
+	defer c()
+	var b bytes.Buffer
+	d := &demo.Demo{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Out: &b}
+	must.NoError(t, d.Run(ctx))
+	must.StrContains(t, b.String(), "lost               0\n")
+	must.StrContains(t, b.String(), "refused (not run)")
+}
--- /dev/null
+++ b/demo/summary.go
@@ -0,0 +1,50 @@
+package demo
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/sample"
+)
+
+// summary prints how the requests ended. Every request that was sent must be
+// in exactly one line; one that is missing was lost.
+func (d *Demo) summary(sent uint64, totals map[string]uint64) error {
+	var answered, left, notRun, unknown uint64
+	n := make([]string, 0, len(totals))
+	for k, v := range totals {
+		switch {
+		case k == outcome.Answered:
+			answered += v
+			continue
+		case k == outcome.Left:
+			left += v
+			continue
+		case strings.HasPrefix(k, sample.NotRun):
+			notRun += v
+		default:
+			unknown += v
+		}
+		n = append(n, k)
+	}
+	sort.Strings(n)
+	l := sent - answered - left - notRun - unknown
+	fmt.Fprintln(d.Out, "summary:")
+	fmt.Fprintf(d.Out, "  sent               %d\n", sent)
+	fmt.Fprintf(d.Out, "  answered whole     %d\n", answered)
+	fmt.Fprintf(d.Out, "  left               %d\n", left)
+	fmt.Fprintf(d.Out, "  refused (not run)  %d\n", notRun)
+	fmt.Fprintf(d.Out, "  unknown            %d\n", unknown)
+	fmt.Fprintf(d.Out, "  lost               %d\n", l)
+	for _, k := range n {
+		fmt.Fprintf(d.Out, "    of these %s %d\n", k, totals[k])
+	}
+	if l != 0 {
+		return errors.Errorf("%d requests have no outcome", l)
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,85 @@
+package fleet_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/region"
+	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/staleness"
+)
+
+func newFleet(t *testing.T) (context.Context, *fleet.Fleet) {
+	t.Helper()
+	// The leak check is registered first, so it runs after Stop.
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	ctx, c := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(c)
+	f := &fleet.Fleet{
+		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), HostsPerDomain: 1, BackendsPerService: 1, Slots: 4,
+		Config: config.Config{
+			Preset:       "Ordinary",
+			Presets:      []preset.Preset{{Name: "Ordinary", ShiftCap: 0.1, ShiftInterval: time.Second, GrowthCap: 0.5, FloorFraction: 0.5, MaxWait: time.Second, LookupTTL: time.Second}},
+			Regions:      []region.Region{{Name: "north"}, {Name: "south"}},
+			Domains:      []domain.Domain{{Name: "n1", Region: "north"}, {Name: "s1", Region: "south"}},
+			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: 2 * time.Second}},
+			Accounts:     []account.Account{{Name: "acme", Rate: 10000, Burst: 1000}},
+			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
+		},
+	}
+	t.Cleanup(func() { must.NoError(t, f.Stop()) })
+	must.NoError(t, f.Start(ctx))
+	return ctx, f
+}
+
+func answered(ctx context.Context, f *fleet.Fleet, host string) func() bool {
+	return func() bool {
+		c, _, err := f.Send(ctx, host, "acme", http.MethodGet, "/pages/1", "")
+		return err == nil && c == http.StatusOK
+	}
+}
+
+// A caller of either domain gets its answer while the two domains cannot hear
+// each other: both hosts drop the other from their peers, keep serving, and
+// after the cut they find each other on new connections, since the old ones
+// stay silent for good.
+func TestCutAndHeal(t *testing.T) {
+	ctx, f := newFleet(t)
+	must.NoError(t, f.Await(ctx, "an answer", answered(ctx, f, "n1-a")))
+	f.Cut("n1", "s1")
+	must.NoError(t, f.Await(ctx, "silence", func() bool {
+		s, err := f.Status(ctx, "n1-a")
+		return err == nil && len(s.Peers) == 0
+	}))
+	must.NoError(t, f.Await(ctx, "an answer in the cut", answered(ctx, f, "s1-a")))
+	f.Heal("n1", "s1")
+	must.NoError(t, f.Ready(ctx))
+}
+
+// A host dies without a word and a replacement takes its name and addresses:
+// callers of the other host are answered all the while, and the replacement
+// has the configuration and its peer before it counts as ready.
+func TestKillAndReplace(t *testing.T) {
+	ctx, f := newFleet(t)
+	f.KillHost("n1-a")
+	must.Eq(t, []string{"s1-a"}, f.Running())
+	must.NoError(t, f.Await(ctx, "an answer elsewhere", answered(ctx, f, "s1-a")))
+	_, _, err := f.Send(ctx, "n1-a", "acme", http.MethodGet, "/pages/1", "")
+	must.Error(t, err)
+	f.StartHost("n1-a")
+	must.NoError(t, f.Ready(ctx))
+	must.NoError(t, f.Await(ctx, "an answer of the replacement", answered(ctx, f, "n1-a")))
+}
--- /dev/null
+++ b/fleet/parts.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendstandin"
+	"celeryreach.example/celeryreach/counter"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/host"
+	"celeryreach.example/celeryreach/httplisten"
+	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/settings"
+	"celeryreach.example/celeryreach/standin"
+	"celeryreach.example/celeryreach/table"
+)
+
+// part is one running part; its goroutine reports its end on done.
+type part struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+func start(run func(ctx context.Context) error) *part {
+	x, c := context.WithCancel(context.Background())
+	p := &part{cancel: c, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = run(x)
+	}()
+	return p
+}
+
+func (p *part) wait() error {
+	<-p.done
+	return p.err
+}
+
+// server is one backend stand-in.
+type server struct {
+	handler *backendstandin.Backendstandin
+	part    *part
+}
+
+// site is the place of one host, which survives the host's restarts.
+type site struct {
+	settings  settings.Settings
+	listeners map[string]*listener
+	counter   *counter.Counter
+	part      *part
+	running   bool
+}
+
+func (h *site) labels() []string {
+	return []string{h.settings.Name, h.settings.Domain, h.settings.Region}
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	l, err := bind(ctx, "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "platform stand-in")
+	}
+	f.network.place(l.Addr().String(), []string{PlatformPlace})
+	f.Platform = &standin.Standin{Clock: f.Clock, Table: new(table.Table)}
+	f.PlatformURL = "http://" + l.Addr().String()
+	f.platform = &platformclient.Platformclient{URL: f.PlatformURL, Timeout: platformTimeout}
+	f.serve(l, f.Platform)
+	return nil
+}
+
+func (f *Fleet) startBackends(ctx context.Context) error {
+	for _, d := range f.Config.Domains {
+		for _, s := range f.Config.Services {
+			for i := range f.BackendsPerService {
+				l, err := bind(ctx, "127.0.0.1:0")
+				if err != nil {
+					return errors.Wrap(err, "backend stand-in")
+				}
+				b := backend.Backend{
+					Name: fmt.Sprintf("%s-%s-%d", s.Name, d.Name, i+1), Domain: d.Name, Service: s.Name,
+					Address: l.Addr().String(), Slots: f.Slots, Connections: connectionsPerBackend,
+				}
+				f.Config.Backends = append(f.Config.Backends, b)
+				h := &backendstandin.Backendstandin{Clock: f.Clock, Name: b.Name, Slots: b.Slots, Work: f.Work, ColdFor: f.Cold}
+				f.backends = append(f.backends, &server{handler: h, part: f.serve(l, h)})
+			}
+		}
+	}
+	return nil
+}
+
+const connectionsPerBackend = 400
+
+func (f *Fleet) serve(l net.Listener, h http.Handler) *part {
+	s := &httplisten.Httplisten{Listener: l, Handler: h, DrainTimeout: drainTimeout}
+	p := start(s.Run)
+	f.parts = append(f.parts, p)
+	return p
+}
+
+// credentials adds a key for each client account and one operator.
+func (f *Fleet) credentials() {
+	f.Keys = make(map[string]string)
+	f.Operator = rand.Text()
+	f.Config.Operators = append(f.Config.Operators, credential.Credential{ID: "fleet-operator", Hash: credential.Hash(f.Operator)})
+	for _, a := range f.Config.Accounts {
+		k := rand.Text()
+		f.Keys[a.Name] = k
+		f.Config.Keys = append(f.Config.Keys, credential.Credential{ID: "key-" + a.Name, Account: a.Name, Hash: credential.Hash(k)})
+	}
+}
+
+func (f *Fleet) addHost(ctx context.Context, domain string, i int) error {
+	s := settings.Default()
+	s.Name = domain + "-" + string(rune('a'+i))
+	s.Domain = domain
+	for _, d := range f.Config.Domains {
+		if d.Name == domain {
+			s.Region = d.Region
+		}
+	}
+	s.PlatformURL = f.PlatformURL
+	s.DrainTimeout = drainTimeout
+	h := &site{listeners: make(map[string]*listener), counter: &counter.Counter{Prefix: "Requests." + s.Name + "."}}
+	for _, a := range []*string{&s.CallerAddress, &s.PeerAddress, &s.OperatorAddress} {
+		l, err := bind(ctx, "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "free port")
+		}
+		*a = l.Addr().String()
+		h.listeners[*a] = &listener{Listener: l}
+	}
+	if f.Adjust != nil {
+		f.Adjust(&s)
+	}
+	h.settings = s
+	f.network.place(s.PeerAddress, h.labels())
+	f.hosts = append(f.hosts, h)
+	return nil
+}
+
+func (f *Fleet) startHost(h *site) {
+	d := f.network.dialer(h.labels(), f.Clock)
+	p := &platformclient.Platformclient{URL: f.PlatformURL, Timeout: platformTimeout, Dial: d}
+	x := &host.Host{
+		Settings: h.settings, Platform: p.Platform(), Clock: f.Clock, Log: f.Log.With("On", h.settings.Name),
+		Incarnation: mathrand.Uint64(), Dial: d, Listen: h.listen, Counter: h.counter,
+	}
+	h.running = true
+	h.part = start(func(ctx context.Context) error {
+		defer p.Close()
+		return x.Run(ctx)
+	})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -40,6 +40,8 @@
 	Incarnation uint64
 	// Dial opens connections to other hosts; nil means plain TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens the listeners of the host; nil means plain TCP.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
 }
@@ -49,17 +51,20 @@
 	if h.Dial == nil {
 		h.Dial = dial
 	}
-	c, err := listen(ctx, h.Settings.CallerAddress)
+	if h.Listen == nil {
+		h.Listen = listen
+	}
+	c, err := h.Listen(ctx, h.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "CallerAddress")
 	}
 	defer c.Close()
-	p, err := listen(ctx, h.Settings.PeerAddress)
+	p, err := h.Listen(ctx, h.Settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "PeerAddress")
 	}
 	defer p.Close()
-	o, err := listen(ctx, h.Settings.OperatorAddress)
+	o, err := h.Listen(ctx, h.Settings.OperatorAddress)
 	if err != nil {
 		return errors.Wrap(err, "OperatorAddress")
 	}
@@ -79,6 +84,7 @@
 		Log:     h.Log,
 		Backoff: restartBackoff,
 		Children: []child.Child{
+			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +20,11 @@
 	"celeryreach.example/celeryreach/row"
 )
 
+const (
+	idleConnections = 8
+	idleTimeout     = 30 * time.Second
+)
+
 // Platformclient calls the platform at a base URL.
 type Platformclient struct {
 	// URL is the base URL.
@@ -25,8 +32,16 @@
 	// Timeout bounds each call: a silent connection must not hold up a part
 	// of the host for ever.
 	Timeout time.Duration
+	// Dial opens connections; nil means plain TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	once      sync.Once
+	transport *http.Transport
+}
 
-	client http.Client
+// Close ends all idle connections.
+func (p *Platformclient) Close() {
+	p.roundTripper().CloseIdleConnections()
 }
 
 // Platform returns the functions of the seam.
@@ -98,7 +113,7 @@
 		return nil, errors.Wrap(err, "platform request")
 	}
 	q.ContentLength = int64(len(b))
-	r, err := p.client.Do(q)
+	r, err := p.roundTripper().RoundTrip(q)
 	if err != nil {
 		return nil, errors.Wrap(err, "platform")
 	}
@@ -112,3 +127,17 @@
 	}
 	return a, nil
 }
+
+// roundTripper is an http.Transport of the client's own. It follows no
+// redirects: a redirected commit would be sent twice.
+func (p *Platformclient) roundTripper() *http.Transport {
+	p.once.Do(func() {
+		p.transport = &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout}
+		if p.Dial != nil {
+			p.transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+				return p.Dial(ctx, address)
+			}
+		}
+	})
+	return p.transport
+}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -9,6 +9,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -27,6 +28,9 @@
 	pause             = 50 * time.Millisecond
 )
 
+// NotRun is put before the outcomes that promise that the request did not run.
+const NotRun = "NotRun."
+
 // Sample is a group of callers.
 type Sample struct {
 	// Clock paces the callers.
@@ -39,6 +43,13 @@
 	Counter *counter.Counter
 	// Seed makes the callers' choices repeatable.
 	Seed uint64
+
+	sent atomic.Uint64
+}
+
+// Sent returns how many requests were begun.
+func (s *Sample) Sent() uint64 {
+	return s.sent.Load()
 }
 
 // Run plays the callers until ctx ends. Each request that was begun is ended.
@@ -64,6 +75,7 @@
 	defer t.CloseIdleConnections()
 	c := &http.Client{Transport: t}
 	for ctx.Err() == nil {
+		s.sent.Add(1)
 		// The request outlives ctx: the demo ends with no request cut.
 		s.Counter.Add(s.one(context.WithoutCancel(ctx), c, account, key, r))
 		select {
@@ -103,6 +115,9 @@
 	if err := codec.Unmarshal(b, &o); err != nil {
 		return "Unreadable"
 	}
+	if o.Ran == outcome.RanNo {
+		return NotRun + o.Outcome
+	}
 	return o.Outcome
 }
 
