--- /dev/null
+++ b/cmd/config_show.go
@@ -0,0 +1,35 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/codec"
+)
+
+func (m *Cmd) configShow() *cli.Command {
+	return m.leaf("show", "print the configuration in force, as a file for apply", "", m.runConfigShow, platformFlag())
+}
+
+func (m *Cmd) runConfigShow(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c); err != nil {
+		return err
+	}
+	n, err := m.connect(c)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	v, err := n.load(ctx)
+	if err != nil {
+		return err
+	}
+	b, err := codec.MarshalIndent(v)
+	if err != nil {
+		return errors.Wrap(err, "configuration")
+	}
+	m.printf("%s\n", b)
+	return nil
+}
--- /dev/null
+++ b/cmd/connection.go
@@ -0,0 +1,166 @@
+package cmd
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/change"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/operatorclient"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/problem"
+	"celeryreach.example/celeryreach/validate"
+)
+
+// Names of the environment. The key has no flag: arguments show in the list of
+// processes, which every user of a machine can read.
+const (
+	operatorVariable  = "CELERYREACH_OPERATOR"
+	keyVariable       = "CELERYREACH_OPERATOR_KEY"
+	authorityVariable = "CELERYREACH_AUTHORITY"
+	lookupVariable    = "CELERYREACH_LOOKUP"
+)
+
+const callTimeout = 10 * time.Second
+
+// connection is the common part of all operators' commands.
+type connection struct {
+	client    *operatorclient.Operatorclient
+	transport *http.Transport
+	load      func(ctx context.Context) (*config.Config, error)
+	former    func(ctx context.Context, version uint64) (*config.Config, error)
+	change    func(ctx context.Context, from uint64, c *config.Config) (accepted.Accepted, error)
+}
+
+func connectionFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "operator", Usage: "`URL` of a host's operators' interface (or " + operatorVariable + ")"},
+		&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator's key (or " + keyVariable + ")"},
+		&cli.StringFlag{Name: "authority", Usage: "`FILE` with the certificate authority of the hosts (or " + authorityVariable + ")"},
+		&cli.BoolFlag{Name: "json", Usage: "write JSON"},
+	}
+}
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{Name: "platform", Usage: "`URL` of the platform: go past the hosts, for a deployment without hosts or operators' keys"}
+}
+
+func (m *Cmd) connect(c *cli.Command) (*connection, error) {
+	t, err := m.transport(c)
+	if err != nil {
+		return nil, err
+	}
+	n := &connection{transport: t}
+	if u := c.String("platform"); u != "" {
+		p := &platformclient.Platformclient{URL: u, Timeout: callTimeout}
+		n.platform(p.Platform())
+		return n, nil
+	}
+	k, err := m.key(c)
+	if err != nil {
+		return nil, err
+	}
+	u := m.option(c, "operator", operatorVariable)
+	if u == "" || k == "" {
+		return nil, &failure{code: exitUsage, text: "a host and an operator's key are needed: set " + operatorVariable + " and " + keyVariable}
+	}
+	n.client = &operatorclient.Operatorclient{URL: strings.TrimSuffix(u, "/"), Key: k, Timeout: callTimeout, Transport: t}
+	n.load, n.former, n.change = n.client.Config, n.client.Former, n.client.Change
+	return n, nil
+}
+
+// close ends idle connections.
+func (n *connection) close() {
+	n.transport.CloseIdleConnections()
+}
+
+func (m *Cmd) option(c *cli.Command, flag, variable string) string {
+	if v := c.String(flag); v != "" {
+		return v
+	}
+	return m.Getenv(variable)
+}
+
+func (m *Cmd) key(c *cli.Command) (string, error) {
+	f := c.String("key-file")
+	if f == "" {
+		return m.Getenv(keyVariable), nil
+	}
+	b, err := os.ReadFile(f)
+	if err != nil {
+		return "", errors.Wrap(err, "operator's key")
+	}
+	return strings.TrimSpace(string(b)), nil
+}
+
+func (m *Cmd) transport(c *cli.Command) (*http.Transport, error) {
+	t := new(http.Transport)
+	f := m.option(c, "authority", authorityVariable)
+	if f == "" {
+		return t, nil
+	}
+	b, err := os.ReadFile(f)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate authority")
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(b) {
+		return nil, errors.Errorf("%s holds no certificate", f)
+	}
+	t.TLSClientConfig = &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS13}
+	return t, nil
+}
+
+// platform reads and changes the configuration without a host. The check that
+// a host makes of a change is made here.
+func (n *connection) platform(p platform.Platform) {
+	n.load = func(ctx context.Context) (*config.Config, error) { return load(ctx, p) }
+	n.former = func(context.Context, uint64) (*config.Config, error) {
+		return nil, errors.New("the platform names the newest version only")
+	}
+	n.change = func(ctx context.Context, from uint64, c *config.Config) (accepted.Accepted, error) {
+		if e := validate.Config(c); len(e) > 0 {
+			return accepted.Accepted{}, &problem.Problem{Problem: problem.Mistaken, Message: "nothing was changed", Mistakes: e}
+		}
+		a, ok, err := (&change.Change{Platform: p}).Commit(ctx, from, *c)
+		if err == nil && !ok {
+			err = &problem.Problem{Problem: problem.Conflict, Message: "the accepted version is another one; nothing was changed", Accepted: a}
+		}
+		return a, err
+	}
+}
+
+func load(ctx context.Context, p platform.Platform) (*config.Config, error) {
+	r, err := p.Read(ctx, accepted.RowKey)
+	if err != nil {
+		return nil, err
+	}
+	if r.Version == 0 {
+		return nil, errors.New("the platform has no configuration; see config init")
+	}
+	var a accepted.Accepted
+	if err := codec.Unmarshal(r.Value, &a); err != nil {
+		return nil, errors.Wrap(err, "accepted version")
+	}
+	b, err := p.GetObject(ctx, accepted.ObjectName(a.Hash))
+	if err != nil {
+		return nil, err
+	}
+	c := new(config.Config)
+	if err := codec.Unmarshal(b, c); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	c.Version = a.Version
+	return c, nil
+}
--- /dev/null
+++ b/cmd/lookup.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/answer"
+	"celeryreach.example/celeryreach/codec"
+)
+
+func (m *Cmd) lookupCommand() *cli.Command {
+	return &cli.Command{
+		Name: "lookup", Usage: "ask a host which entry hosts a caller should use, best first", ArgsUsage: "ACCOUNT SERVICE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "host", Usage: "`URL` of any host's caller address (or " + lookupVariable + ")"},
+			&cli.StringFlag{Name: "region", Usage: "the caller's `REGION`"},
+			&cli.StringFlag{Name: "address", Usage: "the caller's IP `ADDRESS`"},
+			&cli.StringFlag{Name: "authority", Usage: "`FILE` with the certificate authority of the hosts (or " + authorityVariable + ")"},
+			&cli.BoolFlag{Name: "json", Usage: "write JSON"},
+		},
+		Action: m.runLookup, OnUsageError: usageError,
+	}
+}
+
+func (m *Cmd) runLookup(ctx context.Context, c *cli.Command) error {
+	a, err := arguments(c, "ACCOUNT", "SERVICE")
+	if err != nil {
+		return err
+	}
+	u := m.option(c, "host", lookupVariable)
+	if u == "" {
+		return &failure{code: exitUsage, text: "a host is needed: -host or " + lookupVariable}
+	}
+	t, err := m.transport(c)
+	if err != nil {
+		return err
+	}
+	defer t.CloseIdleConnections()
+	q := url.Values{"account": {a[0]}, "service": {a[1]}}
+	for _, f := range []string{"region", "address"} {
+		if v := c.String(f); v != "" {
+			q.Set(f, v)
+		}
+	}
+	r, err := lookUp(ctx, t, strings.TrimSuffix(u, "/")+"/lookup?"+q.Encode())
+	if err != nil {
+		return err
+	}
+	return m.write(c, r, func() {
+		for _, h := range r.EntryHosts {
+			m.printf("%s\n", h)
+		}
+		m.printf("good for %s\n", r.TTL)
+	})
+}
+
+func lookUp(ctx context.Context, t http.RoundTripper, u string) (answer.Answer, error) {
+	var a answer.Answer
+	x, f := context.WithTimeout(ctx, callTimeout)
+	defer f()
+	q, err := http.NewRequestWithContext(x, http.MethodGet, u, nil)
+	if err != nil {
+		return a, errors.Wrap(err, "look-up")
+	}
+	p, err := t.RoundTrip(q)
+	if err != nil {
+		return a, errors.Wrap(err, "look-up")
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return a, errors.Wrap(err, "look-up")
+	}
+	if p.StatusCode != http.StatusOK {
+		return a, errors.Errorf("look-up: %s", p.Status)
+	}
+	return a, errors.Wrap(codec.Unmarshal(b, &a), "look-up")
+}
--- /dev/null
+++ b/cmd/output.go
@@ -0,0 +1,52 @@
+package cmd
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/difference"
+)
+
+// write prints v as JSON for programs, or calls text for people.
+func (m *Cmd) write(c *cli.Command, v any, text func()) error {
+	if !c.Bool("json") {
+		text()
+		return nil
+	}
+	b, err := codec.MarshalIndent(v)
+	if err != nil {
+		return errors.Wrap(err, "output")
+	}
+	fmt.Fprintln(m.Out, string(b))
+	return nil
+}
+
+func (m *Cmd) printf(format string, args ...any) {
+	fmt.Fprintf(m.Out, format, args...)
+}
+
+// table prints rows in columns; the first row is the heading.
+func (m *Cmd) table(rows [][]string) {
+	w := tabwriter.NewWriter(m.Out, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		for i, s := range r {
+			if i > 0 {
+				fmt.Fprint(w, "\t") //nolint:errcheck // Flush reports it
+			}
+			fmt.Fprint(w, s) //nolint:errcheck // Flush reports it
+		}
+		fmt.Fprintln(w)
+	}
+	_ = w.Flush() // a closed output has no reader to tell
+}
+
+func (m *Cmd) differences(heading string, d []difference.Difference) {
+	m.printf("%s\n", heading)
+	for _, v := range d {
+		m.printf("  %s\n", v)
+	}
+}
--- /dev/null
+++ b/cmd/preset_list.go
@@ -0,0 +1,29 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+func (m *Cmd) presetList() *cli.Command {
+	return m.leaf("list", "print the presets and which one is in force", "", m.runPresetList)
+}
+
+func (m *Cmd) runPresetList(ctx context.Context, c *cli.Command) error {
+	v, err := m.current(ctx, c)
+	if err != nil {
+		return err
+	}
+	return m.write(c, v.Presets, func() {
+		r := [][]string{{"PRESET", "IN FORCE", "SHIFT CAP", "HEADROOM", "MAX WAIT", "LOOK-UP TTL"}}
+		for _, p := range v.Presets {
+			f := ""
+			if p.Name == v.Preset {
+				f = "yes"
+			}
+			r = append(r, []string{p.Name, f, number(p.ShiftCap), number(p.Headroom), p.MaxWait.String(), p.LookupTTL.String()})
+		}
+		m.table(r)
+	})
+}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/host"
+	"celeryreach.example/celeryreach/mistake"
 	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/settings"
 )
@@ -18,22 +20,43 @@
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "serve",
-		Usage:  "run one entry host",
-		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true}},
-		Action: runServe,
+		Name:  "serve",
+		Usage: "run one entry host",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "report every mistake of the settings, with line and field, and end"},
+		},
+		Action: runServe, OnUsageError: usageError,
 	}
 }
 
 func runServe(ctx context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String("settings"))
+	n := c.String("settings")
+	s, e, err := settings.Load(n)
 	if err != nil {
-		return err
+		return &failure{code: exitMistakes, text: err.Error()}
+	}
+	if len(e) > 0 {
+		return &failure{code: exitMistakes, text: lines(n, e)}
+	}
+	if c.Bool("check") {
+		fmt.Fprintf(c.Root().Writer, "%s: no mistakes\n", n)
+		return nil
 	}
 	p := &platformclient.Platformclient{URL: s.PlatformURL, Timeout: platformTimeout}
 	h := &host.Host{
 		Settings: s, Platform: p.Platform(), Clock: clockwork.NewRealClock(), Log: logger(),
 		Incarnation: rand.Uint64(), Counter: &counter.Counter{Prefix: "Requests."},
 	}
+	defer p.Close()
 	return h.Run(ctx)
 }
+
+// lines tells each mistake on a line of its own.
+func lines(file string, e []mistake.Mistake) string {
+	t := fmt.Sprintf("%d mistakes", len(e))
+	for _, v := range e {
+		t += fmt.Sprintf("\n%s: %s", file, v)
+	}
+	return t
+}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,103 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/status"
+)
+
+// overview tells programs the state of the whole deployment.
+type overview struct {
+	// Hosts are the answers of the hosts.
+	Hosts []status.Status
+	// Silent are the hosts that did not answer.
+	Silent []place
+	// Drains name what is draining.
+	Drains []string
+}
+
+func (m *Cmd) statusCommand() *cli.Command {
+	return m.leaf("status", "print hosts, versions in force, preset, loads and drains", "", m.runStatus)
+}
+
+func (m *Cmd) runStatus(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c); err != nil {
+		return err
+	}
+	n, err := m.connect(c)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	s, err := n.states(ctx)
+	if err != nil {
+		return err
+	}
+	v, err := n.load(ctx)
+	if err != nil {
+		return err
+	}
+	var o overview
+	for _, x := range s {
+		if x.err != nil {
+			o.Silent = append(o.Silent, place{Host: x.member.Name, Error: x.err.Error()})
+			continue
+		}
+		o.Hosts = append(o.Hosts, x.status)
+	}
+	o.Drains = drains(v)
+	return m.write(c, o, func() { m.overview(s, o) })
+}
+
+func (m *Cmd) overview(s []state, o overview) {
+	r := [][]string{{"HOST", "DOMAIN", "REGION", "VERSION", "PRESET", "PEERS", "BUSY/SLOTS+WAITING"}}
+	for _, x := range s {
+		if x.err != nil {
+			r = append(r, []string{x.member.Name, x.member.Domain, x.member.Region, "-", "-", "-", "does not answer"})
+			continue
+		}
+		t := x.status
+		r = append(r, []string{
+			t.Host.Name, t.Host.Domain, t.Host.Region, strconv.FormatUint(t.ConfigVersion, 10), t.Preset,
+			strconv.Itoa(len(t.Peers)), loads(t),
+		})
+	}
+	m.table(r)
+	for _, d := range o.Drains {
+		m.printf("draining: %s\n", d)
+	}
+}
+
+func loads(t status.Status) string {
+	var r []string
+	for _, l := range t.Loads {
+		r = append(r, fmt.Sprintf("%s %d/%d+%d", l.Service, l.Busy, l.Slots, l.Waiting))
+	}
+	return strings.Join(r, ", ")
+}
+
+func drains(v *config.Config) []string {
+	var r []string
+	for _, x := range v.Regions {
+		if x.Draining {
+			r = append(r, "region "+x.Name)
+		}
+	}
+	for _, x := range v.Domains {
+		if x.Draining {
+			r = append(r, "failure domain "+x.Name)
+		}
+	}
+	for _, x := range v.Backends {
+		if x.Draining {
+			r = append(r, "backend server "+x.Name)
+		}
+	}
+	return r
+}
--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/certs"
 	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/httplisten"
@@ -44,6 +45,8 @@
 	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
+
+	peers *certs.Certs
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
@@ -69,6 +72,10 @@
 		return errors.Wrap(err, "OperatorAddress")
 	}
 	defer o.Close()
+	c, p, o, err = h.secure(c, p, o)
+	if err != nil {
+		return err
+	}
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
 	s := h.assemble(c, p, o)
 	err = s.Run(ctx)
@@ -87,6 +94,7 @@
 			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
+			{Name: "history", Run: x.remember},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
--- a/host/parts.go
+++ b/host/parts.go
@@ -9,25 +9,22 @@
 
 	"celeryreach.example/celeryreach/admission"
 	"celeryreach.example/celeryreach/backend"
-	"celeryreach.example/celeryreach/change"
-	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
+	"celeryreach.example/celeryreach/history"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/operator"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/status"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -47,12 +44,13 @@
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
+	history    history.History
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
 	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
-	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
+	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
@@ -101,14 +99,6 @@
 	return m
 }
 
-// operators is the handler of the operator address.
-func (x *parts) operators() http.Handler {
-	return &operator.Operator{
-		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: &change.Change{Platform: x.host.Platform},
-		Check: func(*config.Config) []string { return nil }, Status: x.status,
-	}
-}
-
 func (x *parts) self() member.Member {
 	s := x.host.Settings
 	return member.Member{
@@ -154,15 +144,6 @@
 	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
 }
 
-func (x *parts) status() status.Status {
-	s := status.Status{Host: x.self(), Peers: x.membership.Alive()}
-	if c := x.follower.Snapshot(); c != nil {
-		s.ConfigVersion = c.Config.Version
-		s.Preset = c.Config.Preset
-	}
-	return s
-}
-
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
 	x.host.Counter.Add(o.Outcome)
 }
--- a/host/product.go
+++ b/host/product.go
@@ -1,6 +1,24 @@
 package host
 
-import "context"
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"celeryreach.example/celeryreach/change"
+	"celeryreach.example/celeryreach/load"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/operator"
+	"celeryreach.example/celeryreach/status"
+	"celeryreach.example/celeryreach/validate"
+)
+
+const (
+	// listTimeout keeps the state quick to read while the platform is down.
+	listTimeout  = 500 * time.Millisecond
+	historyEvery = 200 * time.Millisecond
+)
 
 // connections closes the host's own connections last, when no part uses them
 // any more.
@@ -10,3 +28,50 @@
 	x.dispatch.Upstream.Close()
 	return nil
 }
+
+// operators is the handler of the operator address.
+func (x *parts) operators() http.Handler {
+	return &operator.Operator{
+		Log: x.host.Log, Snapshot: x.follower.Snapshot, History: &x.history,
+		Change: &change.Change{Platform: x.host.Platform}, Check: validate.Config, Status: x.status,
+	}
+}
+
+// remember feeds the history. A version that is in force for less than the
+// interval is missed, and nobody has made a change from it either.
+func (x *parts) remember(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s := x.follower.Snapshot(); s != nil {
+			x.history.Add(s.Config)
+		}
+		select {
+		case <-ctx.Done():
+		case <-x.host.Clock.After(historyEvery):
+		}
+	}
+	return nil
+}
+
+func (x *parts) status(ctx context.Context) status.Status {
+	s := status.Status{Host: x.self(), Peers: x.membership.Alive()}
+	if c := x.follower.Snapshot(); c != nil {
+		s.ConfigVersion = c.Config.Version
+		s.ConfigHash = c.Hash
+		s.Preset = c.Config.Preset
+	}
+	for _, l := range x.lanes.Loads() {
+		s.Loads = append(s.Loads, load.Load{Service: l.Service, Slots: int(l.Slots), Busy: int(l.Busy), Waiting: int(l.Waiting)})
+	}
+	l, f := context.WithTimeout(ctx, listTimeout)
+	defer f()
+	m, err := x.host.Platform.Hosts(l)
+	if err != nil {
+		s.Unlisted = err.Error()
+	}
+	for _, v := range m {
+		if v.Name != s.Host.Name && !slices.ContainsFunc(s.Peers, func(p member.Member) bool { return p.Name == v.Name }) {
+			s.Missing = append(s.Missing, v)
+		}
+	}
+	return s
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,9 +6,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
-	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/certificate"
+	"celeryreach.example/celeryreach/document"
+	"celeryreach.example/celeryreach/mistake"
 )
 
 // Settings are what a host must be told; everything else it takes from the
@@ -36,28 +37,36 @@
 	Hold time.Duration
 	// DrainTimeout is how long a graceful shutdown waits for requests.
 	DrainTimeout time.Duration
+	// CallerTLS makes callers use TLS; nil means plain HTTP.
+	CallerTLS *certificate.Certificate `json:",omitzero"`
+	// PeerTLS makes hosts authenticate each other; nil means that whoever
+	// reaches PeerAddress is taken for a host.
+	PeerTLS *certificate.Certificate `json:",omitzero"`
+	// OperatorTLS makes operators use TLS; nil means plain HTTP.
+	OperatorTLS *certificate.Certificate `json:",omitzero"`
 }
 
-// Load reads a settings file, JSON with comments.
-func Load(path string) (Settings, error) {
+// Load reads a settings file, JSON with comments, and returns every mistake in
+// it.
+func Load(path string) (Settings, []mistake.Mistake, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+		return Settings{}, nil, errors.Wrap(err, "settings")
 	}
 	return Parse(b)
 }
 
-// Parse reads settings from JSON with comments, over the defaults.
-func Parse(b []byte) (Settings, error) {
+// Parse reads settings over the defaults and returns every mistake in them.
+func Parse(b []byte) (Settings, []mistake.Mistake, error) {
 	s := Default()
-	j, err := hujson.Standardize(b)
+	d, err := document.Parse(b)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+		return s, nil, errors.Wrap(err, "settings")
 	}
-	if err := codec.Unmarshal(j, &s); err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
+	if m := d.Decode(&s); len(m) > 0 {
+		return s, m, nil
 	}
-	return s, nil
+	return s, d.Locate(s.Check()), nil
 }
 
 // Default returns the settings that hold where a file is silent.
--- a/status/status.go
+++ b/status/status.go
@@ -1,7 +1,10 @@
 // Package status describes what one host knows of itself and of others.
 package status
 
-import "celeryreach.example/celeryreach/member"
+import (
+	"celeryreach.example/celeryreach/load"
+	"celeryreach.example/celeryreach/member"
+)
 
 // Status is the answer to an operator's question for the state.
 type Status struct {
@@ -9,8 +12,17 @@
 	Host member.Member
 	// ConfigVersion is the version in force on it.
 	ConfigVersion uint64
+	// ConfigHash is the hash of that version's content.
+	ConfigHash string
 	// Preset is the preset in force on it.
 	Preset string
+	// Loads are its loads by service.
+	Loads []load.Load
 	// Peers are the hosts it has heard lately.
 	Peers []member.Member
+	// Missing are hosts on the platform's list that it has not heard lately.
+	// The list lags, so a host that ended a moment ago can be among them.
+	Missing []member.Member `json:",omitzero"`
+	// Unlisted says why the platform's list is not known.
+	Unlisted string `json:",omitzero"`
 }
