--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/certs"
 	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/httplisten"
@@ -40,8 +41,12 @@
 	Incarnation uint64
 	// Dial opens connections to other hosts; nil means plain TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens the listeners of the host; nil means plain TCP.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
+
+	peers *certs.Certs
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
@@ -49,21 +54,28 @@
 	if h.Dial == nil {
 		h.Dial = dial
 	}
-	c, err := listen(ctx, h.Settings.CallerAddress)
+	if h.Listen == nil {
+		h.Listen = listen
+	}
+	c, err := h.Listen(ctx, h.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "CallerAddress")
 	}
 	defer c.Close()
-	p, err := listen(ctx, h.Settings.PeerAddress)
+	p, err := h.Listen(ctx, h.Settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "PeerAddress")
 	}
 	defer p.Close()
-	o, err := listen(ctx, h.Settings.OperatorAddress)
+	o, err := h.Listen(ctx, h.Settings.OperatorAddress)
 	if err != nil {
 		return errors.Wrap(err, "OperatorAddress")
 	}
 	defer o.Close()
+	c, p, o, err = h.secure(c, p, o)
+	if err != nil {
+		return err
+	}
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
 	s := h.assemble(c, p, o)
 	err = s.Run(ctx)
@@ -79,8 +91,10 @@
 		Log:     h.Log,
 		Backoff: restartBackoff,
 		Children: []child.Child{
+			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
+			{Name: "history", Run: x.remember},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
