Configuration: relay between hosts, deltas, settled commits, readiness, key staleness

Cause: every host polled the store each second, a peer's newer version was ignored, a commit whose answer was lost could end unknown although the row told, and a host served before it had any configuration (401 to good keys). Two hosts a failure domain poll; the others hear by notices and heartbeats.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -19,6 +19,9 @@
 type Admission struct {
 	// Snapshot returns the configuration in force, nil before the first.
 	Snapshot func() *snapshot.Snapshot
+	// Stale reports whether this host may have missed withdrawals for too long
+	// to trust keys; nil means that it never may.
+	Stale func(nonIdempotent bool) bool
 }
 
 // Identify returns the credential of a request.
@@ -43,6 +46,12 @@
 	return ok
 }
 
+// Trusts reports whether this host may rely on its keys for a request. A host
+// that is cut off cannot hear of withdrawals.
+func (a *Admission) Trusts(nonIdempotent bool) bool {
+	return a.Stale == nil || !a.Stale(nonIdempotent)
+}
+
 // Key returns the key of a request, empty if it has none.
 func Key(r *http.Request) string {
 	if k := r.Header.Get(KeyHeader); k != "" {
--- a/change/change.go
+++ b/change/change.go
@@ -4,76 +4,85 @@
 import (
 	"context"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
-	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/conflict"
+	"celeryreach.example/celeryreach/difference"
 	"celeryreach.example/celeryreach/platform"
-	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/publish"
 )
 
 // Change writes configurations to the platform.
 type Change struct {
 	// Platform holds the accepted configuration.
 	Platform platform.Platform
+	// Clock paces the reading back after a lost answer; nil means the real one.
+	Clock clockwork.Clock
+	// Accepted is told of a version that was just accepted, so that it is put
+	// in force and relayed at once; nil tells nobody.
+	Accepted func(a accepted.Accepted, content []byte)
 }
 
-// Commit accepts c as the successor of version from. It reports false, and
+// Commit accepts n as the successor of version from. It reports false, and
 // changes nothing, when another version was accepted in between. After an
 // error the outcome is not known to have failed.
 func (c *Change) Commit(ctx context.Context, from uint64, n config.Config) (accepted.Accepted, bool, error) {
-	r, err := c.Platform.Read(ctx, accepted.RowKey)
-	if err != nil {
-		return accepted.Accepted{}, false, errors.Wrap(err, "read the accepted version")
-	}
-	var o accepted.Accepted
-	if r.Version != 0 {
-		if err := codec.Unmarshal(r.Value, &o); err != nil {
-			return o, false, errors.Wrap(err, "accepted version")
-		}
-	}
-	if o.Version != from {
-		return o, false, nil
-	}
 	n.Version = from + 1
 	b, err := codec.Marshal(n)
 	if err != nil {
-		return o, false, errors.Wrap(err, "configuration")
+		return accepted.Accepted{}, false, errors.Wrap(err, "configuration")
 	}
-	a := accepted.Accepted{Version: n.Version, Hash: accepted.Hash(b)}
-	// The content goes first: a row must never name an object that is absent.
-	if err := c.Platform.PutObject(ctx, accepted.ObjectName(a.Hash), b); err != nil {
-		return o, false, errors.Wrap(err, "store the configuration")
+	a, ok, err := c.publish().Commit(ctx, from, b)
+	if err == nil && ok && c.Accepted != nil {
+		c.Accepted(a, b)
 	}
-	v, err := codec.Marshal(a)
+	return a, ok, err
+}
+
+// Explain names both changes after a conflict: what was accepted since version
+// from, and what n would have changed. The lists stay empty when the platform
+// no longer gives the versions.
+func (c *Change) Explain(ctx context.Context, from uint64, n config.Config, a accepted.Accepted) conflict.Conflict {
+	r := conflict.Conflict{From: from, Accepted: a.Version}
+	o, err := c.load(ctx, from, a)
 	if err != nil {
-		return o, false, errors.Wrap(err, "accepted version")
+		return r
 	}
-	ok, err := c.Platform.Commit(ctx, commit.Commit{
-		Expect: []row.Row{{Key: accepted.RowKey, Version: r.Version}},
-		Put:    []row.Row{{Key: accepted.RowKey, Value: v}},
-	})
-	if err == nil {
-		return a, ok, nil
+	n.Version = from
+	r.Yours = difference.Of(*o, n)
+	t, err := c.load(ctx, a.Version, a)
+	if err != nil {
+		return r
 	}
-	return c.settle(ctx, a, err)
+	t.Version = from
+	r.Theirs = difference.Of(*o, *t)
+	return r
 }
 
-// settle reads back the row after a commit whose answer was lost. Our hash
-// under our version means that the commit took effect.
-func (c *Change) settle(ctx context.Context, a accepted.Accepted, cause error) (accepted.Accepted, bool, error) {
-	r, err := c.Platform.Read(ctx, accepted.RowKey)
-	if err != nil || r.Version == 0 {
-		return a, false, errors.Wrap(cause, "the outcome of the change is unknown")
+func (c *Change) load(ctx context.Context, version uint64, a accepted.Accepted) (*config.Config, error) {
+	if version == 0 {
+		return new(config.Config), nil
+	}
+	h, ok := a.HashOf(version)
+	if !ok {
+		return nil, errors.Errorf("version %d is too old", version)
 	}
-	var v accepted.Accepted
-	if err := codec.Unmarshal(r.Value, &v); err != nil {
-		return a, false, errors.Wrap(err, "accepted version")
+	b, err := c.Platform.GetObject(ctx, accepted.ObjectName(accepted.RowKey, h))
+	if err != nil {
+		return nil, err
 	}
-	if v == a {
-		return a, true, nil
+	r := new(config.Config)
+	return r, errors.Wrapf(codec.Unmarshal(b, r), "configuration %d", version)
+}
+
+func (c *Change) publish() *publish.Publish {
+	k := c.Clock
+	if k == nil {
+		k = clockwork.NewRealClock()
 	}
-	return v, false, errors.Wrap(cause, "the outcome of the change is unknown")
+	return &publish.Publish{Clock: k, Platform: c.Platform, Key: accepted.RowKey}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,6 +97,9 @@
 	r.Length = h.ContentLength
 	r.NonIdempotent = v.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
 	r.IdempotencyID = h.Header.Get(IdempotencyHeader)
+	if !e.Admission.Trusts(r.NonIdempotent) {
+		return r, refuse(outcome.KeyStale, "this failure domain is cut off and cannot know whether the key was withdrawn")
+	}
 	return r, outcome.Outcome{}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,15 +9,18 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/replica"
 	"celeryreach.example/celeryreach/snapshot"
 )
 
+// Kind names the configuration in messages between hosts.
+const Kind = "Config"
+
 // Follower applies only versions higher than the one it has, whether they come
 // from the platform or from a peer.
 type Follower struct {
@@ -27,12 +30,16 @@
 	Log *log.Logger
 	// Platform is polled.
 	Platform platform.Platform
-	// Poll is the time between two reads of the row.
-	Poll time.Duration
+	// Poll returns the time until the next read of the row.
+	Poll func() time.Duration
+	// Polled is told of each read that the platform answered; nil tells nobody.
+	Polled func()
+	// Changed is called after a version was applied; nil calls nothing.
+	Changed func()
 
-	mu      sync.Mutex
+	once    sync.Once
+	replica *replica.Replica
 	current atomic.Pointer[snapshot.Snapshot]
-	content []byte
 }
 
 // Snapshot returns the configuration in force, nil before the first.
@@ -42,66 +49,49 @@
 
 // Content returns the configuration in force as it is stored.
 func (f *Follower) Content() (version uint64, hash string, content []byte) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.current.Load()
-	if s == nil {
-		return 0, "", nil
-	}
-	return s.Config.Version, s.Hash, f.content
+	return f.Replica().Content()
+}
+
+// Replica returns what peers exchange.
+func (f *Follower) Replica() *replica.Replica {
+	f.once.Do(func() {
+		f.replica = &replica.Replica{
+			Kind: Kind, Key: accepted.RowKey, Log: f.Log, Platform: f.Platform, Apply: f.apply, Changed: f.Changed,
+		}
+	})
+	return f.replica
+}
+
+// Offer applies content if its version is higher than the one in force. The
+// content must have the hash that was accepted with the version.
+func (f *Follower) Offer(version uint64, hash string, content []byte) error {
+	return f.Replica().Offer(version, hash, content)
 }
 
 // Run polls the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for {
-		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+		err := f.Replica().Poll(ctx)
+		if err != nil && ctx.Err() == nil {
 			f.Log.Warn("configuration not read", "Error", err)
 		}
+		if err == nil && f.Polled != nil {
+			f.Polled()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-f.Clock.After(f.Poll):
+		case <-f.Clock.After(f.Poll()):
 		}
 	}
 }
 
-// Offer applies content if its version is higher than the one in force. The
-// content must have the hash that was accepted with the version.
-func (f *Follower) Offer(version uint64, hash string, content []byte) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s := f.current.Load(); s != nil && version <= s.Config.Version {
-		return nil
-	}
-	if accepted.Hash(content) != hash {
-		return errors.Errorf("configuration %d: content does not have hash %s", version, hash)
-	}
+func (f *Follower) apply(version uint64, hash string, content []byte) error {
 	c := new(config.Config)
 	if err := codec.Unmarshal(content, c); err != nil {
-		return errors.Wrapf(err, "configuration %d", version)
+		return err
 	}
 	c.Version = version
-	f.content = content
 	f.current.Store(snapshot.New(c, hash))
-	f.Log.Info("configuration applied", "Version", version, "Preset", c.Preset)
 	return nil
 }
-
-func (f *Follower) poll(ctx context.Context) error {
-	r, err := f.Platform.Read(ctx, accepted.RowKey)
-	if err != nil || r.Version == 0 {
-		return err
-	}
-	var a accepted.Accepted
-	if err := codec.Unmarshal(r.Value, &a); err != nil {
-		return err
-	}
-	if s := f.current.Load(); s != nil && a.Version <= s.Config.Version {
-		return nil
-	}
-	b, err := f.Platform.GetObject(ctx, accepted.ObjectName(a.Hash))
-	if err != nil {
-		return err
-	}
-	return f.Offer(a.Version, a.Hash, b)
-}
--- a/host/host.go
+++ b/host/host.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	configPoll     = time.Second
 	restartBackoff = time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
@@ -83,6 +82,8 @@
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
+			{Name: "relay", Run: x.steering.relay.Run},
+			{Name: "readiness", Run: x.becomeReady},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
 		},
--- a/host/parts.go
+++ b/host/parts.go
@@ -9,8 +9,6 @@
 
 	"celeryreach.example/celeryreach/admission"
 	"celeryreach.example/celeryreach/backend"
-	"celeryreach.example/celeryreach/change"
-	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
@@ -29,6 +27,7 @@
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/status"
 	"celeryreach.example/celeryreach/upstream"
+	"celeryreach.example/celeryreach/validate"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -47,13 +46,15 @@
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
+	steering   *steering
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
-	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
+	x.steering = x.newSteering()
+	x.follower = x.newFollower()
 	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
-	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
+	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
@@ -63,10 +64,12 @@
 	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
-		OnFetch:   x.fetch,
+		OnFetch:   x.steering.relay.Answer,
 		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
 		OnForward: x.receive.Stream,
+		OnNotify:  x.steering.relay.Receive,
 	}
+	x.steering.relay.Replicas = x.replicas()
 	return x
 }
 
@@ -98,14 +101,14 @@
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("/", e)
-	return m
+	return x.gate(m)
 }
 
 // operators is the handler of the operator address.
 func (x *parts) operators() http.Handler {
 	return &operator.Operator{
-		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: &change.Change{Platform: x.host.Platform},
-		Check: func(*config.Config) []string { return nil }, Status: x.status,
+		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: x.newChange(),
+		Check: validate.Config, Status: x.status,
 	}
 }
 
@@ -139,19 +142,12 @@
 }
 
 func (x *parts) compose(h *wire.Heartbeat) {
-	v, s, _ := x.follower.Content()
-	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeSteering(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
-
-func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
-	v, h, b := x.follower.Content()
-	if f.Kind != "Config" || v <= f.Have {
-		return &wire.FetchResponse{}
-	}
-	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
+func (x *parts) heard(h *wire.Heartbeat, _ time.Time) {
+	x.heardSteering(h)
 }
 
 func (x *parts) status() status.Status {
@@ -159,6 +155,7 @@
 	if c := x.follower.Snapshot(); c != nil {
 		s.ConfigVersion = c.Config.Version
 		s.Preset = c.Config.Preset
+		s.InForce = x.inForce(c.Config.Version)
 	}
 	return s
 }
--- /dev/null
+++ b/host/steering.go
@@ -0,0 +1,223 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/change"
+	"celeryreach.example/celeryreach/follower"
+	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/inforce"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/refusal"
+	"celeryreach.example/celeryreach/relay"
+	"celeryreach.example/celeryreach/replica"
+	"celeryreach.example/celeryreach/wire"
+)
+
+const (
+	pollers      = 2 // hosts of a failure domain that read the platform often
+	pollOften    = time.Second
+	pollRarely   = 30 * time.Second
+	relayFanout  = 16
+	relayTimeout = time.Second
+	relayRetry   = time.Second
+	rememberFor  = 10 * time.Minute
+	readyPoll    = 50 * time.Millisecond
+	readyHolds   = 3
+)
+
+// steering holds the parts that follow the configuration and the plan.
+type steering struct {
+	relay     *relay.Relay
+	freshness *freshness.Freshness
+	ready     atomic.Bool
+	polled    atomic.Bool
+
+	mu     sync.Mutex
+	known  map[string]knownHost
+	newest uint64
+}
+
+type knownHost struct {
+	member member.Member
+	heard  time.Time
+}
+
+func (x *parts) newSteering() *steering {
+	h := x.host
+	return &steering{
+		freshness: &freshness.Freshness{Clock: h.Clock},
+		relay: &relay.Relay{
+			Clock: h.Clock, Log: h.Log, Self: x.self, Peers: func() []member.Member { return x.membership.Alive() },
+			Fanout: relayFanout, Timeout: relayTimeout, Retry: relayRetry,
+			Fetch: func(ctx context.Context, a string, f *wire.FetchRequest) (*wire.FetchResponse, error) {
+				return x.peerclient.Fetch(ctx, a, f)
+			},
+			Notify: func(ctx context.Context, a string, n *wire.Notice) (*wire.Notice, error) {
+				return x.peerclient.Notify(ctx, a, n)
+			},
+		},
+		known: make(map[string]knownHost),
+	}
+}
+
+func (x *parts) newFollower() *follower.Follower {
+	h := x.host
+	return &follower.Follower{
+		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: x.steering.relay.Wake,
+		Polled: func() {
+			x.steering.polled.Store(true)
+			x.steering.freshness.Outside()
+		},
+	}
+}
+
+func (x *parts) newChange() *change.Change {
+	return &change.Change{
+		Platform: x.host.Platform, Clock: x.host.Clock,
+		// The accepting host does not wait for its next read: a withdrawal is
+		// on its way to all hosts as soon as it is accepted.
+		Accepted: func(a accepted.Accepted, b []byte) {
+			if err := x.follower.Offer(a.Version, a.Hash, b); err != nil {
+				x.host.Log.Error("accepted configuration not applied", "Version", a.Version, "Error", err)
+			}
+		},
+	}
+}
+
+func (x *parts) replicas() []*replica.Replica {
+	return []*replica.Replica{x.follower.Replica()}
+}
+
+// pollEvery returns the time to the next read of the platform. The first two
+// living hosts of a failure domain by name read often and the relay does the
+// rest: 27 failure domains cost 54 reads a second, however many hosts they
+// have. The others read rarely, in case those two are cut from the platform
+// alone.
+func (x *parts) pollEvery() time.Duration {
+	if _, i := x.siblings(); i < pollers || x.follower.Snapshot() == nil {
+		return pollOften
+	}
+	return pollRarely
+}
+
+// stale reports whether keys may have been withdrawn unheard for too long.
+// With one failure domain every change is accepted by a host of it, so nothing
+// can be missed.
+func (x *parts) stale(nonIdempotent bool) bool {
+	s := x.follower.Snapshot()
+	if s == nil || len(s.Config.Domains) < 2 {
+		return false
+	}
+	return x.steering.freshness.Stale(s.Config.KeyStaleness, nonIdempotent)
+}
+
+func (x *parts) composeSteering(h *wire.Heartbeat) {
+	for _, r := range x.steering.relay.Replicas {
+		h.Versions = append(h.Versions, r.Digest())
+	}
+	h.KeyAgeNanoseconds = x.steering.freshness.Age()
+}
+
+func (x *parts) heardSteering(h *wire.Heartbeat) {
+	s := x.steering
+	if h.From.Domain == x.host.Settings.Domain {
+		s.freshness.Sibling(h.KeyAgeNanoseconds)
+	} else {
+		s.freshness.Outside()
+	}
+	s.relay.Heard(h.From.Name, h.Versions)
+	s.note(h, x.host.Clock.Now())
+}
+
+// note remembers the peer and the highest version of the configuration that
+// anybody told of.
+func (s *steering) note(h *wire.Heartbeat, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known[h.From.Name] = knownHost{member: member.Member{Name: h.From.Name, Domain: h.From.Domain, Region: h.From.Region}, heard: now}
+	for _, v := range h.Versions {
+		if v.Kind == follower.Kind {
+			s.newest = max(s.newest, v.Version)
+		}
+	}
+}
+
+// inForce sums up what heartbeats tell of a version.
+func (x *parts) inForce(version uint64) inforce.Inforce {
+	n := x.host.Clock.Now()
+	var k []member.Member
+	x.steering.mu.Lock()
+	for a, v := range x.steering.known {
+		if n.Sub(v.heard) > rememberFor {
+			delete(x.steering.known, a)
+			continue
+		}
+		k = append(k, v.member)
+	}
+	x.steering.mu.Unlock()
+	v, _, _ := x.follower.Content()
+	var d []string
+	if s := x.follower.Snapshot(); s != nil {
+		for _, o := range s.Config.Domains {
+			d = append(d, o.Name)
+		}
+	}
+	return inforce.Of(version, v, x.self(), k, d, x.membership.Last)
+}
+
+// becomeReady lets callers in once the host has the highest version that it
+// can learn of: the platform's, or, while the platform cannot be reached, the
+// highest that peers tell of within Hold. A host that began with the first
+// version it met could take a key that was withdrawn long ago.
+func (x *parts) becomeReady(ctx context.Context) error {
+	t := x.host.Clock.Now()
+	for !x.steering.ready.Load() {
+		if x.isReady(x.host.Clock.Since(t)) {
+			x.steering.ready.Store(true)
+			x.host.Log.Info("host is ready", "Version", x.follower.Snapshot().Config.Version)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-x.host.Clock.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+func (x *parts) isReady(waited time.Duration) bool {
+	c := x.follower.Snapshot()
+	if c == nil {
+		return false
+	}
+	x.steering.mu.Lock()
+	n := x.steering.newest
+	x.steering.mu.Unlock()
+	if c.Config.Version < n {
+		// A peer can tell of a version and be cut off from being asked for it.
+		return waited >= readyHolds*x.host.Settings.Hold
+	}
+	return x.steering.polled.Load() || waited >= x.host.Settings.Hold
+}
+
+// gate refuses callers until the host is ready.
+func (x *parts) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !x.steering.ready.Load() {
+			refusal.Write(w, outcome.Outcome{
+				Outcome: outcome.NoCapacity, Ran: outcome.RanNo, RetryAfter: time.Second,
+				Message: "this host has not got the configuration yet",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -76,7 +76,7 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusBadGateway)
 	case !ok:
-		reply(w, http.StatusConflict, a)
+		reply(w, http.StatusConflict, o.Change.Explain(r.Context(), v, c, a))
 	default:
 		o.Log.Info("configuration accepted", "Version", a.Version, "Preset", c.Preset)
 		reply(w, http.StatusOK, a)
--- a/peerclient/peerclient.go
+++ b/peerclient/peerclient.go
@@ -45,6 +45,17 @@
 	return r, errors.Wrap(err, "fetch")
 }
 
+// Notify tells a peer of new versions and returns the peer's.
+func (p *Peerclient) Notify(ctx context.Context, address string, n *wire.Notice) (*wire.Notice, error) {
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	r, err := wire.NewDRPCPeerClient(c).Notify(ctx, n)
+	p.check(address, c, err)
+	return r, errors.Wrap(err, "notify")
+}
+
 // Borrow asks a peer for a loan.
 func (p *Peerclient) Borrow(ctx context.Context, address string, b *wire.BorrowRequest) (*wire.BorrowResponse, error) {
 	c, err := p.conn(ctx, address)
--- a/peerserver/peerserver.go
+++ b/peerserver/peerserver.go
@@ -22,6 +22,8 @@
 	OnFetch func(f *wire.FetchRequest) *wire.FetchResponse
 	// OnBorrow answers requests for loans.
 	OnBorrow func(b *wire.BorrowRequest) *wire.BorrowResponse
+	// OnNotify answers notices of new versions.
+	OnNotify func(n *wire.Notice) *wire.Notice
 	// OnForward runs forwarded requests.
 	OnForward func(s wire.DRPCPeer_ForwardStream) error
 }
@@ -54,6 +56,11 @@
 	return p.OnBorrow(b), nil
 }
 
+// Notify answers a notice of new versions.
+func (p *Peerserver) Notify(_ context.Context, n *wire.Notice) (*wire.Notice, error) {
+	return p.OnNotify(n), nil
+}
+
 // Forward runs a forwarded request.
 func (p *Peerserver) Forward(s wire.DRPCPeer_ForwardStream) error {
 	return p.OnForward(s)
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,291 @@
+// Package relay passes new versions from host to host, so that every version
+// reaches every host in seconds though few hosts read the platform, and also
+// where the platform cannot be reached.
+package relay
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/replica"
+	"celeryreach.example/celeryreach/wire"
+)
+
+// Relay compares the versions that peers tell of with the own ones, fetches
+// what is newer, and tells peers that are behind.
+type Relay struct {
+	// Clock paces retries.
+	Clock clockwork.Clock
+	// Log receives one line for each failed fetch.
+	Log *log.Logger
+	// Self describes this host.
+	Self func() member.Member
+	// Peers returns the hosts that are alive, without this one.
+	Peers func() []member.Member
+	// Replicas are the contents that are relayed.
+	Replicas []*replica.Replica
+	// Fetch asks a peer for newer content.
+	Fetch func(ctx context.Context, address string, f *wire.FetchRequest) (*wire.FetchResponse, error)
+	// Notify tells a peer of new versions and returns the peer's.
+	Notify func(ctx context.Context, address string, n *wire.Notice) (*wire.Notice, error)
+	// Fanout is the greatest number of peers told of one version at once; the
+	// others hear of it by those peers and by heartbeats.
+	Fanout int
+	// Timeout bounds each call.
+	Timeout time.Duration
+	// Retry is how long a peer is left alone after a failed fetch.
+	Retry time.Duration
+
+	mu        sync.Mutex
+	seen      map[string]map[string]*wire.Version // by peer and kind
+	until     map[string]time.Time
+	wakeFetch chan struct{}
+	wakeTell  chan struct{}
+}
+
+// Heard notes the versions that a peer tells of.
+func (r *Relay) Heard(from string, v []*wire.Version) {
+	r.mu.Lock()
+	if r.seen == nil {
+		r.seen = make(map[string]map[string]*wire.Version)
+	}
+	m := r.seen[from]
+	if m == nil {
+		m = make(map[string]*wire.Version)
+		r.seen[from] = m
+	}
+	for _, x := range v {
+		m[x.Kind] = x
+	}
+	r.mu.Unlock()
+	for _, p := range r.Replicas {
+		for _, x := range v {
+			if x.Kind == p.Kind && p.Compare(x, from) {
+				r.Wake()
+			}
+		}
+	}
+}
+
+// Receive answers a peer's notice.
+func (r *Relay) Receive(n *wire.Notice) *wire.Notice {
+	if n.GetFrom() != nil {
+		r.Heard(n.From.Name, n.Versions)
+	}
+	return r.notice()
+}
+
+// Answer answers a peer's question for newer content.
+func (r *Relay) Answer(f *wire.FetchRequest) *wire.FetchResponse {
+	for _, p := range r.Replicas {
+		if p.Kind == f.Kind {
+			return p.Answer(f)
+		}
+	}
+	return &wire.FetchResponse{}
+}
+
+// Wake makes Run look for work at once.
+func (r *Relay) Wake() {
+	f, t := r.signals()
+	for _, c := range []chan struct{}{f, t} {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run relays until ctx ends. Fetching and telling go on side by side, so that
+// a peer that has fallen silent while it is told holds up no fetch.
+func (r *Relay) Run(ctx context.Context) error {
+	f, t := r.signals()
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		r.loop(ctx, t, r.tell)
+	}()
+	r.loop(ctx, f, r.fetchAll)
+	<-d
+	return nil
+}
+
+// Pass fetches what is newer and then tells the peers that are behind.
+func (r *Relay) Pass(ctx context.Context) {
+	r.fetchAll(ctx)
+	r.tell(ctx)
+}
+
+func (r *Relay) loop(ctx context.Context, wake <-chan struct{}, work func(ctx context.Context)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-r.Clock.After(r.Retry):
+		}
+		work(ctx)
+	}
+}
+
+func (r *Relay) fetchAll(ctx context.Context) {
+	for _, p := range r.Replicas {
+		r.fetch(ctx, p)
+	}
+}
+
+// fetch asks the peers that have a higher version, one after another, until
+// one has given it. A peer that failed is left alone for Retry: it may be cut
+// off in one direction only and go on telling of versions that nobody can
+// fetch from it.
+func (r *Relay) fetch(ctx context.Context, p *replica.Replica) {
+	for _, m := range r.ahead(p) {
+		if r.seenVersion(m.Name, p.Kind) <= p.Digest().Version {
+			continue
+		}
+		x, f := context.WithTimeout(ctx, r.Timeout)
+		err := p.Fetch(x, func(ctx context.Context, q *wire.FetchRequest) (*wire.FetchResponse, error) {
+			return r.Fetch(ctx, m.PeerAddress, q)
+		})
+		f()
+		if err != nil && ctx.Err() == nil {
+			r.Log.Warn("not fetched", "Kind", p.Kind, "From", m.Name, "Error", err)
+			r.mu.Lock()
+			if r.until == nil {
+				r.until = make(map[string]time.Time)
+			}
+			r.until[m.Name] = r.Clock.Now().Add(r.Retry)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// ahead returns the peers with a higher version: the highest first, and among
+// equals the nearest.
+func (r *Relay) ahead(p *replica.Replica) []member.Member {
+	v := p.Digest().Version
+	n := r.Clock.Now()
+	var a []member.Member
+	for _, m := range r.Peers() {
+		r.mu.Lock()
+		u := r.until[m.Name]
+		r.mu.Unlock()
+		if r.seenVersion(m.Name, p.Kind) > v && !n.Before(u) {
+			a = append(a, m)
+		}
+	}
+	s := r.Self()
+	sort.SliceStable(a, func(i, j int) bool {
+		x, y := r.seenVersion(a[i].Name, p.Kind), r.seenVersion(a[j].Name, p.Kind)
+		if x != y {
+			return x > y
+		}
+		return distance(s, a[i]) < distance(s, a[j])
+	})
+	return a
+}
+
+// tell notifies peers that are behind, all at the same time.
+func (r *Relay) tell(ctx context.Context) {
+	b := r.behind()
+	if len(b) == 0 {
+		return
+	}
+	x, f := context.WithTimeout(ctx, r.Timeout)
+	defer f()
+	d := make(chan struct{}, len(b))
+	for _, m := range b {
+		go r.notify(x, m, d)
+	}
+	for range b {
+		<-d
+	}
+}
+
+func (r *Relay) notify(ctx context.Context, m member.Member, done chan<- struct{}) {
+	defer func() { done <- struct{}{} }()
+	n := r.notice()
+	a, err := r.Notify(ctx, m.PeerAddress, n)
+	if err != nil {
+		return // its heartbeats tell it
+	}
+	r.Heard(m.Name, a.Versions)
+	// It has been told and fetches by itself; telling it again would cost a
+	// message at each pass.
+	r.Heard(m.Name, n.Versions)
+}
+
+// behind returns the peers to tell: one of each other failure domain first, so
+// that a version crosses each link early and once, then those nearby.
+func (r *Relay) behind() []member.Member {
+	s := r.Self()
+	d := make(map[string]bool)
+	var far, near []member.Member
+	for _, m := range r.Peers() {
+		if !r.isBehind(m.Name) {
+			continue
+		}
+		if m.Domain != s.Domain && !d[m.Domain] {
+			d[m.Domain] = true
+			far = append(far, m)
+			continue
+		}
+		near = append(near, m)
+	}
+	sort.SliceStable(near, func(i, j int) bool { return distance(s, near[i]) < distance(s, near[j]) })
+	b := append(far, near...)
+	return b[:min(len(b), r.Fanout)]
+}
+
+func (r *Relay) isBehind(name string) bool {
+	for _, p := range r.Replicas {
+		if v := p.Digest().Version; v > 0 && r.seenVersion(name, p.Kind) < v {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Relay) seenVersion(name, kind string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen[name][kind].GetVersion()
+}
+
+func (r *Relay) notice() *wire.Notice {
+	s := r.Self()
+	n := &wire.Notice{From: &wire.Host{Name: s.Name, Incarnation: s.Incarnation, Domain: s.Domain, Region: s.Region, PeerAddress: s.PeerAddress}}
+	for _, p := range r.Replicas {
+		n.Versions = append(n.Versions, p.Digest())
+	}
+	return n
+}
+
+// signals returns the channels that wake fetching and telling.
+func (r *Relay) signals() (fetch, tell chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wakeFetch == nil {
+		r.wakeFetch = make(chan struct{}, 1)
+		r.wakeTell = make(chan struct{}, 1)
+	}
+	return r.wakeFetch, r.wakeTell
+}
+
+// distance is 0 within a failure domain, 1 within a region, else 2.
+func distance(a, b member.Member) int {
+	switch {
+	case a.Domain == b.Domain:
+		return 0
+	case a.Region == b.Region:
+		return 1
+	default:
+		return 2
+	}
+}
--- a/status/status.go
+++ b/status/status.go
@@ -1,7 +1,10 @@
 // Package status describes what one host knows of itself and of others.
 package status
 
-import "celeryreach.example/celeryreach/member"
+import (
+	"celeryreach.example/celeryreach/inforce"
+	"celeryreach.example/celeryreach/member"
+)
 
 // Status is the answer to an operator's question for the state.
 type Status struct {
@@ -13,4 +16,6 @@
 	Preset string
 	// Peers are the hosts it has heard lately.
 	Peers []member.Member
+	// InForce tells on which hosts ConfigVersion is in force.
+	InForce inforce.Inforce
 }
