--- a/separation/world_test.go
+++ b/separation/world_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -281,7 +280,3 @@
 	c <- i.Now()
 	return c
 }
-
-func join(s []string) string {
-	return strings.Join(s, " ")
-}
