Look-ups by client block, plan and failover; observations from hosts' own counts

Cause: look-ups knew neither blocks nor plans and named all hosts alike. Change: blocktable (longest prefix), lookup by block, plan, lost regions in capped steps (failover), gauge and meter from heartbeats, plan relay.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -9,6 +9,8 @@
 	EntryHosts []string
 	// TTL is how long the caller may keep the answer.
 	TTL time.Duration
+	// Region is the region that the caller is steered to.
+	Region string `json:",omitzero"`
 	// ConfigVersion is the version of the configuration behind the answer.
 	ConfigVersion uint64
 	// PlanVersion is the version of the plan behind the answer.
--- /dev/null
+++ b/blocktable/blocktable.go
@@ -0,0 +1,110 @@
+// Package blocktable finds the client block of an address.
+package blocktable
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gaissmai/bart"
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/block"
+)
+
+// maxRegions bounds the regions of one table: a block keeps its region in one
+// byte, which is what lets millions of blocks fit.
+const maxRegions = 255
+
+// Blocktable maps addresses to client blocks by the longest prefix. Readers
+// take no lock; a change copies only the nodes on its way from the root.
+type Blocktable struct {
+	mu      sync.Mutex
+	regions atomic.Pointer[[]string]
+	table   atomic.Pointer[bart.Table[uint8]]
+}
+
+// Find returns the client block of an address and its nearest region.
+func (b *Blocktable) Find(a netip.Addr) (netip.Prefix, string, bool) {
+	t := b.table.Load()
+	if t == nil {
+		return netip.Prefix{}, "", false
+	}
+	a = a.Unmap().WithZone("")
+	p, i, ok := t.LookupPrefixLPM(netip.PrefixFrom(a, a.BitLen()))
+	if !ok {
+		return netip.Prefix{}, "", false
+	}
+	return p, (*b.regions.Load())[i], true
+}
+
+// Len returns the number of client blocks.
+func (b *Blocktable) Len() int {
+	if t := b.table.Load(); t != nil {
+		return t.Size()
+	}
+	return 0
+}
+
+// Replace builds the table anew. Look-ups go on with the old one meanwhile.
+func (b *Blocktable) Replace(l []block.Block) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := new(bart.Table[uint8])
+	var r []string
+	for _, v := range l {
+		i, n, err := index(r, v.Region)
+		if err != nil {
+			return err
+		}
+		r = n
+		t.Insert(v.Prefix, i)
+	}
+	b.regions.Store(&r)
+	b.table.Store(t)
+	return nil
+}
+
+// Change puts some client blocks and removes others, in time that depends on
+// their number and not on the table's.
+func (b *Blocktable) Change(put []block.Block, remove []netip.Prefix) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.table.Load()
+	if t == nil {
+		t = new(bart.Table[uint8])
+	}
+	var r []string
+	if p := b.regions.Load(); p != nil {
+		r = *p
+	}
+	for _, p := range remove {
+		t = t.DeletePersist(p)
+	}
+	for _, v := range put {
+		i, n, err := index(r, v.Region)
+		if err != nil {
+			return err
+		}
+		r = n
+		t = t.InsertPersist(v.Prefix, i)
+	}
+	// The names go first: a reader must never meet an index without a name.
+	b.regions.Store(&r)
+	b.table.Store(t)
+	return nil
+}
+
+// index returns the index of a region's name and the names with it. The old
+// names keep their places, and their slice is never written to.
+func index(names []string, region string) (uint8, []string, error) {
+	for i, n := range names {
+		if n == region {
+			return uint8(i), names, nil
+		}
+	}
+	if len(names) == maxRegions {
+		return 0, nil, errors.Errorf("client blocks name more than %d regions", maxRegions)
+	}
+	return uint8(len(names)), append(names[:len(names):len(names)], region), nil
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -212,7 +212,18 @@
 	}
 	var a answer.Answer
 	err = codec.Unmarshal(b, &a)
-	return err == nil && a.ConfigVersion > 0 && len(a.EntryHosts) == len(d.hosts)
+	return err == nil && a.ConfigVersion > 0 && len(a.EntryHosts) == d.inRegion(s.Region)
+}
+
+// inRegion returns how many hosts a caller of a region is told of.
+func (d *Demo) inRegion(region string) int {
+	n := 0
+	for _, s := range d.hosts {
+		if s.Region == region {
+			n++
+		}
+	}
+	return n
 }
 
 func (d *Demo) greet() {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -57,6 +57,7 @@
 	f.once.Do(func() {
 		f.replica = &replica.Replica{
 			Kind: Kind, Key: accepted.RowKey, Log: f.Log, Platform: f.Platform, Apply: f.apply, Changed: f.Changed,
+			Clock: f.Clock, Every: f.Poll, Polled: f.Polled,
 		}
 	})
 	return f.replica
@@ -70,20 +71,7 @@
 
 // Run polls the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	for {
-		err := f.Replica().Poll(ctx)
-		if err != nil && ctx.Err() == nil {
-			f.Log.Warn("configuration not read", "Error", err)
-		}
-		if err == nil && f.Polled != nil {
-			f.Polled()
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-f.Clock.After(f.Poll()):
-		}
-	}
+	return f.Replica().Run(ctx)
 }
 
 func (f *Follower) apply(version uint64, hash string, content []byte) error {
--- a/host/parts.go
+++ b/host/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,8 @@
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
-	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serve}
+	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.steering.relay.Answer,
@@ -96,7 +97,7 @@
 func (x *parts) callers() http.Handler {
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
+		Quota: x.quota, Local: x.serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
@@ -165,7 +166,10 @@
 }
 
 func (x *parts) entryHosts(account, service string) []string {
-	a := x.lookup.Find(account, service, x.host.Settings.Region)
+	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
+	if o.Outcome != "" {
+		return o.EntryHosts
+	}
 	return a.EntryHosts
 }
 
--- a/host/steering.go
+++ b/host/steering.go
@@ -9,11 +9,17 @@
 
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/change"
+	"celeryreach.example/celeryreach/failover"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/gauge"
 	"celeryreach.example/celeryreach/inforce"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/meter"
+	"celeryreach.example/celeryreach/observation"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/planfollower"
+	"celeryreach.example/celeryreach/planner"
 	"celeryreach.example/celeryreach/refusal"
 	"celeryreach.example/celeryreach/relay"
 	"celeryreach.example/celeryreach/replica"
@@ -42,6 +48,15 @@
 	mu     sync.Mutex
 	known  map[string]knownHost
 	newest uint64
+
+	plans    *planfollower.Planfollower
+	planner  *planner.Planner
+	meter    *meter.Meter
+	gauge    *gauge.Gauge
+	failover *failover.Failover
+	started  time.Time
+	observed atomic.Pointer[[]observation.Observation]
+	weights  atomic.Pointer[map[string]float64]
 }
 
 type knownHost struct {
@@ -51,7 +66,7 @@
 
 func (x *parts) newSteering() *steering {
 	h := x.host
-	return &steering{
+	s := &steering{
 		freshness: &freshness.Freshness{Clock: h.Clock},
 		relay: &relay.Relay{
 			Clock: h.Clock, Log: h.Log, Self: x.self, Peers: func() []member.Member { return x.membership.Alive() },
@@ -63,8 +78,19 @@
 				return x.peerclient.Notify(ctx, a, n)
 			},
 		},
-		known: make(map[string]knownHost),
+		known: make(map[string]knownHost), meter: new(meter.Meter), started: h.Clock.Now(),
+		gauge: &gauge.Gauge{Clock: h.Clock, Window: gaugeWindow, Hold: lostHolds * h.Settings.Hold},
+	}
+	s.plans = &planfollower.Planfollower{
+		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery,
+		Changed: func() {
+			s.relay.Wake()
+			s.failover.Planned()
+		},
 	}
+	s.failover = &failover.Failover{Clock: h.Clock, Preset: x.preset, Share: x.share, Room: x.room}
+	s.planner = x.newPlanner(s)
+	return s
 }
 
 func (x *parts) newFollower() *follower.Follower {
@@ -92,7 +118,7 @@
 }
 
 func (x *parts) replicas() []*replica.Replica {
-	return []*replica.Replica{x.follower.Replica()}
+	return []*replica.Replica{x.follower.Replica(), x.steering.plans.Replica()}
 }
 
 // pollEvery returns the time to the next read of the platform. The first two
@@ -123,6 +149,10 @@
 		h.Versions = append(h.Versions, r.Digest())
 	}
 	h.KeyAgeNanoseconds = x.steering.freshness.Age()
+	x.steering.meter.Fill(h)
+	x.steering.failover.Each(func(service, region string, points int) {
+		h.Evacuations = append(h.Evacuations, &wire.Evacuation{Service: service, Region: region, PartsPerMillion: uint32(points)})
+	})
 }
 
 func (x *parts) heardSteering(h *wire.Heartbeat) {
@@ -134,6 +164,12 @@
 	}
 	s.relay.Heard(h.From.Name, h.Versions)
 	s.note(h, x.host.Clock.Now())
+	s.gauge.Note(h)
+	if !s.ready.Load() {
+		for _, e := range h.Evacuations {
+			s.failover.Adopt(e.Service, e.Region, int(e.PartsPerMillion))
+		}
+	}
 }
 
 // note remembers the peer and the highest version of the configuration that
@@ -141,7 +177,9 @@
 func (s *steering) note(h *wire.Heartbeat, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known[h.From.Name] = knownHost{member: member.Member{Name: h.From.Name, Domain: h.From.Domain, Region: h.From.Region}, heard: now}
+	s.known[h.From.Name] = knownHost{heard: now, member: member.Member{
+		Name: h.From.Name, Domain: h.From.Domain, Region: h.From.Region, CallerAddress: h.From.CallerAddress,
+	}}
 	for _, v := range h.Versions {
 		if v.Kind == follower.Kind {
 			s.newest = max(s.newest, v.Version)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -57,6 +57,20 @@
 	return &n
 }
 
+// Share returns the part of a service's callers that a region has, when callers
+// are the parts of the home regions.
+func (p *Plan) Share(service, region string, callers map[string]float64) float64 {
+	t, c := 0.0, 0.0
+	for h, v := range callers {
+		t += v * float64(p.Route(service, h).Share(region)) / route.Points
+		c += v
+	}
+	if c == 0 {
+		return 0
+	}
+	return t / c
+}
+
 // Weight returns the weight of a failure domain.
 func (p *Plan) Weight(domain string) float64 {
 	if p == nil {
--- /dev/null
+++ b/planfollower/planfollower.go
@@ -0,0 +1,65 @@
+// Package planfollower keeps a host on the newest plan.
+package planfollower
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/plan"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/replica"
+)
+
+// Kind names the plan in messages between hosts.
+const Kind = "Plan"
+
+// Planfollower applies only higher versions, from the platform or from peers.
+// Without either the last plan stands.
+type Planfollower struct {
+	// Clock paces the polling.
+	Clock clockwork.Clock
+	// Log receives one line for each applied version.
+	Log *log.Logger
+	// Platform is polled.
+	Platform platform.Platform
+	// Poll returns the time until the next read of the row.
+	Poll func() time.Duration
+	// Changed is called after a version was applied; nil calls nothing.
+	Changed func()
+
+	once    sync.Once
+	replica *replica.Replica
+	current atomic.Pointer[plan.Plan]
+}
+
+// Plan returns the plan in force, nil before the first.
+func (f *Planfollower) Plan() *plan.Plan {
+	return f.current.Load()
+}
+
+// Replica returns what peers exchange.
+func (f *Planfollower) Replica() *replica.Replica {
+	f.once.Do(func() {
+		f.replica = &replica.Replica{
+			Kind: Kind, Key: accepted.PlanKey, Log: f.Log, Platform: f.Platform, Apply: f.apply, Changed: f.Changed,
+			Clock: f.Clock, Every: f.Poll,
+		}
+	})
+	return f.replica
+}
+
+func (f *Planfollower) apply(version uint64, _ string, content []byte) error {
+	p := new(plan.Plan)
+	if err := codec.Unmarshal(content, p); err != nil {
+		return err
+	}
+	p.Version = version
+	f.current.Store(p)
+	return nil
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sort"
 	"time"
 
@@ -38,6 +39,9 @@
 	Observe func() []observation.Observation
 	// Current returns the plan in force, nil before the first.
 	Current func() *plan.Plan
+	// Quiet reports whether nothing else has moved callers lately; nil means
+	// that nothing else does.
+	Quiet func() bool
 	// Held returns the epoch of the planner's lease, if it is held.
 	Held func() (epoch uint64, ok bool)
 	// Publish makes p the successor of version from. It reports false when
@@ -105,6 +109,7 @@
 		c = &plan.Plan{}
 	}
 	o := p.Observe()
+	k := p.copySteps()
 	m := *c
 	m.Reason = ""
 	for _, s := range services(o) {
@@ -120,9 +125,25 @@
 	if ok {
 		p.Log.Info("plan published", "Version", m.Version, "Epoch", e, "Reason", m.Reason)
 	}
+	if !ok && err == nil {
+		// It is certain that nothing was moved. After an error it is not, and
+		// the steps count.
+		p.steps = k
+	}
 	return err
 }
 
+func (p *Planner) copySteps() map[string]*step {
+	r := make(map[string]*step, len(p.steps))
+	for n, s := range p.steps {
+		c := *s
+		c.before = maps.Clone(s.before)
+		c.failed = maps.Clone(s.failed)
+		r[n] = &c
+	}
+	return r
+}
+
 // service makes at most one step for a service. What was attempted counts as a
 // step even if its publication fails, since it may have taken effect.
 func (p *Planner) service(m plan.Plan, v *view) plan.Plan {
@@ -130,7 +151,7 @@
 	if n, ok := p.turnBack(m, v, s); ok {
 		return n
 	}
-	if !p.due(s) {
+	if !p.due(s) || p.Quiet != nil && !p.Quiet() {
 		return m
 	}
 	c, ok := v.choose(&m, s)
--- a/planner/view.go
+++ b/planner/view.go
@@ -188,13 +188,11 @@
 
 // share returns the part of the service's callers that a region has.
 func (v *view) share(m *plan.Plan, region string) float64 {
-	t := 0.0
-	c := 0.0
+	c := make(map[string]float64, len(v.names))
 	for _, n := range v.names {
-		t += v.regions[n].Callers * float64(m.Route(v.service, n).Share(region)) / route.Points
-		c += v.regions[n].Callers
+		c[n] = v.regions[n].Callers
 	}
-	return t / max(c, leastCallers)
+	return m.Share(v.service, region, c)
 }
 
 // moves spreads a step over home regions: those whose home is the destination
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/accepted"
@@ -32,8 +34,14 @@
 	Key string
 	// Log receives one line for each applied version and each fault.
 	Log *log.Logger
-	// Platform is read by Poll.
+	// Platform is read by Run.
 	Platform platform.Platform
+	// Clock paces the reading.
+	Clock clockwork.Clock
+	// Every returns the time until the next read.
+	Every func() time.Duration
+	// Polled is told of each read that the platform answered; nil tells nobody.
+	Polled func()
 	// Apply puts a content in force. An error refuses it.
 	Apply func(version uint64, hash string, content []byte) error
 	// Changed is called after a version was applied; nil calls nothing.
@@ -84,6 +92,24 @@
 	return v.Version > r.version
 }
 
+// Run reads the platform until ctx ends.
+func (r *Replica) Run(ctx context.Context) error {
+	for {
+		err := r.Poll(ctx)
+		if err != nil && ctx.Err() == nil {
+			r.Log.Warn("platform not read", "Kind", r.Kind, "Error", err)
+		}
+		if err == nil && r.Polled != nil {
+			r.Polled()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.Clock.After(r.Every()):
+		}
+	}
+}
+
 // Poll takes the accepted version from the platform.
 func (r *Replica) Poll(ctx context.Context) error {
 	w, err := r.Platform.Read(ctx, r.Key)
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -2,10 +2,12 @@
 package snapshot
 
 import (
+	"net/netip"
 	"strings"
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/blocktable"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/preset"
@@ -24,6 +26,10 @@
 
 	keys     map[string]credential.Credential
 	accounts map[string]account.Account
+	services map[string]service.Service
+	regions  map[string]bool
+	slots    map[string]int
+	blocks   blocktable.Blocktable
 }
 
 // New indexes c.
@@ -34,6 +40,9 @@
 		Preset:   c.InForce(),
 		keys:     make(map[string]credential.Credential, len(c.Keys)),
 		accounts: make(map[string]account.Account, len(c.Accounts)),
+		services: make(map[string]service.Service, len(c.Services)),
+		regions:  make(map[string]bool, len(c.Regions)),
+		slots:    make(map[string]int, len(c.Domains)),
 	}
 	for _, k := range c.Keys {
 		s.keys[k.Hash] = k
@@ -41,6 +50,18 @@
 	for _, a := range c.Accounts {
 		s.accounts[a.Name] = a
 	}
+	for _, v := range c.Services {
+		s.services[v.Name] = v
+	}
+	for _, r := range c.Regions {
+		s.regions[r.Name] = true
+	}
+	for _, b := range c.Backends {
+		s.slots[b.Domain] += b.Slots
+	}
+	if err := s.blocks.Replace(c.Blocks); err != nil {
+		panic(err) // a block names a region, and validation bounds those
+	}
 	return s
 }
 
@@ -56,6 +77,27 @@
 	return a, ok
 }
 
+// Block returns the client block of an address and its nearest region.
+func (s *Snapshot) Block(a netip.Addr) (netip.Prefix, string, bool) {
+	return s.blocks.Find(a)
+}
+
+// Slots returns how many requests a failure domain's backend servers run.
+func (s *Snapshot) Slots(domain string) int {
+	return s.slots[domain]
+}
+
+// HasRegion reports whether a region is configured.
+func (s *Snapshot) HasRegion(name string) bool {
+	return s.regions[name]
+}
+
+// Named returns a service by name.
+func (s *Snapshot) Named(name string) (service.Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
 // Service returns the service whose prefix is the longest match of path.
 func (s *Snapshot) Service(path string) (service.Service, bool) {
 	var b service.Service
--- a/validate/sections.go
+++ b/validate/sections.go
@@ -13,6 +13,7 @@
 
 const (
 	hashBytes   = 32
+	maxRegions  = 255
 	notFraction = "must be in 0..1"
 	notPositive = "must be above zero"
 )
@@ -41,6 +42,9 @@
 }
 
 func (k *checker) topology(c *config.Config) {
+	if len(c.Regions) > maxRegions {
+		k.add("/Regions", "at most %d regions", maxRegions)
+	}
 	for i, r := range c.Regions {
 		k.name(k.regions, "Regions", i, r.Name)
 	}
