Look-ups: a roster by region, and the account's hosts worked out once

Change: roster, made anew only when the hosts change, remembers each account's preference; an answer names six hosts at most.

--- a/host/plans.go
+++ b/host/plans.go
@@ -20,7 +20,7 @@
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/publish"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/roster"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -69,7 +69,7 @@
 
 func (x *parts) newLookup() *lookup.Lookup {
 	return &lookup.Lookup{
-		Snapshot: x.follower.Snapshot, Plan: x.steering.plans.Plan, Hosts: x.hosts, Weight: x.weight,
+		Snapshot: x.follower.Snapshot, Plan: x.steering.plans.Plan, Hosts: x.roster,
 		Block: x.block, Home: x.host.Settings.Region, Lost: x.lost, Last: x.last,
 		Moved: x.steering.failover.Moved, Asked: x.steering.meter.Asked, Random: open,
 	}
@@ -107,7 +107,9 @@
 			continue
 		}
 		x.noteSelf()
-		x.weigh(s)
+		if o := x.newRoster(); !o.Equal(x.roster()) || x.steering.roster.Load() == nil {
+			x.steering.roster.Store(o)
+		}
 		var v, r []string
 		for _, o := range s.Config.Services {
 			v = append(v, o.Name)
@@ -235,23 +237,20 @@
 	return s.Block(a)
 }
 
-// weight is a host's part of its failure domain's slots.
-func (x *parts) weight(m member.Member) float64 {
-	if w := x.steering.weights.Load(); w != nil {
-		return max(1, (*w)[m.Domain])
+// roster returns the hosts that look-ups choose from. It is compared once a
+// second and not made for each look-up.
+func (x *parts) roster() *roster.Roster {
+	if r := x.steering.roster.Load(); r != nil {
+		return r
 	}
-	return 1
+	return x.newRoster()
 }
 
-// weigh divides the slots of each failure domain by its living hosts. It is
-// done once a second and not for each look-up.
-func (x *parts) weigh(s *snapshot.Snapshot) {
-	n := make(map[string]float64)
-	for _, v := range x.hosts() {
-		n[v.Domain]++
-	}
-	for d, k := range n {
-		n[d] = float64(s.Slots(d)) / k
-	}
-	x.steering.weights.Store(&n)
+func (x *parts) newRoster() *roster.Roster {
+	return roster.New(x.hosts(), func(domain string) int {
+		if s := x.follower.Snapshot(); s != nil {
+			return s.Slots(domain)
+		}
+		return 0
+	})
 }
--- a/host/steering.go
+++ b/host/steering.go
@@ -23,6 +23,7 @@
 	"celeryreach.example/celeryreach/refusal"
 	"celeryreach.example/celeryreach/relay"
 	"celeryreach.example/celeryreach/replica"
+	"celeryreach.example/celeryreach/roster"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -56,7 +57,7 @@
 	failover *failover.Failover
 	started  time.Time
 	observed atomic.Pointer[[]observation.Observation]
-	weights  atomic.Pointer[map[string]float64]
+	roster   atomic.Pointer[roster.Roster]
 }
 
 type knownHost struct {
--- a/lookup/lookup.go
+++ b/lookup/lookup.go
@@ -15,6 +15,7 @@
 	"celeryreach.example/celeryreach/plan"
 	"celeryreach.example/celeryreach/refusal"
 	"celeryreach.example/celeryreach/rendezvous"
+	"celeryreach.example/celeryreach/roster"
 	"celeryreach.example/celeryreach/route"
 	"celeryreach.example/celeryreach/snapshot"
 )
@@ -24,6 +25,9 @@
 	// tokens are then where its callers are, and one lost host moves a third
 	// of them.
 	fewHosts = 3
+	// namedHosts is how many hosts of the region an answer names at most, more
+	// than a failure domain has, so that one that drains leaves some.
+	namedHosts = 6
 	// ttlSpread is the part of the time to live that is drawn at random, so
 	// that callers that asked together do not come back together.
 	ttlSpread = 0.2
@@ -40,9 +44,7 @@
 	// Plan returns the plan in force, nil before the first.
 	Plan func() *plan.Plan
 	// Hosts returns the hosts that are alive, this one included.
-	Hosts func() []member.Member
-	// Weight returns how much a host can take compared with others.
-	Weight func(m member.Member) float64
+	Hosts func() *roster.Roster
 	// Block returns the client block of an address and its nearest region.
 	Block func(a netip.Addr) (netip.Prefix, string, bool)
 	// Home is the region of callers of whom nothing is known.
@@ -177,19 +179,13 @@
 
 // elsewhere returns the region for a caller of a region that is lost or comes
 // back. It reports false while the caller's turn to move has not come.
-func (l *Lookup) elsewhere(service, region, block string, m []member.Member) (string, bool) {
+func (l *Lookup) elsewhere(service, region, block string, o *roster.Roster) (string, bool) {
 	if route.Point("failover "+service, block) >= l.Moved(service, region) {
 		return region, !l.Lost(region)
 	}
-	w := make(map[string]float64)
-	for _, v := range m {
-		if v.Region != region && !v.Leaving {
-			w[v.Region] += l.Weight(v)
-		}
-	}
 	t, h := "", 0.0
-	for n, x := range w {
-		if s := rendezvous.Score(block, n, x); s > h || s == h && n < t {
+	for _, n := range o.Regions {
+		if s := rendezvous.Score(block, n, o.Weight(n)); n != region && s > h {
 			t, h = n, s
 		}
 	}
@@ -212,41 +208,35 @@
 	return o
 }
 
-// ranked is a host with what orders it.
-type ranked struct {
-	member member.Member
-	few    float64 // the account's preference
-	first  float64 // drawn anew for each look-up, in proportion to the weight
-	out    bool    // not for this caller while its failure domain drains
-}
-
-// rank orders a region's hosts: the account's few, then the others, then those
+// rank orders a region's hosts: the account's few, then some others, then those
 // that are drained for this caller. Among the few chance decides, so that
 // callers who share an address, as behind a translator, spread as well.
-func (l *Lookup) rank(account, region, block string, m []member.Member, p *plan.Plan) []member.Member {
-	var k []ranked
-	for _, v := range m {
-		if v.Region != region || v.Leaving {
+func (l *Lookup) rank(account, region, block string, o *roster.Roster, p *plan.Plan) []member.Member {
+	m, w := o.Hosts(region)
+	var k, d []ranked
+	for _, i := range o.Preferred(account, region, namedHosts) {
+		x := p.Weight(m[i].Domain)
+		if x < 1 && rendezvous.Uniform(block, m[i].Domain) >= x {
+			d = append(d, ranked{host: i})
 			continue
 		}
-		w := l.Weight(v)
-		d := p.Weight(v.Domain)
-		k = append(k, ranked{
-			member: v, few: rendezvous.Score(account, v.Name, w), first: -w / math.Log(l.Random()),
-			out: d < 1 && rendezvous.Uniform(block, v.Domain) >= d,
-		})
-	}
-	sort.Slice(k, func(i, j int) bool { return k[i].few > k[j].few })
+		k = append(k, ranked{host: i, score: -w[i] / math.Log(l.Random())})
+	}
 	f := k[:min(len(k), fewHosts)]
-	sort.Slice(f, func(i, j int) bool { return f[i].first > f[j].first })
-	sort.SliceStable(k, func(i, j int) bool { return !k[i].out && k[j].out })
-	r := make([]member.Member, 0, len(k))
-	for _, v := range k {
-		r = append(r, v.member)
+	sort.SliceStable(f, func(i, j int) bool { return f[i].score > f[j].score })
+	r := make([]member.Member, 0, len(k)+len(d))
+	for _, v := range append(k, d...) {
+		r = append(r, m[v.host])
 	}
 	return r
 }
 
+// ranked is a host and the chance that it was drawn with.
+type ranked struct {
+	host  int
+	score float64
+}
+
 func bad(m string) outcome.Outcome {
 	return outcome.Outcome{Outcome: outcome.BadRequest, Ran: outcome.RanNo, Message: m}
 }
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,100 @@
+// Package roster holds the hosts that look-ups choose from, by region.
+package roster
+
+import (
+	"reflect"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/rendezvous"
+)
+
+// maxPreferred bounds the remembered preferences: anybody may ask in the name
+// of any account.
+const maxPreferred = 100_000
+
+// Roster never changes but for what it remembers; a change of the hosts makes
+// a new one.
+type Roster struct {
+	// Regions are the names of the regions that have hosts, in order.
+	Regions []string
+
+	hosts   map[string][]member.Member
+	weights map[string][]float64
+	totals  map[string]float64
+
+	preferred sync.Map // of account and region to []int
+	count     atomic.Int64
+}
+
+type preference struct {
+	account, region string
+}
+
+// New returns the roster of the hosts that take new work. Slots returns how
+// many requests the backend servers of a failure domain run; each of its hosts
+// weighs an equal part of them, and at least one.
+func New(m []member.Member, slots func(domain string) int) *Roster {
+	r := &Roster{hosts: make(map[string][]member.Member), weights: make(map[string][]float64), totals: make(map[string]float64)}
+	n := make(map[string]int)
+	for _, v := range m {
+		if !v.Leaving {
+			n[v.Domain]++
+		}
+	}
+	for _, v := range m {
+		if v.Leaving {
+			continue
+		}
+		w := max(1, float64(slots(v.Domain))/float64(n[v.Domain]))
+		if r.hosts[v.Region] == nil {
+			r.Regions = append(r.Regions, v.Region)
+		}
+		r.hosts[v.Region] = append(r.hosts[v.Region], v)
+		r.weights[v.Region] = append(r.weights[v.Region], w)
+		r.totals[v.Region] += w
+	}
+	sort.Strings(r.Regions)
+	return r
+}
+
+// Hosts returns a region's hosts and their weights.
+func (r *Roster) Hosts(region string) ([]member.Member, []float64) {
+	return r.hosts[region], r.weights[region]
+}
+
+// Preferred returns the hosts of a region in the order that an account prefers,
+// the first n of them. It is worked out once for each account: the cost grows
+// with the hosts of the region.
+func (r *Roster) Preferred(account, region string, n int) []int {
+	k := preference{account: account, region: region}
+	if v, ok := r.preferred.Load(k); ok {
+		return v.([]int)
+	}
+	h, w := r.Hosts(region)
+	s := make([]float64, len(h))
+	o := make([]int, len(h))
+	for i := range h {
+		o[i] = i
+		s[i] = rendezvous.Score(account, h[i].Name, w[i])
+	}
+	sort.Slice(o, func(i, j int) bool { return s[o[i]] > s[o[j]] })
+	o = append([]int(nil), o[:min(n, len(o))]...)
+	if r.count.Load() < maxPreferred {
+		r.count.Add(1)
+		r.preferred.Store(k, o)
+	}
+	return o
+}
+
+// Equal reports whether both have the same hosts with the same weights.
+func (r *Roster) Equal(o *Roster) bool {
+	return reflect.DeepEqual(r.hosts, o.hosts) && reflect.DeepEqual(r.weights, o.weights)
+}
+
+// Weight returns the sum of a region's weights.
+func (r *Roster) Weight(region string) float64 {
+	return r.totals[region]
+}
