--- /dev/null
+++ b/failover/failover_test.go
@@ -0,0 +1,73 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/failover"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/route"
+)
+
+const (
+	interval = 30 * time.Second
+	tick     = 5 * time.Second
+	limit    = 0.1
+)
+
+// What callers see if this fails: a region dies, and all of its callers arrive
+// at once at regions that cannot take them, which fail in turn. However often
+// a region is lost and heard again, and whatever plans are published meanwhile,
+// no more than the cap of the callers may move within an interval, and nobody
+// is moved to regions without room.
+func TestStepsStayUnderTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clockwork.NewFakeClock()
+		h := rapid.Float64Range(0.05, 1).Draw(t, "share")
+		m := 1.0
+		f := &failover.Failover{
+			Clock: c, Preset: func() preset.Preset { return preset.Preset{ShiftCap: limit, ShiftInterval: interval} },
+			Share: func(string, string) float64 { return h }, Room: func(string) float64 { return m },
+		}
+		var p []float64
+		for range rapid.IntRange(1, 150).Draw(t, "ticks") {
+			a := rapid.IntRange(0, 9).Draw(t, "alive") == 0
+			m = rapid.SampledFrom([]float64{0, 0.02, 1}).Draw(t, "room")
+			b := f.Moved("Listings", "lagos")
+			f.Tick("Listings", "lagos", a)
+			n := f.Moved("Listings", "lagos")
+			if m == 0 {
+				must.LessEq(t, b, n)
+			}
+			p = append(p, h*float64(n)/route.Points)
+			for i := max(0, len(p)-int(interval/tick)); i < len(p); i++ {
+				must.Between(t, p[len(p)-1]-limit-1e-5, p[i], p[len(p)-1]+limit+1e-5)
+			}
+			c.Advance(tick)
+		}
+	})
+}
+
+// A region is lost for five minutes and then heard again. Its callers are all
+// elsewhere after four steps and all home after four more; right after a plan
+// has moved callers the first step waits.
+func TestLostAndBack(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	f := &failover.Failover{
+		Clock: c, Preset: func() preset.Preset { return preset.Preset{ShiftCap: limit, ShiftInterval: interval} },
+		Share: func(string, string) float64 { return 1.0 / 3 }, Room: func(string) float64 { return 1 },
+	}
+	f.Planned()
+	var r []int
+	for i := range 16 {
+		f.Tick("Listings", "lagos", i >= 8)
+		r = append(r, f.Moved("Listings", "lagos")*10/route.Points)
+		c.Advance(interval)
+	}
+	must.Eq(t, []int{0, 3, 6, 9, 10, 10, 10, 10, 7, 4, 1, 0, 0, 0, 0, 0}, r)
+	must.True(t, f.Quiet(interval))
+}
