--- a/blocktable/blocktable_test.go
+++ b/blocktable/blocktable_test.go
@@ -87,7 +87,9 @@
 	return p
 }
 
+// heap collects twice: pooled buffers outlive one collection.
 func heap() uint64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -25,6 +25,7 @@
 			serveCommand(),
 			platformCommand(),
 			backendCommand(),
+			{Name: "experiment", Usage: "measure a policy by simulation", Commands: []*cli.Command{experimentConfigCommand()}},
 		},
 	}
 	if err := c.Run(ctx, args); err != nil {
--- a/delta/delta.go
+++ b/delta/delta.go
@@ -26,19 +26,22 @@
 		i += n
 	}
 	w := &writer{}
+	c := 0 // where b stands in a if nothing was inserted or removed since
 	for i := 0; i < len(b); {
 		n := record(b[i:])
 		r := b[i : i+n]
 		p, ok := o[xxhash.Sum64(r)]
-		// Equal records stand in many places; going on where the last copy
-		// ended keeps one run one operation.
-		if q := w.offset + w.length; w.length > 0 && bytes.HasPrefix(a[q:], r) {
-			p, ok = q, true
+		// Equal records stand in many places; going on where b stands keeps
+		// one run one operation.
+		if bytes.HasPrefix(a[c:], r) {
+			p, ok = c, true
 		}
 		if ok && bytes.HasPrefix(a[p:], r) {
 			w.copy(p, n)
+			c = p + n
 		} else {
 			w.insert(r)
+			c += record(a[c:])
 		}
 		i += n
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,8 +34,7 @@
 	Fetch func(ctx context.Context, address string, f *wire.FetchRequest) (*wire.FetchResponse, error)
 	// Notify tells a peer of new versions and returns the peer's.
 	Notify func(ctx context.Context, address string, n *wire.Notice) (*wire.Notice, error)
-	// Fanout is the greatest number of peers told of one version at once; the
-	// others hear of it by those peers and by heartbeats.
+	// Fanout is the greatest number of peers told at the same time.
 	Fanout int
 	// Timeout bounds each call.
 	Timeout time.Duration
@@ -191,25 +190,35 @@
 	return a
 }
 
-// tell notifies peers that are behind, all at the same time.
+// tell notifies the peers that are behind, Fanout of them at a time.
 func (r *Relay) tell(ctx context.Context) {
 	b := r.behind()
-	if len(b) == 0 {
-		return
-	}
-	x, f := context.WithTimeout(ctx, r.Timeout)
-	defer f()
-	d := make(chan struct{}, len(b))
+	q := make(chan member.Member, len(b))
 	for _, m := range b {
-		go r.notify(x, m, d)
+		q <- m
+	}
+	close(q)
+	n := min(len(b), r.Fanout)
+	d := make(chan struct{}, n)
+	for range n {
+		go r.work(ctx, q, d)
 	}
-	for range b {
+	for range n {
 		<-d
 	}
 }
 
-func (r *Relay) notify(ctx context.Context, m member.Member, done chan<- struct{}) {
+// work notifies peers until none is left.
+func (r *Relay) work(ctx context.Context, q <-chan member.Member, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
+	for m := range q {
+		x, f := context.WithTimeout(ctx, r.Timeout)
+		r.notify(x, m)
+		f()
+	}
+}
+
+func (r *Relay) notify(ctx context.Context, m member.Member) {
 	n := r.notice()
 	a, err := r.Notify(ctx, m.PeerAddress, n)
 	if err != nil {
@@ -239,8 +248,7 @@
 		near = append(near, m)
 	}
 	sort.SliceStable(near, func(i, j int) bool { return distance(s, near[i]) < distance(s, near[j]) })
-	b := append(far, near...)
-	return b[:min(len(b), r.Fanout)]
+	return append(far, near...)
 }
 
 func (r *Relay) isBehind(name string) bool {
