--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -71,17 +71,15 @@
 	const n = 100_000
 	v, err := codec.Marshal(large(n))
 	must.NoError(b, err)
-	var s *snapshot.Snapshot
 	var m uint64
 	for b.Loop() {
-		s = nil
 		h := heap()
 		c := new(config.Config)
 		must.NoError(b, codec.Unmarshal(v, c))
-		s = snapshot.New(c, "")
+		s := snapshot.New(c, "")
 		m = heap() - h
+		runtime.KeepAlive(s)
 	}
-	runtime.KeepAlive(s)
 	b.ReportMetric(float64(m)/n, "B/account")
 	b.ReportMetric(float64(len(v))/n, "B-content/account")
 }
