--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -80,5 +80,6 @@
 		m.drainCommand(),
 		m.statusCommand(),
 		m.lookupCommand(),
+		experimentCommand(),
 	}
 }
--- a/cmd/connection.go
+++ b/cmd/connection.go
@@ -153,7 +153,7 @@
 	if err := codec.Unmarshal(r.Value, &a); err != nil {
 		return nil, errors.Wrap(err, "accepted version")
 	}
-	b, err := p.GetObject(ctx, accepted.ObjectName(a.Hash))
+	b, err := p.GetObject(ctx, accepted.ObjectName(accepted.RowKey, a.Hash))
 	if err != nil {
 		return nil, err
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -21,7 +21,6 @@
 )
 
 const (
-	configPoll     = time.Second
 	restartBackoff = time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
@@ -97,6 +96,11 @@
 			{Name: "history", Run: x.remember},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
+			{Name: "relay", Run: x.steering.relay.Run},
+			{Name: "plan", Run: x.steering.plans.Replica().Run},
+			{Name: "planner", Run: x.steering.planner.Run},
+			{Name: "steering", Run: x.look},
+			{Name: "readiness", Run: x.becomeReady},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
 		},
--- a/host/parts.go
+++ b/host/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -45,26 +46,30 @@
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
 	history    history.History
+	steering   *steering
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
-	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
+	x.steering = x.newSteering()
+	x.follower = x.newFollower()
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
-	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
+	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
-	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serve}
+	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
-		OnFetch:   x.fetch,
+		OnFetch:   x.steering.relay.Answer,
 		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
 		OnForward: x.receive.Stream,
+		OnNotify:  x.steering.relay.Receive,
 	}
+	x.steering.relay.Replicas = x.replicas()
 	return x
 }
 
@@ -91,12 +96,12 @@
 func (x *parts) callers() http.Handler {
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
+		Quota: x.quota, Local: x.serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("/", e)
-	return m
+	return x.gate(m)
 }
 
 func (x *parts) self() member.Member {
@@ -129,19 +134,12 @@
 }
 
 func (x *parts) compose(h *wire.Heartbeat) {
-	v, s, _ := x.follower.Content()
-	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeSteering(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
-
-func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
-	v, h, b := x.follower.Content()
-	if f.Kind != "Config" || v <= f.Have {
-		return &wire.FetchResponse{}
-	}
-	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
+func (x *parts) heard(h *wire.Heartbeat, _ time.Time) {
+	x.heardSteering(h)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
@@ -149,7 +147,10 @@
 }
 
 func (x *parts) entryHosts(account, service string) []string {
-	a := x.lookup.Find(account, service, x.host.Settings.Region)
+	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
+	if o.Outcome != "" {
+		return o.EntryHosts
+	}
 	return a.EntryHosts
 }
 
