--- /dev/null
+++ b/author/author.go
@@ -0,0 +1,203 @@
+// Package author writes divisions: it adds and drops holders and lets leased
+// parts follow the demand.
+package author
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/holding"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/row"
+)
+
+// earlierMost bounds the epochs that may be in use at once. While it is
+// reached nothing is written: a host that cannot settle must not make the row
+// grow.
+const earlierMost = 8
+
+// Author reads the division's row on every host and writes the next epoch on
+// the host whose name comes first; the others follow it only when it does not.
+// Two that write at once cost a conflict, never safety.
+type Author struct {
+	// Clock paces the readings.
+	Clock clockwork.Clock
+	// Log receives one line for each epoch that this host writes.
+	Log *log.Logger
+	// Platform holds the row.
+	Platform platform.Platform
+	// Holding takes the divisions that are read.
+	Holding *holding.Holding
+	// Alive returns the processes heard lately by this host or by its peers,
+	// this one included, leaving ones left out.
+	Alive func() []holder.Holder
+	// Config returns the configuration in force, nil before the first.
+	Config func() *config.Config
+	// Demand returns the fraction of each limit that hosts ask for, by limit
+	// and host name.
+	Demand func() map[string]map[string]float64
+	// Every is the time between two readings.
+	Every time.Duration
+	// Least is the least time between two epochs that only follow the demand.
+	Least time.Duration
+
+	began   time.Time
+	changed time.Time // when the epoch last changed, as seen here
+	epoch   uint64
+	needed  time.Time // since when a new epoch is due
+}
+
+// Run reads and writes until ctx ends.
+func (a *Author) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		a.Step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-a.Clock.After(a.Every):
+		}
+	}
+	return nil
+}
+
+// Step reads the row once and writes the next epoch if one is due.
+func (a *Author) Step(ctx context.Context) {
+	x, f := clockwork.WithTimeout(ctx, a.Clock, a.Every)
+	defer f()
+	t := a.Clock.Now()
+	if a.began.IsZero() {
+		a.began = t
+	}
+	r, err := a.Platform.Read(x, division.RowKey)
+	if err != nil {
+		return
+	}
+	var d division.Division
+	if r.Version != 0 {
+		if err := codec.Unmarshal(r.Value, &d); err != nil {
+			a.Log.Error("division unreadable", "Error", err)
+			return
+		}
+		a.Holding.Learn(d, t)
+	}
+	n, ok := a.next(d)
+	if !ok {
+		return
+	}
+	a.write(x, r, n)
+}
+
+// next returns the epoch to write after d, if one is due by this host.
+func (a *Author) next(d division.Division) (division.Division, bool) {
+	n := a.Clock.Now()
+	if d.Epoch != a.epoch {
+		a.epoch = d.Epoch
+		a.changed = n
+		a.needed = time.Time{}
+	}
+	c := a.Config()
+	if c == nil || !a.settled(d, n) {
+		return d, false
+	}
+	o, ok := a.Holding.Current()
+	if ok && (o.Epoch != d.Epoch || len(o.Earlier) >= earlierMost) {
+		return d, false
+	}
+	p := &plan{
+		old: o, config: c, alive: a.Alive(), released: a.released,
+		demand: a.Demand(), follow: n.Sub(a.changed) >= a.Least,
+	}
+	if a.minority(d, p.alive, n) {
+		return d, false
+	}
+	v, due := p.next()
+	v.Author = a.Holding.Self.Name
+	if !due {
+		a.needed = time.Time{}
+		return d, false
+	}
+	if a.needed.IsZero() {
+		a.needed = n
+	}
+	return v, n.Sub(a.needed) >= time.Duration(a.rank(p.alive))*2*a.Every
+}
+
+// settled reports whether this host has heard the others by now. Who has just
+// started or was paused would drop them all. The very first epoch drops
+// nobody, so it comes sooner.
+func (a *Author) settled(d division.Division, now time.Time) bool {
+	if d.Epoch == 0 {
+		return now.Sub(a.began) >= a.Holding.Hold/2
+	}
+	return a.Holding.Steady()
+}
+
+// minority reports whether this host hears less than half of the holders, while
+// somebody whom it doesn't hear still writes. Two sides of a cut that both
+// reach the table would else drop each other again and again.
+func (a *Author) minority(d division.Division, alive []holder.Holder, now time.Time) bool {
+	m := make(map[holder.Holder]bool, len(alive))
+	for _, h := range alive {
+		m[h] = true
+	}
+	heard, known := 0, false
+	for _, h := range d.Holders {
+		if m[h] {
+			heard++
+		}
+		known = known || m[h] && h.Name == d.Author
+	}
+	if 2*heard >= len(d.Holders) {
+		return false
+	}
+	t := 2 * a.Holding.Hold
+	if !known {
+		t *= 5
+	}
+	return now.Sub(a.changed) < t
+}
+
+// rank is this host's place in the order of the alive hosts' names.
+func (a *Author) rank(l []holder.Holder) int {
+	return sort.Search(len(l), func(i int) bool { return l[i].Name >= a.Holding.Self.Name })
+}
+
+// released reports whether a failure domain has let go of its floors of epochs
+// before e.
+func (a *Author) released(domain string, e uint64, members []holder.Holder) bool {
+	m := make(map[string]bool)
+	for _, h := range members {
+		if h.Domain == domain {
+			m[h.Name] = true
+		}
+	}
+	// A failure domain without a process never used its floor.
+	return len(m) == 0 || a.Holding.Moved(e, func(n string) bool { return m[n] })
+}
+
+func (a *Author) write(ctx context.Context, r row.Row, d division.Division) {
+	b, err := codec.Marshal(d)
+	if err != nil {
+		a.Log.Error("division unwritable", "Error", err)
+		return
+	}
+	t := a.Clock.Now()
+	ok, err := a.Platform.Commit(ctx, commit.Commit{
+		Expect: []row.Row{{Key: division.RowKey, Version: r.Version}},
+		Put:    []row.Row{{Key: division.RowKey, Value: b}},
+	})
+	if err != nil || !ok {
+		// If only the answer was lost, the next reading finds the epoch.
+		return
+	}
+	a.Log.Info("division written", "Epoch", d.Epoch, "Holders", len(d.Holders), "Silent", len(d.Silent))
+	a.Holding.Learn(d, t)
+}
--- /dev/null
+++ b/author/cut.go
@@ -0,0 +1,277 @@
+package author
+
+import (
+	"math"
+	"sort"
+	"strings"
+
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/maxmin"
+	"celeryreach.example/celeryreach/part"
+	"celeryreach.example/celeryreach/span"
+)
+
+const (
+	// SlotsPrefix starts the limits of backend servers' slots, by failure
+	// domain.
+	SlotsPrefix = "slots/"
+	// LinkPrefix starts the limits of links, by sending and receiving region.
+	LinkPrefix = "link/"
+
+	// listedMost bounds the row: accounts beyond it use the default parts.
+	listedMost = 1000
+	// headroom is how much more than its demand a holder is given, so that
+	// the usual variation of requests does not empty its bucket.
+	headroom = 1.3
+	// idle is the part of the leased rest that is cut equally whatever the
+	// demand, so that a first request finds tokens.
+	idle = 0.1
+	// minor is the moved part of a limit that is not worth an epoch.
+	minor = 0.05
+	// fragments is the number of spans beyond which a holder's are laid anew.
+	fragments = 8
+)
+
+// cut computes the parts of one limit.
+type cut struct {
+	plan  *plan
+	next  *division.Division
+	limit string
+}
+
+// parts returns the parts by holder name, and whether they differ enough from
+// the old ones to be worth an epoch of their own. Without force, parts that
+// differ less stay as they are.
+func (c *cut) parts(force bool) (map[string]part.Part, bool) {
+	o, listed := c.plan.old.Parts[c.limit]
+	if !listed {
+		o = c.plan.old.Parts[division.RatePrefix]
+	}
+	if !force && !c.plan.follow {
+		return o, false
+	}
+	r := make(map[string]part.Part)
+	v := c.free()
+	l := c.lengths(span.Length(v))
+	moved := 0.0
+	s := c.assign(v, l, func(n string) []span.Span { return o[n].Leased })
+	for n, w := range s {
+		moved += math.Abs(float64(span.Length(w)) - float64(span.Length(o[n].Leased)))
+		r[n] = part.Part{Leased: w}
+	}
+	moved /= 2 * span.Whole
+	if !force && moved < minor {
+		return o, false
+	}
+	c.floors(r, o)
+	return r, moved >= minor
+}
+
+// floors adds to each holder its cut of its failure domain's floor.
+func (c *cut) floors(r, o map[string]part.Part) {
+	for _, d := range c.domains(c.next.Floors) {
+		var m []holder.Holder
+		for _, s := range [][]holder.Holder{c.next.Holders, c.next.Silent} {
+			for _, h := range s {
+				if h.Domain == d {
+					m = append(m, h)
+				}
+			}
+		}
+		if len(m) == 0 {
+			continue
+		}
+		f := c.floor(d)
+		l := make(map[string]uint32, len(m))
+		for i, v := range span.Equal(f, len(m)) {
+			l[m[i].Name] = span.Length(v)
+		}
+		for n, w := range c.assign(f, l, func(n string) []span.Span { return o[n].Floor }) {
+			p := r[n]
+			p.Floor = w
+			r[n] = p
+		}
+	}
+}
+
+// floor returns the region of a failure domain's floor: what is its own by the
+// new floors and nobody else's by the prior ones.
+func (c *cut) floor(domain string) []span.Span {
+	n := c.region(c.next.Floors, c.next.FloorFraction, domain)
+	for _, d := range c.next.PriorFloors {
+		if d != domain {
+			n = span.Subtract(n, c.region(c.next.PriorFloors, c.next.PriorFraction, d))
+		}
+	}
+	return n
+}
+
+// free returns the region of leased parts.
+func (c *cut) free() []span.Span {
+	r := []span.Span{{To: span.Whole}}
+	for _, d := range c.next.Floors {
+		r = span.Subtract(r, c.region(c.next.Floors, c.next.FloorFraction, d))
+	}
+	for _, d := range c.next.PriorFloors {
+		r = span.Subtract(r, c.region(c.next.PriorFloors, c.next.PriorFraction, d))
+	}
+	return r
+}
+
+func (c *cut) region(floors []string, fraction float64, domain string) []span.Span {
+	l := c.domains(floors)
+	w := uint32(fraction * span.Whole / float64(max(len(l), 1)))
+	for i, d := range l {
+		if d == domain && w > 0 {
+			return []span.Span{{From: uint32(i) * w, To: uint32(i+1) * w}}
+		}
+	}
+	return nil
+}
+
+// domains returns those of the failure domains that have a floor of the limit.
+func (c *cut) domains(l []string) []string {
+	if d, ok := strings.CutPrefix(c.limit, SlotsPrefix); ok {
+		for _, v := range l {
+			if v == d {
+				return []string{d}
+			}
+		}
+		return nil
+	}
+	n, ok := strings.CutPrefix(c.limit, LinkPrefix)
+	if !ok {
+		return l
+	}
+	f, _, _ := strings.Cut(n, "/")
+	var r []string
+	for _, d := range l {
+		if c.regionOf(d) == f {
+			r = append(r, d)
+		}
+	}
+	return r
+}
+
+func (c *cut) regionOf(domain string) string {
+	for _, d := range c.plan.config.Domains {
+		if d.Name == domain {
+			return d.Region
+		}
+	}
+	return ""
+}
+
+// users returns the holders that may get leased parts of the limit.
+func (c *cut) users() []holder.Holder {
+	var near, far []holder.Holder
+	if d, ok := strings.CutPrefix(c.limit, SlotsPrefix); ok {
+		for _, h := range c.next.Holders {
+			if h.Domain == d {
+				near = append(near, h)
+			} else if h.Region == c.regionOf(d) {
+				far = append(far, h)
+			}
+		}
+		if len(near) == 0 {
+			// The failure domain lost its last host: its backend servers
+			// must not stand idle until a replacement comes.
+			return far
+		}
+		return near
+	}
+	if n, ok := strings.CutPrefix(c.limit, LinkPrefix); ok {
+		f, _, _ := strings.Cut(n, "/")
+		for _, h := range c.next.Holders {
+			if h.Region == f {
+				near = append(near, h)
+			}
+		}
+		return near
+	}
+	return c.next.Holders
+}
+
+// lengths returns how much of the leased region each user gets.
+func (c *cut) lengths(total uint32) map[string]uint32 {
+	u := c.users()
+	r := make(map[string]uint32, len(u))
+	if len(u) == 0 {
+		return r
+	}
+	e := idle * float64(total) / float64(len(u))
+	d := c.demands()
+	needs := make([]float64, len(u))
+	sum := 0.0
+	for i, h := range u {
+		f := float64(span.Length(c.floor(h.Domain))) / float64(c.members(h.Domain))
+		needs[i] = max(d[h.Name]*headroom*span.Whole-f-e, 0)
+		sum += d[h.Name]
+	}
+	rest := (1 - idle) * float64(total)
+	got := maxmin.Divide(rest, needs)
+	for _, v := range got {
+		rest -= v
+	}
+	for i, h := range u {
+		w := 1 / float64(len(u))
+		if sum > 0 {
+			w = d[h.Name] / sum
+		}
+		r[h.Name] = uint32(e + got[i] + max(rest, 0)*w)
+	}
+	return r
+}
+
+// demands returns the fraction of the limit that each holder asks for, nil
+// when nothing is known of it or the limit is a default.
+func (c *cut) demands() map[string]float64 {
+	return c.plan.demand[c.limit]
+}
+
+func (c *cut) members(domain string) int {
+	n := 0
+	for _, h := range c.next.Holders {
+		if h.Domain == domain {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// assign lays lengths into a region so that holders keep what they have as far
+// as possible: only what really moves waits for a release.
+func (c *cut) assign(region []span.Span, lengths map[string]uint32, old func(n string) []span.Span) map[string][]span.Span {
+	r := make(map[string][]span.Span, len(lengths))
+	free := region
+	names := sorted(lengths)
+	for _, n := range names {
+		k := span.Intersect(old(n), region)
+		if len(k) > fragments {
+			k = nil
+		}
+		k, _ = span.Split(k, lengths[n])
+		r[n] = k
+		free = span.Subtract(free, k)
+	}
+	for _, n := range names {
+		m := lengths[n] - span.Length(r[n])
+		if m == 0 {
+			continue
+		}
+		g, rest := span.Split(free, m)
+		r[n] = span.Join(r[n], g)
+		free = rest
+	}
+	return r
+}
+
+func sorted(m map[string]uint32) []string {
+	r := make([]string, 0, len(m))
+	for n := range m {
+		r = append(r, n)
+	}
+	sort.Strings(r)
+	return r
+}
--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -37,6 +37,37 @@
 	b.tokens = b.burst
 }
 
+// Limit changes the burst alone. Tokens above it are lost.
+func (b *Bucket) Limit(burst float64) {
+	b.burst = int64(max(burst, 0) * float64(unit))
+	b.tokens = min(b.tokens, b.burst)
+}
+
+// Gain adds what rate makes in d. It is for owners whose rate changed at times
+// that only they know, in the place of the bucket's own refill.
+func (b *Bucket) Gain(rate float64, d time.Duration) {
+	if d <= 0 || rate <= 0 {
+		return
+	}
+	g := min(product(int64(rate*micro), d), b.burst)
+	b.tokens = min(b.burst, b.tokens+g)
+}
+
+// TakeMany removes n tokens and reports whether there were so many. It does
+// not refill first.
+func (b *Bucket) TakeMany(n int64) bool {
+	if n > b.tokens/unit {
+		return false
+	}
+	b.tokens -= n * unit
+	return true
+}
+
+// Tokens returns the number of tokens at the last refill.
+func (b *Bucket) Tokens() float64 {
+	return float64(b.tokens) / float64(unit)
+}
+
 // Take removes one token and reports whether there was one.
 func (b *Bucket) Take(now time.Time) bool {
 	b.refill(now)
--- /dev/null
+++ b/demand/demand.go
@@ -0,0 +1,74 @@
+// Package demand collects what the hosts report of the requests that they are
+// offered.
+package demand
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/division"
+)
+
+// Demand is what this host knows of all hosts' demand.
+type Demand struct {
+	// Clock ages the reports.
+	Clock clockwork.Clock
+	// Hold is the age beyond which a report no longer counts.
+	Hold time.Duration
+	// Account returns the limits in force.
+	Account func(name string) (account.Account, bool)
+
+	mu      sync.Mutex
+	reports map[string]report
+}
+
+type report struct {
+	at    time.Time
+	rates map[string]float64
+}
+
+// Note takes a host's report: requests per second by account.
+func (d *Demand) Note(host string, rates map[string]float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reports == nil {
+		d.reports = make(map[string]report)
+	}
+	d.reports[host] = report{at: d.Clock.Now(), rates: rates}
+}
+
+// Fractions returns the part of each account's rate that each host asks for,
+// by limit and host name.
+func (d *Demand) Fractions() map[string]map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := make(map[string]map[string]float64)
+	for h, v := range d.reports {
+		if d.Clock.Since(v.at) > d.Hold {
+			delete(d.reports, h)
+			continue
+		}
+		for n, f := range v.rates {
+			a, ok := d.Account(n)
+			if !ok || a.Rate <= 0 {
+				continue
+			}
+			l := division.RatePrefix + n
+			if r[l] == nil {
+				r[l] = make(map[string]float64)
+			}
+			r[l][h] = f / a.Rate
+		}
+	}
+	return r
+}
+
+// Of returns the newest report of a host.
+func (d *Demand) Of(host string) map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reports[host].rates
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,8 @@
 	Queue func(service string) *queue.Queue
 	// Valid reports whether a key still works.
 	Valid func(c credential.Credential) bool
+	// Confirm reports whether the request's token may still be used.
+	Confirm func(r *request.Request) bool
 	// Idempotency records non-idempotent requests.
 	Idempotency *idempotency.Idempotency
 	// Upstream sends to backend servers.
@@ -58,6 +60,11 @@
 		s.Release(result.Unused)
 		return outcome.Outcome{Outcome: outcome.KeyUnknown, Ran: outcome.RanNo, Message: "the key was withdrawn"}
 	}
+	// The process may have been paused since the request was admitted.
+	if !d.Confirm(r) {
+		s.Release(result.Unused)
+		return outcome.Outcome{Outcome: outcome.OverRate, Ran: outcome.RanNo, Message: "the token is too old", RetryAfter: time.Second}
+	}
 	if r.NonIdempotent && r.IdempotencyID != "" {
 		return d.once(ctx, r, s, w)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,12 +101,17 @@
 }
 
 func (e *Entry) serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	if !e.Quota.Take(r.Credential.Account) {
+	m := min(e.Snapshot().Preset.MaxWait, r.Deadline.Sub(e.Clock.Now()))
+	t, d, ok := e.Quota.Admit(ctx, r.Credential.Account, m)
+	if !ok && ctx.Err() != nil {
+		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
+	}
+	if !ok {
 		return outcome.Outcome{
-			Outcome: outcome.OverRate, Ran: outcome.RanNo,
-			Message: "the account's rate is used up", RetryAfter: time.Second,
+			Outcome: outcome.OverRate, Ran: outcome.RanNo, Message: "the account's rate is used up", RetryAfter: d,
 		}
 	}
+	r.Admitted = t
 	o := e.Local(ctx, r, w)
 	if o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo {
 		o = e.Forward(ctx, r, w)
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,217 @@
+// Package fleet plays many hosts' limits in one goroutine, with clocks,
+// messages and a table of its own, for the experiment and for property tests.
+// The decisions are those of the packages that hosts run.
+package fleet
+
+import (
+	"container/heap"
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/quota"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/table"
+)
+
+var errOutage = errors.New("the platform does not answer")
+
+// Fleet is a number of hosts and the faults between them. Calls must come from
+// one goroutine.
+type Fleet struct {
+	// Hold, StoreHold, Heartbeat and Poll are set in every host.
+	Hold      time.Duration
+	StoreHold time.Duration
+	Heartbeat time.Duration
+	Poll      time.Duration
+	// Least is the least time between epochs that follow the demand.
+	Least time.Duration
+	// Config is the configuration in force everywhere.
+	Config *config.Config
+	// Table is the platform's table.
+	Table *table.Table
+	// Random draws delays.
+	Random *rand.Rand
+	// Delay returns how long a message takes, and whether it arrives.
+	Delay func(from, to int) (time.Duration, bool)
+	// Store reports whether a host's call reaches the table now, and whether
+	// the answer comes back.
+	Store func(host int) (reached, answered bool)
+	// Grant, Report and Lent are seams at which tests break the rule on
+	// purpose: the grant that a quota sees, the epoch that a peer reports, and
+	// what a lender does after a loan. Nil leaves the rule whole.
+	Grant  func(g grant.Grant) grant.Grant
+	Report func(reported, own uint64) uint64
+	Lent   func(q *quota.Quota, name string, units uint64)
+	// Messages counts heartbeats and loans, answers not counted.
+	Messages int
+
+	now    time.Time
+	events events
+	serial int
+	nodes  []*node
+	logger *log.Logger
+}
+
+// Add starts a process and returns its number. Speed is how fast its clock
+// runs; a process of a name that was used before replaces nobody: Kill does.
+func (f *Fleet) Add(name, domain, region string, speed float64) int {
+	if f.now.IsZero() {
+		f.now = time.Unix(1_000_000, 0)
+		f.logger = log.New(io.Discard)
+	}
+	n := newNode(f, len(f.nodes), name, domain, region, speed)
+	f.nodes = append(f.nodes, n)
+	f.at(time.Duration(f.Random.Int64N(int64(f.Heartbeat))), n.beat)
+	f.at(time.Duration(f.Random.Int64N(int64(f.Poll))), n.poll)
+	return n.number
+}
+
+// Kill ends a process without a word.
+func (f *Fleet) Kill(host int) {
+	f.nodes[host].dead = true
+}
+
+// Pause stops a process; its clock goes on.
+func (f *Fleet) Pause(host int, paused bool) {
+	n := f.nodes[host]
+	n.paused = paused
+	if !paused {
+		w := n.late
+		n.late = nil
+		for _, g := range w {
+			f.at(0, g)
+		}
+	}
+}
+
+// Runs reports whether a process is neither dead nor paused.
+func (f *Fleet) Runs(host int) bool {
+	return !f.nodes[host].dead && !f.nodes[host].paused
+}
+
+// Len returns the number of processes that were ever added.
+func (f *Fleet) Len() int {
+	return len(f.nodes)
+}
+
+// Now returns the time by a clock that is exact.
+func (f *Fleet) Now() time.Time {
+	return f.now
+}
+
+// Run plays the events of the next d.
+func (f *Fleet) Run(d time.Duration) {
+	t := f.now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(t) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = t
+}
+
+// At plays g after d.
+func (f *Fleet) At(d time.Duration, g func()) {
+	f.at(d, g)
+}
+
+func (f *Fleet) at(d time.Duration, g func()) {
+	f.serial++
+	heap.Push(&f.events, event{at: f.now.Add(d), serial: f.serial, run: g})
+}
+
+// platform returns the table as one host reaches it.
+func (f *Fleet) platform(host int) platform.Platform {
+	return platform.Platform{
+		Read: func(_ context.Context, key string) (row.Row, error) {
+			if r, a := f.Store(host); !r || !a {
+				return row.Row{}, errOutage
+			}
+			return f.Table.Read(key), nil
+		},
+		Commit: func(_ context.Context, c commit.Commit) (bool, error) {
+			r, a := f.Store(host)
+			if !r {
+				return false, errOutage
+			}
+			ok := f.Table.Commit(c)
+			if !a {
+				return false, errOutage
+			}
+			return ok, nil
+		},
+	}
+}
+
+// read returns the division in the table, if the host gets an answer.
+func (f *Fleet) read(host int) (division.Division, bool) {
+	var d division.Division
+	r, a := f.Store(host)
+	if !r || !a {
+		return d, false
+	}
+	v := f.Table.Read(division.RowKey)
+	if v.Version == 0 || codec.Unmarshal(v.Value, &d) != nil {
+		return d, false
+	}
+	return d, true
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+// events is a queue by time, then by the order of scheduling.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].serial < e[j].serial
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is for package heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is for package heap.
+func (e *events) Pop() any {
+	o := *e
+	n := len(o) - 1
+	x := o[n]
+	*e = o[:n]
+	return x
+}
+
+// clock is one host's clock: a fake one that is set to the fleet's time times
+// the host's speed whenever the host does something.
+type clock struct {
+	*clockwork.FakeClock
+	began time.Time
+	speed float64
+}
+
+func (c *clock) set(now time.Time) {
+	t := c.began.Add(time.Duration(float64(now.Sub(c.began)) * c.speed))
+	if d := t.Sub(c.Now()); d > 0 {
+		c.Advance(d)
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,287 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/quota"
+	"celeryreach.example/celeryreach/table"
+)
+
+const (
+	hold    = 3 * time.Second
+	rate    = 40
+	burst   = 20
+	step    = 100 * time.Millisecond
+	slots   = 5
+	domains = 3
+)
+
+// model drives a fleet and judges it with arithmetic of its own.
+type model struct {
+	*fleet.Fleet
+	t      *rapid.T
+	loss   float64
+	slow   time.Duration
+	cut    [domains]bool
+	out    [domains]bool
+	lost   float64
+	domain []int
+	names  []string
+	drift  float64
+	// tokens is the account's exact bucket over all hosts, in billionths.
+	tokens   int64
+	at       time.Time
+	admitted int
+	fault    string
+}
+
+func newModel(t *rapid.T, drift float64) *model {
+	m := &model{t: t, drift: drift, tokens: burst * int64(time.Second)}
+	r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+	m.Fleet = &fleet.Fleet{
+		Hold: hold, StoreHold: 20 * time.Second, Heartbeat: 200 * time.Millisecond, Poll: time.Second, Least: 2 * time.Second,
+		Config: newConfig(0.5, domains), Table: new(table.Table), Random: r, Delay: m.delay, Store: m.store,
+	}
+	for i := range rapid.IntRange(2, 6).Draw(t, "hosts") {
+		m.add(fmt.Sprintf("host-%d", i), i%domains)
+	}
+	m.at = m.Now()
+	return m
+}
+
+func newConfig(floor float64, n int) *config.Config {
+	c := &config.Config{Preset: "P", Presets: []preset.Preset{{Name: "P", FloorFraction: floor}}}
+	c.Accounts = []account.Account{{Name: "a", Rate: rate, Burst: burst}}
+	for i := range n {
+		c.Domains = append(c.Domains, domain.Domain{Name: fmt.Sprintf("d%d", i), Region: fmt.Sprintf("r%d", i/2)})
+	}
+	return c
+}
+
+func (m *model) add(name string, d int) {
+	s := 1 + m.drift*float64(rapid.IntRange(-10, 10).Draw(m.t, "speed"))/10
+	m.domain = append(m.domain, d)
+	m.names = append(m.names, name)
+	m.Add(name, fmt.Sprintf("d%d", d), fmt.Sprintf("r%d", d/2), s)
+}
+
+// delay plays the network: hosts of one failure domain always hear each other
+// soon, all else can be lost, late or cut.
+func (m *model) delay(from, to int) (time.Duration, bool) {
+	f, t := m.domain[from], m.domain[to]
+	if from == to {
+		return time.Duration(m.Random.Int64N(int64(hold))), true
+	}
+	if f == t {
+		return time.Millisecond, true
+	}
+	if m.cut[f] != m.cut[t] || m.Random.Float64() < m.loss {
+		return 0, false
+	}
+	return time.Duration(m.Random.Int64N(int64(m.slow + time.Millisecond))), true
+}
+
+func (m *model) store(host int) (reached, answered bool) {
+	if m.out[m.domain[host]] {
+		return false, false
+	}
+	return true, m.Random.Float64() >= m.lost
+}
+
+// act plays one drawn event.
+func (m *model) act() {
+	h := rapid.IntRange(0, m.Len()-1).Draw(m.t, "host")
+	switch rapid.IntRange(0, 9).Draw(m.t, "act") {
+	case 0:
+		m.loss = float64(rapid.IntRange(0, 5).Draw(m.t, "loss")) / 10
+	case 1:
+		m.cut[m.domain[h]] = !m.cut[m.domain[h]]
+	case 2:
+		m.out[m.domain[h]] = !m.out[m.domain[h]]
+	case 3:
+		m.Pause(h, m.Runs(h))
+		m.check()
+	case 4:
+		m.Kill(h)
+		if m.Len() < 20 {
+			m.add(m.names[h], m.domain[h])
+		}
+	case 5:
+		m.lost = float64(rapid.IntRange(0, 8).Draw(m.t, "lost")) / 10
+	case 6:
+		m.slow = time.Duration(rapid.IntRange(0, 4).Draw(m.t, "slow")) * time.Second
+	case 7:
+		m.Config = newConfig(float64(rapid.IntRange(1, 8).Draw(m.t, "floor"))/10, domains-rapid.IntRange(0, 1).Draw(m.t, "gone"))
+	case 8:
+		m.cut, m.out, m.loss, m.lost, m.slow = [domains]bool{}, [domains]bool{}, 0, 0, 0
+	default:
+		if m.Len() < 20 {
+			m.add(fmt.Sprintf("host-%d", m.Len()+10), m.domain[h])
+		}
+	}
+}
+
+// play runs a drawn schedule and stops at the first fault.
+func (m *model) play(load bool) {
+	m.Run(8 * time.Second)
+	for range rapid.IntRange(1, 12).Draw(m.t, "acts") {
+		m.act()
+		for range rapid.IntRange(1, 60).Draw(m.t, "steps") {
+			m.Run(step)
+			m.check()
+			if load {
+				m.load()
+			}
+			if m.fault != "" {
+				return
+			}
+		}
+	}
+}
+
+// check adds up what the running hosts may use at this moment.
+func (m *model) check() {
+	s, sum := make(map[string]int), 0.0
+	for i := range m.Len() {
+		if !m.Runs(i) {
+			continue
+		}
+		h := m.Holding(i)
+		sum += h.Part("rate/a")
+		for d := range domains {
+			l := fmt.Sprintf("slots/d%d", d)
+			for _, k := range h.Slots(l, slots) {
+				k := fmt.Sprint(l, " ", k)
+				s[k]++
+				if s[k] > 1 {
+					m.fault = k + " has two users"
+				}
+			}
+		}
+	}
+	if sum > 1 {
+		m.fault = fmt.Sprintf("the parts add up to %v", sum)
+	}
+}
+
+// load takes all that each host gives, with requests that wait, and counts it
+// against the account's limits.
+func (m *model) load() {
+	n := m.Now()
+	m.tokens = min(burst*int64(time.Second), m.tokens+rate*int64(n.Sub(m.at)))
+	m.at = n
+	for i := range m.Len() {
+		if !m.Runs(i) || m.Random.Float64() < 0.3 {
+			continue
+		}
+		q := m.Quota(i)
+		if _, ok := q.Try("a", false); ok {
+			m.admit()
+		}
+		if !q.Join("a", time.Second) {
+			continue
+		}
+		m.At(20*time.Millisecond, func() {
+			if m.Runs(i) {
+				m.drain(i)
+			}
+			q.Leave("a")
+		})
+	}
+}
+
+func (m *model) drain(i int) {
+	n := m.Now()
+	m.tokens = min(burst*int64(time.Second), m.tokens+rate*int64(n.Sub(m.at)))
+	m.at = n
+	for range burst {
+		if _, ok := m.Quota(i).Try("a", true); !ok {
+			return
+		}
+		m.admit()
+	}
+}
+
+func (m *model) admit() {
+	m.admitted++
+	m.tokens -= int64(time.Second)
+	if m.tokens < 0 {
+		m.fault = fmt.Sprintf("request %d is above rate and burst", m.admitted)
+	}
+}
+
+// Callers of one account send through all hosts while hosts are lost, paused
+// and replaced, domains are cut off and heal, the table fails or loses answers
+// and floors change. At no moment may two hosts use the same slot or the parts
+// of a rate exceed the whole, since each host decides alone.
+func TestPartsAreDisjoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 0.01)
+		m.play(false)
+		must.Eq(t, "", m.fault)
+	})
+}
+
+// Under the same faults, no window of time may see more requests admitted than
+// burst and rate allow, over all hosts together and with tokens on loan.
+func TestRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t, 0.001)
+		m.play(true)
+		must.Eq(t, "", m.fault)
+	})
+}
+
+// The same judge must find each fault that the rule exists to prevent: a loan
+// that stays in the lender's bucket, a part that is used after it lapsed, and
+// an increase that is used before the others let go.
+func TestJudgeFindsBrokenRules(t *testing.T) {
+	broken := map[string]func(m *model){
+		"loan not deducted": func(m *model) {
+			m.Lent = func(q *quota.Quota, name string, units uint64) {
+				for range units {
+					q.Return(name)
+				}
+			}
+		},
+		"part used after its lapse": func(m *model) {
+			m.Grant = func(g grant.Grant) grant.Grant {
+				if !g.LeasedUntil.IsZero() {
+					g.LeasedUntil = g.LeasedUntil.Add(time.Hour)
+				}
+				return g
+			}
+		},
+		"grant before release": func(m *model) {
+			m.Report = func(_, own uint64) uint64 { return own }
+		},
+	}
+	for n, b := range broken {
+		t.Run(n, func(t *testing.T) {
+			g := rapid.Custom(func(t *rapid.T) string {
+				m := newModel(t, 0.001)
+				b(m)
+				m.play(true)
+				return m.fault
+			})
+			for i := range 400 {
+				if g.Example(i) != "" {
+					return
+				}
+			}
+			t.Fatal("not found in 400 schedules")
+		})
+	}
+}
--- /dev/null
+++ b/fleet/node.go
@@ -0,0 +1,294 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/author"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/demand"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/holding"
+	"celeryreach.example/celeryreach/loan"
+	"celeryreach.example/celeryreach/quota"
+)
+
+// loanFor is how long the experiment's loans last.
+const loanFor = 500 * time.Millisecond
+
+// node is one process.
+type node struct {
+	fleet   *Fleet
+	number  int
+	self    holder.Holder
+	clock   *clock
+	dead    bool
+	paused  bool
+	late    []func()
+	holding *holding.Holding
+	author  *author.Author
+	quota   *quota.Quota
+	demand  *demand.Demand
+	told    time.Time
+	heard   map[string]contact
+}
+
+// contact is what was last heard of a host.
+type contact struct {
+	holder holder.Holder
+	number int
+	at     time.Time
+	known  []holder.Holder
+}
+
+// message is a heartbeat or its answer.
+type message struct {
+	from   *node
+	epoch  uint64
+	known  []holder.Holder
+	demand map[string]float64
+}
+
+func newNode(f *Fleet, number int, name, domain, region string, speed float64) *node {
+	c := &clock{FakeClock: clockwork.NewFakeClockAt(f.now), began: f.now, speed: speed}
+	n := &node{
+		fleet: f, number: number, clock: c, heard: make(map[string]contact),
+		self: holder.Holder{Name: name, Incarnation: uint64(number + 1), Domain: domain, Region: region},
+	}
+	n.quota = &quota.Quota{Clock: c, Account: n.account, Grant: n.grant, Hold: f.Hold, Borrow: n.borrow}
+	n.holding = &holding.Holding{
+		Clock: c, Self: n.self, Hold: f.Hold, StoreHold: f.StoreHold, Every: f.Heartbeat, Changing: n.quota.Sync,
+	}
+	n.demand = &demand.Demand{Clock: c, Hold: f.Hold, Account: n.account}
+	n.author = &author.Author{
+		Clock: c, Log: f.logger, Platform: f.platform(number), Holding: n.holding, Alive: n.alive,
+		Config: func() *config.Config { return f.Config }, Demand: n.demand.Fractions, Every: f.Poll, Least: f.Least,
+	}
+	return n
+}
+
+// Holding returns a process's holding, with its clock set.
+func (f *Fleet) Holding(host int) *holding.Holding {
+	n := f.nodes[host]
+	n.clock.set(f.now)
+	return n.holding
+}
+
+// Quota returns a process's quota, with its clock set.
+func (f *Fleet) Quota(host int) *quota.Quota {
+	n := f.nodes[host]
+	n.clock.set(f.now)
+	return n.quota
+}
+
+func (n *node) account(name string) (account.Account, bool) {
+	for _, a := range n.fleet.Config.Accounts {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return account.Account{}, false
+}
+
+func (n *node) grant(name string) grant.Grant {
+	g := n.holding.Grant(division.RatePrefix + name)
+	if n.fleet.Grant != nil {
+		g = n.fleet.Grant(g)
+	}
+	return g
+}
+
+// do runs g on the process: never when it is dead, later when it is paused.
+func (n *node) do(g func()) {
+	if n.dead {
+		return
+	}
+	if n.paused {
+		n.late = append(n.late, func() { n.do(g) })
+		return
+	}
+	n.clock.set(n.fleet.now)
+	g()
+}
+
+// beat exchanges heartbeats with all others.
+func (n *node) beat() {
+	n.do(func() {
+		n.holding.Tick()
+		n.report()
+		for _, p := range n.fleet.nodes {
+			if p != n && !p.dead {
+				n.exchange(p)
+			}
+		}
+		n.fetch()
+		n.fleet.at(n.fleet.Heartbeat, n.beat)
+	})
+}
+
+func (n *node) report() {
+	t := n.clock.Now()
+	if d := t.Sub(n.told); d >= time.Second {
+		n.told = t
+		n.demand.Note(n.self.Name, n.quota.Demands(min(d, time.Minute)))
+	}
+}
+
+func (n *node) exchange(p *node) {
+	f := n.fleet
+	f.Messages++
+	t, m := n.clock.Now(), n.message()
+	d, ok := f.Delay(n.number, p.number)
+	if !ok {
+		return
+	}
+	f.at(d, func() {
+		p.do(func() {
+			p.note(m, time.Time{})
+			a := p.message()
+			if e, ok := f.Delay(p.number, n.number); ok {
+				f.at(e, func() { n.do(func() { n.note(a, t) }) })
+			}
+		})
+	})
+}
+
+func (n *node) message() message {
+	return message{
+		from: n, epoch: n.holding.Epoch(), known: n.near(), demand: n.demand.Of(n.self.Name),
+	}
+}
+
+func (n *node) note(m message, sent time.Time) {
+	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known}
+	n.demand.Note(m.from.self.Name, m.demand)
+	e := m.epoch
+	if n.fleet.Report != nil {
+		e = n.fleet.Report(e, n.holding.Epoch())
+	}
+	n.holding.Heard(m.from.self.Name, m.from.self.Incarnation, e, sent)
+	n.fetch()
+}
+
+// fetch takes a newer division from whoever has it. The content travels with
+// the next message that arrives, without a delay of its own.
+func (n *node) fetch() {
+	if n.holding.Wanted() <= n.holding.Epoch() {
+		return
+	}
+	for _, p := range n.fleet.nodes {
+		if p == n || p.dead || p.paused || p.holding.Epoch() <= n.holding.Epoch() {
+			continue
+		}
+		if _, ok := n.fleet.Delay(n.number, p.number); !ok {
+			continue
+		}
+		if d, ok := p.holding.Current(); ok {
+			n.holding.Learn(d, time.Time{})
+		}
+	}
+}
+
+// poll reads the table. The answer can come late.
+func (n *node) poll() {
+	n.do(func() {
+		f := n.fleet
+		t := n.clock.Now()
+		if d, ok := f.read(n.number); ok {
+			if e, ok := f.Delay(n.number, n.number); ok {
+				f.at(e, func() { n.do(func() { n.holding.Learn(d, t) }) })
+			}
+		}
+		n.author.Step(context.Background())
+		f.at(f.Poll, n.poll)
+	})
+}
+
+// near returns the processes that this one heard itself within Hold.
+func (n *node) near() []holder.Holder {
+	r := []holder.Holder{n.self}
+	for _, c := range n.heard {
+		if n.clock.Since(c.at) <= n.fleet.Hold {
+			r = append(r, c.holder)
+		}
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
+	return r
+}
+
+// alive returns those and what they have heard in their turn.
+func (n *node) alive() []holder.Holder {
+	m := map[string]holder.Holder{}
+	for _, c := range n.heard {
+		if n.clock.Since(c.at) > n.fleet.Hold {
+			continue
+		}
+		for _, h := range c.known {
+			if h.Incarnation > m[h.Name].Incarnation {
+				m[h.Name] = h
+			}
+		}
+	}
+	for _, h := range n.near() {
+		if h.Incarnation >= m[h.Name].Incarnation {
+			m[h.Name] = h
+		}
+	}
+	r := make([]holder.Holder, 0, len(m))
+	for _, h := range m {
+		r = append(r, h)
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
+	return r
+}
+
+// borrow asks the nearest hosts in turn, each once.
+func (n *node) borrow(name string, units uint64) {
+	f := n.fleet
+	p := n.lender(name)
+	if p == nil {
+		return
+	}
+	f.Messages++
+	t := n.clock.Now()
+	d, ok := f.Delay(n.number, p.number)
+	if !ok {
+		return
+	}
+	f.at(d, func() {
+		p.do(func() {
+			u := p.quota.Lend(name, units, loanFor)
+			if f.Lent != nil {
+				f.Lent(p.quota, name, u)
+			}
+			if e, ok := f.Delay(p.number, n.number); ok && u > 0 {
+				f.at(e, func() {
+					n.do(func() { n.quota.Receive(name, u, t.Add(loanFor-loanFor/50)) })
+				})
+			}
+		})
+	})
+}
+
+// lender picks whom to ask among those that were heard lately.
+func (n *node) lender(name string) *node {
+	var l []holder.Holder
+	for _, h := range n.near() {
+		if c, ok := n.heard[h.Name]; ok && n.clock.Since(c.at) <= n.fleet.Heartbeat*3 {
+			l = append(l, h)
+		}
+	}
+	r := division.RatePrefix + name
+	d, _ := n.holding.Current()
+	h, ok := loan.Lender(n.self, l, d, r, n.demand.Fractions()[r])
+	if !ok {
+		return nil
+	}
+	return n.fleet.nodes[n.heard[h.Name].number]
+}
--- /dev/null
+++ b/holding/view.go
@@ -0,0 +1,162 @@
+package holding
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"celeryreach.example/celeryreach/span"
+)
+
+// view is what the request path reads without a lock. It never changes.
+type view struct {
+	uses        map[string]*use
+	epoch       uint64
+	settled     uint64
+	floor       uint64
+	floorSince  time.Time
+	floorUntil  time.Time
+	leasedSince time.Time
+	leasedUntil time.Time
+	unused      bool
+}
+
+// use is this host's part of one limit: lengths for rates, which move in any
+// amount, and spans for slots, of which each has one user.
+type use struct {
+	floor       float64
+	leased      float64
+	floorSpans  []span.Span
+	leasedSpans []span.Span
+}
+
+func (v *view) use(limit string) *use {
+	if u := v.uses[limit]; u != nil {
+		return u
+	}
+	return v.uses[limit[:strings.IndexByte(limit, '/')+1]]
+}
+
+// publish makes what this host may use now visible to the request path.
+func (h *Holding) publish(now time.Time) {
+	if len(h.chain) == 0 {
+		return
+	}
+	o := h.view.Load()
+	if o == nil {
+		o = &view{}
+	}
+	v := &view{
+		epoch: h.epoch(), settled: h.settled, floor: h.floorSettled, unused: h.epoch() == 1,
+		floorSince: now, floorUntil: h.floorUntil(now), leasedSince: now, leasedUntil: h.leasedUntil(now),
+	}
+	g := false
+	if o.uses != nil && v.epoch == o.epoch && v.settled == o.settled && v.floor == o.floor {
+		v.uses = o.uses
+		g = v.renew(o, now)
+	} else {
+		v.uses = h.uses()
+		g = true
+	}
+	if g && h.Changing != nil {
+		h.Changing()
+	}
+	h.view.Store(v)
+}
+
+// renew continues the grants of o and reports whether one comes back after a
+// lapse. That is a new grant: its bucket must not refill for the time between.
+func (v *view) renew(o *view, now time.Time) bool {
+	f, l := now.Before(o.floorUntil), now.Before(o.leasedUntil)
+	if f {
+		v.floorSince = o.floorSince
+	}
+	if l {
+		v.leasedSince = o.leasedSince
+	}
+	return !f && now.Before(v.floorUntil) || !l && now.Before(v.leasedUntil)
+}
+
+// leasedUntil returns when the leased parts of the current epoch end unless
+// more is heard: enough holders vouch for it, or the table does.
+func (h *Holding) leasedUntil(now time.Time) time.Time {
+	d := h.chain[len(h.chain)-1]
+	if !d.Leases(h.Self) || h.store.IsZero() {
+		return time.Time{}
+	}
+	var s []time.Time
+	for _, v := range d.Holders {
+		if v == h.Self {
+			s = append(s, now)
+		} else if p := h.peers[v.Name]; p != nil && p.incarnation == v.Incarnation {
+			s = append(s, p.sent)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool { return s[i].After(s[j]) })
+	t := h.read
+	if q := d.UseQuorum(); len(s) >= q && s[q-1].After(t) {
+		t = s[q-1]
+	}
+	u := h.store.Add(h.before(h.StoreHold))
+	if t.IsZero() {
+		return t
+	}
+	if e := t.Add(h.before(h.Hold)); e.Before(u) {
+		u = e
+	}
+	return u
+}
+
+// floorUntil returns when the floor ends unless the process shows life.
+func (h *Holding) floorUntil(now time.Time) time.Time {
+	e := h.epoch()
+	if h.floorSettled == 0 || !h.chain[len(h.chain)-1].Names(h.Self) {
+		return time.Time{}
+	}
+	if now.Sub(h.steady) < h.after(h.Hold) && h.read.Before(h.steady) {
+		return time.Time{}
+	}
+	t := h.tick.Add(h.Hold / paces)
+	if s, ok := h.known.since(e + 1); ok && s.Add(h.Hold/paces).Before(t) {
+		// A newer epoch exists and its content has not come yet.
+		t = s.Add(h.Hold / paces)
+	}
+	return t
+}
+
+// uses computes this host's parts over all epochs that somebody may be on: two
+// hosts that are on different epochs then have at least one in common.
+func (h *Holding) uses() map[string]*use {
+	m := make(map[string]*use)
+	for _, d := range h.chain {
+		for l := range d.Parts {
+			if m[l] == nil {
+				m[l] = h.use(l)
+			}
+		}
+	}
+	return m
+}
+
+func (h *Holding) use(limit string) *use {
+	u := &use{floor: 1, leased: 1}
+	w := []span.Span{{To: span.Whole}}
+	u.floorSpans, u.leasedSpans = w, w
+	for _, d := range h.chain {
+		p := d.Part(limit, h.Self)
+		if d.Epoch >= h.settled {
+			u.leased = min(u.leased, fraction(p.Leased))
+			u.leasedSpans = span.Intersect(u.leasedSpans, p.Leased)
+		}
+		// A floor that grew takes from what was leased before, so it waits for
+		// the users of leased parts too: the chain begins at the older of the
+		// two settled epochs.
+		u.floor = min(u.floor, fraction(p.Floor))
+		u.floorSpans = span.Intersect(u.floorSpans, p.Floor)
+	}
+	return u
+}
+
+func fraction(s []span.Span) float64 {
+	return float64(span.Length(s)) / span.Whole
+}
--- a/host/host.go
+++ b/host/host.go
@@ -74,7 +74,7 @@
 func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
 	x := h.parts()
 	x.peerserver.Listener = p
-	return &supervisor.Supervisor{
+	r := &supervisor.Supervisor{
 		Clock:   h.Clock,
 		Log:     h.Log,
 		Backoff: restartBackoff,
@@ -87,6 +87,8 @@
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
 		},
 	}
+	r.Children = append(x.limits.children(x), r.Children...)
+	return r
 }
 
 func listen(ctx context.Context, a string) (net.Listener, error) {
--- a/host/parts.go
+++ b/host/parts.go
@@ -42,6 +42,7 @@
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
@@ -56,7 +57,7 @@
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
+	x.newLimits()
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
@@ -64,7 +65,7 @@
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnBorrow:  x.lend,
 		OnForward: x.receive.Stream,
 	}
 	return x
@@ -82,7 +83,7 @@
 func (x *parts) newDispatch() *dispatch.Dispatch {
 	h := x.host
 	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
+		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm,
 		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
 		Upstream:    upstream.New(dialTimeout),
 		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
@@ -142,11 +143,17 @@
 	v, s, _ := x.follower.Content()
 	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
+	x.heardLimits(h, sent)
+}
 
 func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
+	}
 	v, h, b := x.follower.Content()
 	if f.Kind != "Config" || v <= f.Have {
 		return &wire.FetchResponse{}
--- /dev/null
+++ b/maxmin/maxmin.go
@@ -0,0 +1,20 @@
+// Package maxmin divides an amount between needs: nobody gets more than it
+// needs while somebody else with less could get more.
+package maxmin
+
+import "sort"
+
+// Divide returns how much of total each need gets.
+func Divide(total float64, needs []float64) []float64 {
+	o := make([]int, len(needs))
+	for i := range o {
+		o[i] = i
+	}
+	sort.SliceStable(o, func(i, j int) bool { return needs[o[i]] < needs[o[j]] })
+	r := make([]float64, len(needs))
+	for i, v := range o {
+		r[v] = min(needs[v], total/float64(len(o)-i))
+		total -= r[v]
+	}
+	return r
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -18,6 +18,11 @@
 // Protocol is the version of the messages that this host sends.
 const Protocol = 1
 
+// forgetHolds is the silence, in multiples of Hold, after which a peer is no
+// longer tried unless somebody else names it. It outlasts the cuts of an
+// ordinary year.
+const forgetHolds = 1200
+
 // Membership exchanges heartbeats with all peers of the host.
 type Membership struct {
 	// Clock is the host's monotonic clock.
@@ -47,6 +52,7 @@
 	peers    map[string]*peer
 	listed   []string
 	sequence uint64
+	replaced map[uint64]bool
 }
 
 type peer struct {
@@ -59,13 +65,17 @@
 func (m *Membership) Run(ctx context.Context) error {
 	d := make(chan struct{})
 	go m.follow(ctx, d)
+	t := make(map[string]*talk)
 	for ctx.Err() == nil {
-		m.round(ctx)
+		m.adjust(ctx, t)
 		select {
 		case <-ctx.Done():
 		case <-m.Clock.After(m.Interval):
 		}
 	}
+	for _, v := range t {
+		v.stop()
+	}
 	<-d
 	return nil
 }
@@ -92,6 +102,14 @@
 	return r
 }
 
+// Leaves reports whether the newest word of a host is that it is shutting down.
+func (m *Membership) Leaves(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[name]
+	return p != nil && p.member.Leaving
+}
+
 // Last returns the newest heartbeat of a peer that is alive.
 func (m *Membership) Last(name string) (*wire.Heartbeat, bool) {
 	m.mu.Lock()
@@ -126,30 +144,6 @@
 	}
 }
 
-// round sends one heartbeat to each address and waits no longer than Hold for
-// the answers, so that one silent peer cannot delay the others for long.
-func (m *Membership) round(ctx context.Context) {
-	x, f := context.WithTimeout(ctx, m.Interval)
-	defer f()
-	a := m.addresses()
-	d := make(chan struct{}, len(a))
-	for _, v := range a {
-		go m.exchange(x, v, d)
-	}
-	for range a {
-		<-d
-	}
-}
-
-func (m *Membership) exchange(ctx context.Context, address string, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
-	t := m.Clock.Now()
-	h, err := m.Beat(ctx, address, m.compose())
-	if err == nil {
-		m.note(h, t)
-	}
-}
-
 func (m *Membership) compose() *wire.Heartbeat {
 	s := m.Self()
 	h := &wire.Heartbeat{Protocol: Protocol, From: host(s)}
@@ -173,15 +167,47 @@
 	if m.peers == nil {
 		m.peers = make(map[string]*peer)
 	}
-	p := m.peers[v.Name]
-	if p == nil || p.member.Incarnation != v.Incarnation {
-		m.Log.Info("peer appeared", "Host", v.Name, "Incarnation", v.Incarnation, "Domain", v.Domain)
+	if m.newer(v, h) {
+		m.peers[v.Name] = &peer{member: v, heard: m.Clock.Now(), beat: h}
 	}
-	m.peers[v.Name] = &peer{member: v, heard: m.Clock.Now(), beat: h}
 	m.mu.Unlock()
 	m.Heard(h, sent)
 }
 
+// newer reports whether a message tells more than the last one of that host.
+// Messages overtake each other, and those of a replaced process may still come
+// in after its replacement's.
+func (m *Membership) newer(v member.Member, h *wire.Heartbeat) bool {
+	p := m.peers[v.Name]
+	if p != nil && p.member.Incarnation == v.Incarnation {
+		return h.Sequence > p.beat.GetSequence()
+	}
+	if m.replaced[v.Incarnation] {
+		return false
+	}
+	if p != nil {
+		if m.replaced == nil {
+			m.replaced = make(map[uint64]bool)
+		}
+		m.replaced[p.member.Incarnation] = true
+	}
+	m.Log.Info("peer appeared", "Host", v.Name, "Incarnation", v.Incarnation, "Domain", v.Domain)
+	return true
+}
+
+// forget drops peers that have been silent for long, so that hosts that were
+// replaced are not tried for ever.
+func (m *Membership) forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k, p := range m.peers {
+		if m.Clock.Since(p.heard) > forgetHolds*m.Hold {
+			delete(m.peers, k)
+			delete(m.replaced, p.member.Incarnation)
+		}
+	}
+}
+
 // addresses returns every address that may be a peer's.
 func (m *Membership) addresses() []string {
 	m.mu.Lock()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -3,15 +3,25 @@
 package quota
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/account"
-	"celeryreach.example/celeryreach/bucket"
+	"celeryreach.example/celeryreach/grant"
 )
 
+// drift is how fast a host's clock may run, as a divisor: refills are made
+// slower by it, so that hosts with fast clocks do not exceed the rate
+// together. Time services steer clocks by 0.05% at most.
+const drift = 1000
+
+// retryMost is the longest time that a refused caller is told to wait: a host
+// whose part lapsed may have it back any second.
+const retryMost = 2 * time.Second
+
 // Quota holds this host's part of every account's limit. It decides alone and
 // in memory; the parts of all hosts together never exceed the limit.
 type Quota struct {
@@ -19,46 +29,167 @@
 	Clock clockwork.Clock
 	// Account returns the limits in force.
 	Account func(name string) (account.Account, bool)
-	// Fraction returns the part of an account's limit that this host may use
-	// now, in 0..1.
-	Fraction func(name string) float64
+	// Grant returns the part of an account's limit that this host may use.
+	Grant func(name string) grant.Grant
+	// Hold is the age beyond which Confirm takes a token anew.
+	Hold time.Duration
+	// Borrow asks another host for tokens and reports later through Receive;
+	// nil means that nobody lends. It must not block.
+	Borrow func(name string, units uint64)
 
 	mu      sync.Mutex
-	buckets map[string]*bucket.Bucket
+	entries map[string]*entry
 }
 
-// Take admits one request of an account and reports whether it may go on.
+// Take admits one request of an account at once and reports whether it may go
+// on.
 func (q *Quota) Take(name string) bool {
+	_, ok := q.Try(name, false)
+	return ok
+}
+
+// Admit admits one request, waiting up to wait for a token: a part of a small
+// burst is soon empty at one host, while the account as a whole is inside its
+// limits. It returns the moment of admission for Confirm, or else the time
+// after which an attempt has a chance.
+func (q *Quota) Admit(ctx context.Context, name string, wait time.Duration) (at time.Time, retry time.Duration, ok bool) {
+	d, ok := q.Try(name, false)
+	if ok {
+		return q.Clock.Now(), 0, true
+	}
+	t := q.Clock.Now().Add(wait)
+	if !q.Join(name, wait) {
+		return time.Time{}, min(d, retryMost), false
+	}
+	defer q.Leave(name)
+	for {
+		d, ok = q.Try(name, true)
+		n := q.Clock.Now()
+		if ok {
+			return n, 0, true
+		}
+		if !n.Add(d).Before(t) {
+			return time.Time{}, min(d, retryMost), false
+		}
+		select {
+		case <-ctx.Done():
+			return time.Time{}, min(d, retryMost), false
+		case <-q.Clock.After(d):
+		}
+	}
+}
+
+// Try takes a token if there is one, and else returns after which time there
+// may be. Turn tells that the request waits since Join; others let those that
+// wait go first.
+func (q *Quota) Try(name string, turn bool) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := q.Clock.Now()
+	e, ok := q.touch(name, n)
+	if !ok {
+		return time.Second, false
+	}
+	if !turn {
+		e.offered++
+		if e.waiting > 0 {
+			return e.ready(float64(e.waiting) + 1), false
+		}
+	}
+	if e.take(n) {
+		return 0, true
+	}
+	d := e.ready(1)
+	if turn && n.Sub(e.asked) < borrowWait {
+		d = min(d, borrowPoll)
+	}
+	return d, false
+}
+
+// Join lets a request wait for its turn, if the tokens of that time suffice
+// for all that wait. Each Join that returned true needs one Leave.
+func (q *Quota) Join(name string, wait time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
-	b, ok := q.bucket(name, n)
-	return ok && b.Take(n)
+	e, ok := q.touch(name, n)
+	if !ok {
+		return false
+	}
+	d := e.ready(float64(e.waiting) + 1)
+	if d > borrowAfter && q.Borrow != nil && n.Sub(e.asked) >= borrowEvery {
+		e.asked = n
+		q.Borrow(name, uint64(min(e.waiting+1, borrowMost)))
+		// The loan comes within a round trip; those it cannot serve are
+		// refused when their time is up.
+		d = min(d, wait)
+	}
+	if d > wait {
+		return false
+	}
+	e.waiting++
+	return true
+}
+
+// Leave ends a wait.
+func (q *Quota) Leave(name string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if e := q.entries[name]; e != nil {
+		e.waiting--
+	}
+}
+
+// Confirm is asked right before a request leaves. A token of a process that
+// was paused for longer than Hold belongs to a part that others may use by
+// now, so it is taken anew.
+func (q *Quota) Confirm(name string, at time.Time) bool {
+	if q.Clock.Since(at) < q.Hold {
+		return true
+	}
+	return q.Take(name)
 }
 
 // Return gives back the token of a request that ended "not run".
 func (q *Quota) Return(name string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if b, ok := q.bucket(name, q.Clock.Now()); ok {
-		b.Return()
+	if e, ok := q.touch(name, q.Clock.Now()); ok {
+		e.bucket.Return()
 	}
 }
 
-func (q *Quota) bucket(name string, now time.Time) (*bucket.Bucket, bool) {
+// Sync brings every bucket up to now under the grants in force. It is called
+// right before they change, so that no bucket refills by a grant for a time in
+// which it did not hold.
+func (q *Quota) Sync() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := q.Clock.Now()
+	for k := range q.entries {
+		q.touch(k, n)
+	}
+}
+
+// touch returns an account's entry with its bucket refilled.
+func (q *Quota) touch(name string, now time.Time) (*entry, bool) {
 	a, ok := q.Account(name)
 	if !ok {
 		return nil, false
 	}
-	if q.buckets == nil {
-		q.buckets = make(map[string]*bucket.Bucket)
-	}
-	b := q.buckets[name]
-	if b == nil {
-		b = new(bucket.Bucket)
-		q.buckets[name] = b
+	g := q.Grant(name)
+	e := q.entries[name]
+	if e == nil {
+		if q.entries == nil {
+			q.entries = make(map[string]*entry)
+		}
+		e = &entry{last: now, rate: a.Rate}
+		q.entries[name] = e
+		e.bucket.Limit(a.Burst * g.Part(now))
+		if g.Unused {
+			e.bucket.Fill()
+		}
 	}
-	f := q.Fraction(name)
-	b.Set(now, a.Rate*f, a.Burst*f)
-	return b, true
+	e.refill(now, a, g)
+	return e, true
 }
--- a/request/request.go
+++ b/request/request.go
@@ -31,6 +31,9 @@
 	Length int64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Admitted is when the request was admitted against its account's rate;
+	// zero when another host did so.
+	Admitted time.Time
 	// NonIdempotent requests run at most once.
 	NonIdempotent bool
 	// IdempotencyID is the caller's id of a non-idempotent request.
