experiment quota: simulation of divisions, equal parts and table leases

Cause: no figures for wrongful refusals. Change: cmd experiment quota over fleet with the real holding, author and quota.

--- a/author/author.go
+++ b/author/author.go
@@ -54,6 +54,9 @@
 	changed time.Time // when the epoch last changed, as seen here
 	epoch   uint64
 	needed  time.Time // since when a new epoch is due
+	// The newest row that was decoded.
+	version  uint64
+	division division.Division
 }
 
 // Run reads and writes until ctx ends.
@@ -80,12 +83,17 @@
 	if err != nil {
 		return
 	}
-	var d division.Division
-	if r.Version != 0 {
-		if err := codec.Unmarshal(r.Value, &d); err != nil {
+	if r.Version != a.version {
+		// A row that has not changed is not decoded again.
+		a.division = division.Division{}
+		if err := codec.Unmarshal(r.Value, &a.division); err != nil {
 			a.Log.Error("division unreadable", "Error", err)
 			return
 		}
+		a.version = r.Version
+	}
+	d := a.division
+	if r.Version != 0 {
 		a.Holding.Learn(d, t)
 	}
 	n, ok := a.next(d)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -25,6 +25,7 @@
 			serveCommand(),
 			platformCommand(),
 			backendCommand(),
+			experimentCommand(),
 		},
 	}
 	if err := c.Run(ctx, args); err != nil {
--- /dev/null
+++ b/cmd/experiment.go
@@ -0,0 +1,31 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/experiment"
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "measure decisions by simulation, without sockets and with a fake clock",
+		Commands: []*cli.Command{{
+			Name:  "quota",
+			Usage: "who is refused wrongly, and what dividing the limits costs",
+			Flags: []cli.Flag{
+				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "repeat a run"},
+				&cli.BoolFlag{Name: "short", Usage: "at most 80 s of simulated time a run"},
+				&cli.IntSliceFlag{Name: "holders", Value: []int{10, 100}, Usage: "numbers of hosts whose cost is measured"},
+			},
+			Action: runQuota,
+		}},
+	}
+}
+
+func runQuota(_ context.Context, c *cli.Command) error {
+	e := &experiment.Experiment{Out: c.Root().Writer, Seed: c.Uint64("seed"), Short: c.Bool("short"), Holders: c.IntSlice("holders")}
+	return e.Run()
+}
--- /dev/null
+++ b/experiment/load.go
@@ -0,0 +1,198 @@
+package experiment
+
+import (
+	"time"
+
+	"celeryreach.example/celeryreach/account"
+)
+
+// window is the time over which the refusals of an account that offers more
+// than its rate are weighed against what it was due.
+const window = 10 * time.Second
+
+// offer is what one account's callers send, and the exact bucket that a
+// central counter would be.
+type offer struct {
+	account account.Account
+	index   int
+	tokens  int64
+	at      time.Time
+	// judged counts what was admitted, to see that it stays in the limits.
+	judged   int64
+	judgedAt time.Time
+
+	start    time.Time
+	due      int
+	admitted int
+	sum      struct{ due, short int }
+	late     struct{ due, short int }
+}
+
+func newOffer(a account.Account, i int) *offer {
+	return &offer{account: a, index: i, tokens: int64(a.Burst) * int64(time.Second), judged: int64(a.Burst) * int64(time.Second)}
+}
+
+// begin starts the callers. The first account offers factor times its rate if
+// that is above one.
+func (p *play) begin(factor float64) {
+	for _, o := range p.offers {
+		o.at, o.judgedAt, o.start = p.fleet.Now(), p.fleet.Now(), p.fleet.Now()
+		f := load
+		if o.index == 0 && factor > 1 {
+			f = factor
+		}
+		p.next(o, f*o.account.Rate)
+		p.roll(o)
+	}
+}
+
+// next schedules an account's next request.
+func (p *play) next(o *offer, rate float64) {
+	d := time.Duration(p.random.ExpFloat64() / rate * float64(time.Second))
+	p.fleet.At(d, func() {
+		if p.ended {
+			return
+		}
+		p.arrive(o)
+		p.next(o, rate)
+	})
+}
+
+// roll ends one window and starts the next.
+func (p *play) roll(o *offer) {
+	p.fleet.At(window+maxWait, func() {
+		if !p.ended {
+			p.close(o)
+			p.roll(o)
+		}
+	})
+}
+
+func (p *play) close(o *offer) {
+	s := max(o.due-o.admitted, 0)
+	o.sum.due += o.due
+	o.sum.short += s
+	if a := o.start.Sub(p.event); !p.event.IsZero() && a >= 0 && a < time.Minute {
+		o.late.due += o.due
+		o.late.short += s
+	}
+	o.due, o.admitted, o.start = 0, 0, p.fleet.Now()
+}
+
+func (p *play) end() {
+	p.ended = true
+	for _, o := range p.offers {
+		p.close(o)
+		p.result.add(o)
+	}
+}
+
+// arrive plays one request: callers whose entry host is gone use another.
+func (p *play) arrive(o *offer) {
+	p.result.offered++
+	n := p.fleet.Now()
+	b := int64(o.account.Burst) * int64(time.Second)
+	o.tokens = min(b, o.tokens+int64(o.account.Rate*float64(n.Sub(o.at))))
+	o.at = n
+	if o.tokens >= int64(time.Second) {
+		o.tokens -= int64(time.Second)
+		o.due++
+	}
+	h, ok := p.entry(o.index)
+	if !ok {
+		return
+	}
+	q := p.fleet.Quota(h)
+	if _, ok := q.Try(o.account.Name, false); ok {
+		p.admit(o)
+		return
+	}
+	if q.Join(o.account.Name, maxWait) {
+		p.wait(o, h, n.Add(maxWait))
+	}
+}
+
+func (p *play) wait(o *offer, host int, until time.Time) {
+	q := p.fleet.Quota(host)
+	d, ok := q.Try(o.account.Name, true)
+	if ok {
+		p.admit(o)
+		q.Leave(o.account.Name)
+		return
+	}
+	if p.fleet.Now().Add(d).After(until) || !p.fleet.Runs(host) {
+		q.Leave(o.account.Name)
+		return
+	}
+	p.fleet.At(d, func() { p.wait(o, host, until) })
+}
+
+// admit counts an admission and judges it by exact arithmetic.
+func (p *play) admit(o *offer) {
+	n := p.fleet.Now()
+	b := int64(o.account.Burst) * int64(time.Second)
+	o.judged = min(b, o.judged+int64(o.account.Rate*float64(n.Sub(o.judgedAt))))
+	o.judgedAt = n
+	o.judged -= int64(time.Second)
+	if o.judged < 0 {
+		p.result.over++
+	}
+	o.admitted++
+}
+
+// entry draws the entry host of a request.
+func (p *play) entry(account int) (int, bool) {
+	w := p.weights[account]
+	s := 0.0
+	for i, v := range w {
+		if p.fleet.Runs(p.current[i]) {
+			s += v
+		}
+	}
+	s *= p.random.Float64()
+	for i, v := range w {
+		if !p.fleet.Runs(p.current[i]) {
+			continue
+		}
+		s -= v
+		if s <= 0 {
+			return p.current[i], true
+		}
+	}
+	return 0, false
+}
+
+// result adds up one run.
+type result struct {
+	offered  int
+	over     int
+	messages float64
+	store    float64
+	due      int
+	short    int
+	lateDue  int
+	lateLost int
+	least    float64
+}
+
+func (r *result) add(o *offer) {
+	r.due += o.sum.due
+	r.short += o.sum.short
+	r.lateDue += o.late.due
+	r.lateLost += o.late.short
+	if s := 1 - float64(o.sum.short)/float64(max(o.sum.due, 1)); r.least == 0 || s < r.least {
+		r.least = s
+	}
+}
+
+func (r *result) wrongful() float64 {
+	return 100 * float64(r.short) / float64(max(r.due, 1))
+}
+
+func (r *result) after() float64 {
+	return 100 * float64(r.lateLost) / float64(max(r.lateDue, 1))
+}
+
+func (r *result) worst() float64 {
+	return 100 * r.least
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/config"
@@ -54,6 +55,9 @@
 	Grant  func(g grant.Grant) grant.Grant
 	Report func(reported, own uint64) uint64
 	Lent   func(q *quota.Quota, name string, units uint64)
+	// Fixed gives the grants in the place of divisions; then hosts exchange
+	// nothing. It is for what the divisions are compared with.
+	Fixed func(host int, account string) grant.Grant
 	// Messages counts heartbeats and loans, answers not counted.
 	Messages int
 
@@ -62,6 +66,12 @@
 	serial int
 	nodes  []*node
 	logger *log.Logger
+	// The accounts of the configuration that was indexed last.
+	indexed *config.Config
+	index   map[string]account.Account
+	// The newest row that was decoded.
+	version  uint64
+	division division.Division
 }
 
 // Add starts a process and returns its number. Speed is how fast its clock
@@ -73,11 +83,26 @@
 	}
 	n := newNode(f, len(f.nodes), name, domain, region, speed)
 	f.nodes = append(f.nodes, n)
+	if f.Fixed != nil {
+		return n.number
+	}
 	f.at(time.Duration(f.Random.Int64N(int64(f.Heartbeat))), n.beat)
 	f.at(time.Duration(f.Random.Int64N(int64(f.Poll))), n.poll)
 	return n.number
 }
 
+// accounts returns the configuration's accounts by name.
+func (f *Fleet) accounts() map[string]account.Account {
+	if f.indexed != f.Config {
+		f.indexed = f.Config
+		f.index = make(map[string]account.Account)
+		for _, a := range f.Config.Accounts {
+			f.index[a.Name] = a
+		}
+	}
+	return f.index
+}
+
 // Kill ends a process without a word.
 func (f *Fleet) Kill(host int) {
 	f.nodes[host].dead = true
@@ -163,10 +188,14 @@
 		return d, false
 	}
 	v := f.Table.Read(division.RowKey)
-	if v.Version == 0 || codec.Unmarshal(v.Value, &d) != nil {
-		return d, false
+	if v.Version != f.version {
+		d = division.Division{}
+		if codec.Unmarshal(v.Value, &d) != nil {
+			return d, false
+		}
+		f.version, f.division = v.Version, d
 	}
-	return d, true
+	return f.division, v.Version != 0
 }
 
 type event struct {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -36,7 +36,9 @@
 	quota   *quota.Quota
 	demand  *demand.Demand
 	told    time.Time
-	heard   map[string]contact
+	// known is what the last heartbeat told of others.
+	known []holder.Holder
+	heard map[string]contact
 }
 
 // contact is what was last heard of a host.
@@ -88,15 +90,14 @@
 }
 
 func (n *node) account(name string) (account.Account, bool) {
-	for _, a := range n.fleet.Config.Accounts {
-		if a.Name == name {
-			return a, true
-		}
-	}
-	return account.Account{}, false
+	a, ok := n.fleet.accounts()[name]
+	return a, ok
 }
 
 func (n *node) grant(name string) grant.Grant {
+	if n.fleet.Fixed != nil {
+		return n.fleet.Fixed(n.number, name)
+	}
 	g := n.holding.Grant(division.RatePrefix + name)
 	if n.fleet.Grant != nil {
 		g = n.fleet.Grant(g)
@@ -121,6 +122,7 @@
 func (n *node) beat() {
 	n.do(func() {
 		n.holding.Tick()
+		n.known = n.near()
 		n.report()
 		for _, p := range n.fleet.nodes {
 			if p != n && !p.dead {
@@ -161,7 +163,7 @@
 
 func (n *node) message() message {
 	return message{
-		from: n, epoch: n.holding.Epoch(), known: n.near(), demand: n.demand.Of(n.self.Name),
+		from: n, epoch: n.holding.Epoch(), known: n.known, demand: n.demand.Of(n.self.Name),
 	}
 }
 
