limits: whole tokens at few hosts, loans from several lenders in turn

Cause: 11 hosts cut a burst of 20 into parts of less than one token, which no host can spend, and a refused loan was asked for once only. Change: unlisted accounts' leased parts and floors belong to one host by rendezvous hashing; a demand below two tokens gives no part; requests that wait keep asking, up to three lenders in turn.

--- a/author/cut.go
+++ b/author/cut.go
@@ -27,6 +27,8 @@
 	// idle is the part of the leased rest that is cut equally whatever the
 	// demand, so that a first request finds tokens.
 	idle = 0.1
+	// leastTokens is the least number of tokens worth holding.
+	leastTokens = 2
 	// minor is the moved part of a limit that is not worth an epoch.
 	minor = 0.05
 	// fragments is the number of spans beyond which a holder's are laid anew.
@@ -44,11 +46,8 @@
 // the old ones to be worth an epoch of their own. Without force, parts that
 // differ less stay as they are.
 func (c *cut) parts(force bool) (map[string]part.Part, bool) {
-	o, listed := c.plan.old.Parts[c.limit]
-	if !listed {
-		o = c.plan.old.Parts[division.RatePrefix]
-	}
-	if !force && !c.plan.follow {
+	o := c.old()
+	if _, ok := c.plan.old.Parts[c.limit]; ok && !force && !c.plan.follow {
 		return o, false
 	}
 	r := make(map[string]part.Part)
@@ -68,6 +67,20 @@
 	return r, moved >= minor
 }
 
+// old returns the parts of the old epoch, also for a limit that it doesn't list.
+func (c *cut) old() map[string]part.Part {
+	if p, ok := c.plan.old.Parts[c.limit]; ok {
+		return p
+	}
+	r := make(map[string]part.Part)
+	for _, s := range [][]holder.Holder{c.plan.old.Holders, c.plan.old.Silent} {
+		for _, h := range s {
+			r[h.Name] = c.plan.old.Part(c.limit, h)
+		}
+	}
+	return r
+}
+
 // floors adds to each holder its cut of its failure domain's floor.
 func (c *cut) floors(r, o map[string]part.Part) {
 	for _, d := range c.domains(c.next.Floors) {
@@ -84,8 +97,12 @@
 		}
 		f := c.floor(d)
 		l := make(map[string]uint32, len(m))
-		for i, v := range span.Equal(f, len(m)) {
-			l[m[i].Name] = span.Length(v)
+		if span.Length(f)/uint32(len(m)) < c.quantum() {
+			l[c.next.Chief(c.limit, d)] = span.Length(f)
+		} else {
+			for i, v := range span.Equal(f, len(m)) {
+				l[m[i].Name] = span.Length(v)
+			}
 		}
 		for n, w := range c.assign(f, l, func(n string) []span.Span { return o[n].Floor }) {
 			p := r[n]
@@ -200,8 +217,39 @@
 	if len(u) == 0 {
 		return r
 	}
-	e := idle * float64(total) / float64(len(u))
-	d := c.demands()
+	d := c.plan.demand[c.limit]
+	sum := 0.0
+	for _, h := range u {
+		sum += d[h.Name]
+	}
+	if sum == 0 && c.quantum() > 0 {
+		r[c.next.Chief(c.limit, "")] = total
+		return r
+	}
+	for {
+		l := c.spread(float64(total), u, d)
+		least := 0
+		for i := range u {
+			if l[i] < l[least] {
+				least = i
+			}
+		}
+		if l[least] >= float64(c.quantum()) || len(u) == 1 {
+			for i, h := range u {
+				r[h.Name] = uint32(l[i])
+			}
+			return r
+		}
+		// Less than a whole token is of no use to its holder, and would be
+		// missing where requests come in or where others borrow.
+		u = append(append([]holder.Holder(nil), u[:least]...), u[least+1:]...)
+	}
+}
+
+// spread divides total between users: first max-min fair by what they need
+// beyond their floor, the rest by demand.
+func (c *cut) spread(total float64, u []holder.Holder, d map[string]float64) []float64 {
+	e := idle * total / float64(len(u))
 	needs := make([]float64, len(u))
 	sum := 0.0
 	for i, h := range u {
@@ -209,7 +257,7 @@
 		needs[i] = max(d[h.Name]*headroom*span.Whole-f-e, 0)
 		sum += d[h.Name]
 	}
-	rest := (1 - idle) * float64(total)
+	rest := (1 - idle) * total
 	got := maxmin.Divide(rest, needs)
 	for _, v := range got {
 		rest -= v
@@ -219,15 +267,24 @@
 		if sum > 0 {
 			w = d[h.Name] / sum
 		}
-		r[h.Name] = uint32(e + got[i] + max(rest, 0)*w)
+		got[i] += e + max(rest, 0)*w
 	}
-	return r
+	return got
 }
 
-// demands returns the fraction of the limit that each holder asks for, nil
-// when nothing is known of it or the limit is a default.
-func (c *cut) demands() map[string]float64 {
-	return c.plan.demand[c.limit]
+// quantum is the length of the least part worth having: a few whole tokens of
+// an account's burst. Limits other than rates have none.
+func (c *cut) quantum() uint32 {
+	n, ok := strings.CutPrefix(c.limit, division.RatePrefix)
+	if !ok {
+		return 0
+	}
+	for _, a := range c.plan.config.Accounts {
+		if a.Name == n {
+			return uint32(min(leastTokens/max(a.Burst, 1), 1) * span.Whole)
+		}
+	}
+	return 0
 }
 
 func (c *cut) members(domain string) int {
--- a/author/plan.go
+++ b/author/plan.go
@@ -7,6 +7,7 @@
 	"celeryreach.example/celeryreach/division"
 	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/part"
+	"celeryreach.example/celeryreach/span"
 )
 
 // plan computes the epoch after old.
@@ -28,6 +29,12 @@
 	if p.floors(&n) {
 		due = true
 	}
+	c := &cut{plan: p, next: &n, limit: division.RatePrefix}
+	n.LeasedSpans = c.free()
+	n.FloorSpans = make(map[string][]span.Span)
+	for _, d := range n.Floors {
+		n.FloorSpans[d] = c.floor(d)
+	}
 	n.Parts = make(map[string]map[string]part.Part)
 	for _, l := range p.limits() {
 		c := &cut{plan: p, next: &n, limit: l}
@@ -102,11 +109,11 @@
 	return f, p.config.InForce().FloorFraction
 }
 
-// limits returns the limits to list: one default for all accounts, those
-// accounts whose demand is uneven, slots and links.
+// limits returns the limits to list: accounts that have demand, slots and
+// links.
 func (p *plan) limits() []string {
-	s := map[string]bool{division.RatePrefix: true}
-	a := make(map[string]bool)
+	s := make(map[string]bool)
+	a := make(map[string]bool, len(p.config.Accounts))
 	for _, v := range p.config.Accounts {
 		a[division.RatePrefix+v.Name] = true
 	}
--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -68,6 +68,11 @@
 	return float64(b.tokens) / float64(unit)
 }
 
+// Capacity returns the burst, in tokens.
+func (b *Bucket) Capacity() float64 {
+	return float64(b.burst) / float64(unit)
+}
+
 // Take removes one token and reports whether there was one.
 func (b *Bucket) Take(now time.Time) bool {
 	b.refill(now)
--- a/division/division.go
+++ b/division/division.go
@@ -4,8 +4,11 @@
 import (
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/part"
+	"celeryreach.example/celeryreach/span"
 )
 
 // RowKey is the key of the row.
@@ -26,9 +29,15 @@
 	// Silent are processes of failure domains from which nobody is heard. They
 	// keep their floor, since they may run behind a cut, and vouch for nothing.
 	Silent []holder.Holder `json:",omitzero"`
-	// Parts are the parts by limit and holder name. A limit that is not
-	// listed is divided as its kind is: "rate/x" as "rate/".
+	// Parts are the parts by limit and holder name. The rate of an account that
+	// is not listed belongs whole to one holder, chosen by rendezvous hashing,
+	// and each failure domain's floor of it to one host there: tokens of a
+	// small burst are of use only where there is at least a whole one.
 	Parts map[string]map[string]part.Part
+	// FloorSpans are the failure domains' floors of each rate.
+	FloorSpans map[string][]span.Span
+	// LeasedSpans is the leased rest of each rate.
+	LeasedSpans []span.Span
 	// Floors are the failure domains that have a floor.
 	Floors []string
 	// FloorFraction is the floors' part of each limit, 0..1.
@@ -50,11 +59,52 @@
 	if !d.Names(h) {
 		return part.Part{}
 	}
-	p, ok := d.Parts[limit]
-	if !ok {
-		p = d.Parts[kind(limit)]
+	if p, ok := d.Parts[limit]; ok {
+		return p[h.Name]
+	}
+	if !strings.HasPrefix(limit, RatePrefix) {
+		return part.Part{}
+	}
+	var p part.Part
+	if d.Chief(limit, h.Domain) == h.Name {
+		p.Floor = d.FloorSpans[h.Domain]
 	}
-	return p[h.Name]
+	if d.Chief(limit, "") == h.Name {
+		p.Leased = d.LeasedSpans
+	}
+	return p
+}
+
+// Chief returns the holder that rendezvous hashing chooses for a limit, among
+// those of a failure domain or, if that is empty, all that hold leased parts.
+func (d *Division) Chief(limit, domain string) string {
+	n, m := "", uint64(0)
+	for i := range len(d.Holders) + len(d.Silent) {
+		var h holder.Holder
+		if i < len(d.Holders) {
+			h = d.Holders[i]
+		} else {
+			h = d.Silent[i-len(d.Holders)]
+		}
+		if domain == "" && i >= len(d.Holders) || domain != "" && h.Domain != domain {
+			continue
+		}
+		if s := score(limit, h.Name); n == "" || s > m {
+			n, m = h.Name, s
+		}
+	}
+	return n
+}
+
+// score is the weight of a host for a limit. The sums are mixed, since sums of
+// the two hashes alone would order the hosts alike for many limits.
+func score(limit, name string) uint64 {
+	x := xxhash.Sum64String(limit) ^ xxhash.Sum64String(name)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // Names reports whether h has parts.
@@ -87,8 +137,3 @@
 	}
 	return false
 }
-
-func kind(limit string) string {
-	i := strings.IndexByte(limit, '/')
-	return limit[:i+1]
-}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -20,7 +20,7 @@
 )
 
 // loanFor is how long the experiment's loans last.
-const loanFor = 500 * time.Millisecond
+const loanFor = 250 * time.Millisecond
 
 // node is one process.
 type node struct {
@@ -98,7 +98,7 @@
 	if n.fleet.Fixed != nil {
 		return n.fleet.Fixed(n.number, name)
 	}
-	g := n.holding.Grant(division.RatePrefix + name)
+	g := n.holding.Rate(name)
 	if n.fleet.Grant != nil {
 		g = n.fleet.Grant(g)
 	}
@@ -250,15 +250,34 @@
 	return r
 }
 
-// borrow asks the nearest hosts in turn, each once.
+// borrow asks other hosts in turn, as package loan does with sockets.
 func (n *node) borrow(name string, units uint64) {
-	f := n.fleet
-	p := n.lender(name)
-	if p == nil {
+	n.fleet.at(0, func() {
+		n.do(func() { n.ask(name, units, n.lenders(name)) })
+	})
+}
+
+func (n *node) ask(name string, units uint64, l []*node) {
+	if len(l) == 0 {
+		n.quota.Receive(name, units, 0, time.Time{})
 		return
 	}
+	f, p, t := n.fleet, l[0], n.clock.Now()
 	f.Messages++
-	t := n.clock.Now()
+	// Without an answer the next one is asked when the loan would have ended.
+	answered := false
+	end := func(u uint64) {
+		if answered {
+			return
+		}
+		answered = true
+		if u == 0 {
+			n.ask(name, units, l[1:])
+			return
+		}
+		n.quota.Receive(name, units, u, t.Add(loanFor-loanFor/50))
+	}
+	f.at(loanFor, func() { n.do(func() { end(0) }) })
 	d, ok := f.Delay(n.number, p.number)
 	if !ok {
 		return
@@ -269,17 +288,15 @@
 			if f.Lent != nil {
 				f.Lent(p.quota, name, u)
 			}
-			if e, ok := f.Delay(p.number, n.number); ok && u > 0 {
-				f.at(e, func() {
-					n.do(func() { n.quota.Receive(name, u, t.Add(loanFor-loanFor/50)) })
-				})
+			if e, ok := f.Delay(p.number, n.number); ok {
+				f.at(e, func() { n.do(func() { end(u) }) })
 			}
 		})
 	})
 }
 
-// lender picks whom to ask among those that were heard lately.
-func (n *node) lender(name string) *node {
+// lenders returns whom to ask among those that were heard lately.
+func (n *node) lenders(name string) []*node {
 	var l []holder.Holder
 	for _, h := range n.near() {
 		if c, ok := n.heard[h.Name]; ok && n.clock.Since(c.at) <= n.fleet.Heartbeat*3 {
@@ -288,9 +305,11 @@
 	}
 	r := division.RatePrefix + name
 	d, _ := n.holding.Current()
-	h, ok := loan.Lender(n.self, l, d, r, n.demand.Fractions()[r])
-	if !ok {
-		return nil
+	var p []*node
+	for _, h := range loan.Lenders(n.self, l, d, r, n.demand.Fractions()[r]) {
+		if len(p) < loan.Tries {
+			p = append(p, n.fleet.nodes[n.heard[h.Name].number])
+		}
 	}
-	return n.fleet.nodes[n.heard[h.Name].number]
+	return p
 }
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -194,14 +194,16 @@
 	if v == nil {
 		return grant.Grant{}
 	}
-	u := v.use(limit)
-	if u == nil {
+	return v.grant(v.uses.limit(limit))
+}
+
+// Rate returns this host's use of an account's rate and burst.
+func (h *Holding) Rate(account string) grant.Grant {
+	v := h.view.Load()
+	if v == nil {
 		return grant.Grant{}
 	}
-	return grant.Grant{
-		Floor: u.floor, FloorSince: v.floorSince, FloorUntil: v.floorUntil,
-		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused,
-	}
+	return v.grant(v.uses.rate(account))
 }
 
 // Part returns the fraction of a limit that this host may use now, in 0..1.
@@ -213,10 +215,10 @@
 // Slot k belongs to whoever holds the middle of the k-th piece of the limit.
 func (h *Holding) Slots(limit string, total int) []int {
 	v := h.view.Load()
-	if v == nil || v.use(limit) == nil {
+	if v == nil {
 		return nil
 	}
-	u, n := v.use(limit), h.Clock.Now()
+	u, n := v.uses.limit(limit), h.Clock.Now()
 	var r []int
 	for k := range total {
 		m := uint32((2*k + 1) * span.Whole / (2 * total))
--- a/holding/view.go
+++ b/holding/view.go
@@ -2,15 +2,18 @@
 
 import (
 	"sort"
-	"strings"
+	"sync"
 	"time"
 
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/span"
 )
 
-// view is what the request path reads without a lock. It never changes.
+// view is what the request path reads. Only its cache changes.
 type view struct {
-	uses        map[string]*use
+	uses        *uses
 	epoch       uint64
 	settled     uint64
 	floor       uint64
@@ -21,6 +24,18 @@
 	unused      bool
 }
 
+// uses computes this host's use of limits as they are asked for: of most
+// accounts a host has nothing and sees no request.
+type uses struct {
+	self    holder.Holder
+	chain   []*division.Division
+	settled uint64
+
+	mu     sync.RWMutex
+	limits map[string]*use
+	rates  map[string]*use
+}
+
 // use is this host's part of one limit: lengths for rates, which move in any
 // amount, and spans for slots, of which each has one user.
 type use struct {
@@ -30,11 +45,34 @@
 	leasedSpans []span.Span
 }
 
-func (v *view) use(limit string) *use {
-	if u := v.uses[limit]; u != nil {
-		return u
-	}
-	return v.uses[limit[:strings.IndexByte(limit, '/')+1]]
+func (u *uses) limit(limit string) *use {
+	u.mu.RLock()
+	v := u.limits[limit]
+	u.mu.RUnlock()
+	if v != nil {
+		return v
+	}
+	v = u.compute(limit)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limits[limit] = v
+	return v
+}
+
+// rate is limit for an account's rate, without joining the name at each
+// request.
+func (u *uses) rate(account string) *use {
+	u.mu.RLock()
+	v := u.rates[account]
+	u.mu.RUnlock()
+	if v != nil {
+		return v
+	}
+	v = u.compute(division.RatePrefix + account)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rates[account] = v
+	return v
 }
 
 // publish makes what this host may use now visible to the request path.
@@ -55,7 +93,10 @@
 		v.uses = o.uses
 		g = v.renew(o, now)
 	} else {
-		v.uses = h.uses()
+		v.uses = &uses{
+			self: h.Self, chain: append([]*division.Division(nil), h.chain...), settled: h.settled,
+			limits: make(map[string]*use), rates: make(map[string]*use),
+		}
 		g = true
 	}
 	if g && h.Changing != nil {
@@ -64,6 +105,13 @@
 	h.view.Store(v)
 }
 
+func (v *view) grant(u *use) grant.Grant {
+	return grant.Grant{
+		Floor: u.floor, FloorSince: v.floorSince, FloorUntil: v.floorUntil,
+		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused,
+	}
+}
+
 // renew continues the grants of o and reports whether one comes back after a
 // lapse. That is a new grant: its bucket must not refill for the time between.
 func (v *view) renew(o *view, now time.Time) bool {
@@ -124,37 +172,25 @@
 	return t
 }
 
-// uses computes this host's parts over all epochs that somebody may be on: two
+// compute returns what a host has in all epochs that somebody may be on: two
 // hosts that are on different epochs then have at least one in common.
-func (h *Holding) uses() map[string]*use {
-	m := make(map[string]*use)
-	for _, d := range h.chain {
-		for l := range d.Parts {
-			if m[l] == nil {
-				m[l] = h.use(l)
-			}
-		}
-	}
-	return m
-}
-
-func (h *Holding) use(limit string) *use {
-	u := &use{floor: 1, leased: 1}
+func (u *uses) compute(limit string) *use {
+	r := &use{floor: 1, leased: 1}
 	w := []span.Span{{To: span.Whole}}
-	u.floorSpans, u.leasedSpans = w, w
-	for _, d := range h.chain {
-		p := d.Part(limit, h.Self)
-		if d.Epoch >= h.settled {
-			u.leased = min(u.leased, fraction(p.Leased))
-			u.leasedSpans = span.Intersect(u.leasedSpans, p.Leased)
+	r.floorSpans, r.leasedSpans = w, w
+	for _, d := range u.chain {
+		p := d.Part(limit, u.self)
+		if d.Epoch >= u.settled {
+			r.leased = min(r.leased, fraction(p.Leased))
+			r.leasedSpans = span.Intersect(r.leasedSpans, p.Leased)
 		}
 		// A floor that grew takes from what was leased before, so it waits for
 		// the users of leased parts too: the chain begins at the older of the
 		// two settled epochs.
-		u.floor = min(u.floor, fraction(p.Floor))
-		u.floorSpans = span.Intersect(u.floorSpans, p.Floor)
+		r.floor = min(r.floor, fraction(p.Floor))
+		r.floorSpans = span.Intersect(r.floorSpans, p.Floor)
 	}
-	return u
+	return r
 }
 
 func fraction(s []span.Span) float64 {
--- a/host/limits.go
+++ b/host/limits.go
@@ -34,7 +34,7 @@
 	// the demand.
 	followEvery = 5 * time.Second
 	demandEvery = time.Second
-	loanFor     = 500 * time.Millisecond
+	loanFor     = 250 * time.Millisecond
 
 	divisionKind = "Division"
 )
@@ -68,7 +68,7 @@
 	}
 	l.demand = &demand.Demand{Clock: h.Clock, Hold: h.Settings.Hold, Account: x.account}
 	l.loan = loan.New(h.Clock, loanFor)
-	l.loan.Self, l.loan.Lender, l.loan.Ask, l.loan.Received = m.Name, x.lender, x.peerclient.Borrow, x.quota.Receive
+	l.loan.Self, l.loan.Lenders, l.loan.Ask, l.loan.Received = m.Name, x.lenders, x.peerclient.Borrow, x.quota.Receive
 	x.quota.Borrow = l.loan.Borrow
 	l.author = &author.Author{
 		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Holding: l.holding, Alive: x.holders, Config: x.config,
@@ -97,7 +97,7 @@
 }
 
 func (x *parts) grant(name string) grant.Grant {
-	return x.limits.holding.Grant(division.RatePrefix + name)
+	return x.limits.holding.Rate(name)
 }
 
 // confirm reports whether a request's token may still be used, right before the
@@ -231,8 +231,8 @@
 	return nil
 }
 
-// lender picks the host to borrow an account's tokens from.
-func (x *parts) lender(name string) (string, bool) {
+// lenders returns whom to ask for an account's tokens.
+func (x *parts) lenders(name string) []string {
 	var l []holder.Holder
 	a := make(map[string]string)
 	for _, m := range x.membership.Alive() {
@@ -243,8 +243,11 @@
 	}
 	r := division.RatePrefix + name
 	d, _ := x.limits.holding.Current()
-	h, ok := loan.Lender(x.limits.holding.Self, l, d, r, x.limits.demand.Fractions()[r])
-	return a[h.Name], ok
+	var p []string
+	for _, h := range loan.Lenders(x.limits.holding.Self, l, d, r, x.limits.demand.Fractions()[r]) {
+		p = append(p, a[h.Name])
+	}
+	return p
 }
 
 // lend answers a peer that asks for tokens.
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,6 +15,9 @@
 	"celeryreach.example/celeryreach/wire"
 )
 
+// Tries is how many lenders are asked, one after another.
+const Tries = 3
+
 const (
 	// asksMost is how many asks may be under way; beyond it requests wait for
 	// their own refill.
@@ -34,12 +38,14 @@
 	For time.Duration
 	// Self names this host as the borrower.
 	Self string
-	// Lender returns the address of the host to ask for an account's tokens.
-	Lender func(account string) (address string, ok bool)
+	// Lenders returns the addresses of the hosts to ask for an account's
+	// tokens, the best first.
+	Lenders func(account string) []string
 	// Ask sends the request.
 	Ask func(ctx context.Context, address string, b *wire.BorrowRequest) (*wire.BorrowResponse, error)
-	// Received takes the tokens, which end at until by Clock.
-	Received func(account string, units uint64, until time.Time)
+	// Received ends an ask: it takes the tokens, which end at until by Clock,
+	// or none.
+	Received func(account string, asked, units uint64, until time.Time)
 
 	asks chan ask
 }
@@ -54,12 +60,14 @@
 	return &Loan{Clock: c, For: d, asks: make(chan ask, asksMost)}
 }
 
-// Borrow starts to ask for tokens. It never blocks: an ask too many is
-// dropped, and its requests wait for their own refill.
+// Borrow starts to ask for tokens. It never blocks.
 func (l *Loan) Borrow(account string, units uint64) {
 	select {
 	case l.asks <- ask{account: account, units: units}:
 	default:
+		// An ask too many ends at once with nothing; its requests wait for
+		// their own refill. The caller may hold the lock that Received needs.
+		go l.Received(account, units, 0, time.Time{})
 	}
 }
 
@@ -87,45 +95,57 @@
 	}
 }
 
+// ask tries one lender after another.
 func (l *Loan) ask(ctx context.Context, a ask) {
-	p, ok := l.Lender(a.account)
-	if !ok {
-		return
+	p := l.Lenders(a.account)
+	for _, v := range p[:min(len(p), Tries)] {
+		u, t := l.once(ctx, v, a)
+		if u > 0 {
+			l.Received(a.account, a.units, u, t)
+			return
+		}
 	}
+	l.Received(a.account, a.units, 0, time.Time{})
+}
+
+func (l *Loan) once(ctx context.Context, address string, a ask) (units uint64, until time.Time) {
 	x, f := clockwork.WithTimeout(ctx, l.Clock, l.For)
 	defer f()
 	t := l.Clock.Now()
-	r, err := l.Ask(x, p, &wire.BorrowRequest{
+	r, err := l.Ask(x, address, &wire.BorrowRequest{
 		Limit: division.RatePrefix + a.account, Units: a.units, Borrower: l.Self, ForNanoseconds: int64(l.For),
 	})
-	if err != nil || r.Units == 0 {
+	if err != nil {
 		// A lost answer loses the tokens; the lender's place for them opens
 		// again when the loan would have ended.
-		return
+		return 0, t
 	}
 	u := time.Duration(r.ForNanoseconds)
-	l.Received(a.account, min(r.Units, a.units), t.Add(u-u/margin))
+	return min(r.Units, a.units), t.Add(u - u/margin)
 }
 
-// Lender picks whom to ask for an account's tokens: of the others that are
-// near the one with the most that it does not need itself.
-func Lender(self holder.Holder, near []holder.Holder, d division.Division, limit string, demand map[string]float64) (holder.Holder, bool) {
-	var b holder.Holder
-	m := 0.0
+// Lenders orders the other hosts that have more of a limit than they need
+// themselves, the nearest and richest first.
+func Lenders(self holder.Holder, near []holder.Holder, d division.Division, limit string, demand map[string]float64) []holder.Holder {
+	var r []holder.Holder
+	m := make(map[string]float64)
 	for _, h := range near {
 		if h == self {
 			continue
 		}
 		p := d.Part(limit, h)
 		s := float64(span.Length(p.Floor)+span.Length(p.Leased))/span.Whole - demand[h.Name]
+		if s <= 0 {
+			continue
+		}
 		if h.Domain == self.Domain {
 			s *= sameDomain
 		} else if h.Region == self.Region {
 			s *= sameRegion
 		}
-		if s > m {
-			b, m = h, s
-		}
+		m[h.Name] = s
+		r = append(r, h)
 	}
-	return b, m > 0
+	sort.SliceStable(r, func(i, j int) bool { return m[r[i].Name] > m[r[j].Name] })
+	return r
 }
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -23,10 +23,13 @@
 	offered uint64
 	demand  float64
 	// borrowed tokens are for requests that wait, until borrowedUntil.
-	borrowed      uint64
+	borrowed      int
 	borrowedUntil time.Time
-	asked         time.Time
-	lent          []debt
+	// pending tokens are asked for and not yet answered.
+	pending int
+	// dry is until when no other host is asked, since none had tokens.
+	dry  time.Time
+	lent []debt
 }
 
 // debt is a part of the bucket that is closed until the borrower can no longer
@@ -59,13 +62,30 @@
 	return e.bucket.TakeMany(1)
 }
 
+// coming returns how many tokens requests that wait will have besides those of
+// the bucket.
+func (e *entry) coming(now time.Time) int {
+	if now.Before(e.borrowedUntil) {
+		return e.borrowed + e.pending
+	}
+	return e.pending
+}
+
+// answer returns when a request that waits looks again for borrowed tokens.
+func (e *entry) answer(now time.Time) time.Duration {
+	if e.coming(now) > 0 || !now.Before(e.dry) {
+		return borrowPoll
+	}
+	return e.dry.Sub(now) + borrowPoll
+}
+
 // ready returns the time until the bucket can have n tokens.
 func (e *entry) ready(n float64) time.Duration {
 	w := n - e.bucket.Tokens()
 	if w <= 0 {
 		return 0
 	}
-	if e.refills <= 0 {
+	if e.refills <= 0 || n > e.bucket.Capacity() && e.waiting == 0 {
 		return never
 	}
 	// Rounded up, so that a waiter who wakes finds the token.
--- a/quota/loans.go
+++ b/quota/loans.go
@@ -5,15 +5,16 @@
 const (
 	// borrowAfter is the wait that is worth a round trip to another host.
 	borrowAfter = 20 * time.Millisecond
-	// borrowEvery bounds how often one account asks.
-	borrowEvery = 50 * time.Millisecond
-	borrowMost  = 16
-	// borrowWait is how long those that wait expect an answer to a loan, and
-	// borrowPoll how often they look for it.
-	borrowWait = 250 * time.Millisecond
+	// borrowMost bounds one ask.
+	borrowMost = 16
+	// borrowPoll is how often requests that wait look for borrowed tokens.
 	borrowPoll = 10 * time.Millisecond
-	// lendKeep is the part of its bucket that a lender keeps for itself.
-	lendKeep = 0.25
+	// dryFor is how long nobody is asked after nobody had tokens.
+	dryFor = 100 * time.Millisecond
+	// lendKeep is the part of its bucket that a lender keeps for itself at
+	// most, and lendKeepFor the time of its own demand that it provides for.
+	lendKeep    = 0.25
+	lendKeepFor = 0.2
 	// loanMargin is added by the lender, as a divisor of the loan's time, for
 	// clocks of different speed.
 	loanMargin = 50
@@ -32,7 +33,7 @@
 		return 0
 	}
 	a, _ := q.Account(name)
-	s := e.bucket.Tokens() - lendKeep*a.Burst*q.Grant(name).Part(n)
+	s := e.bucket.Tokens() - min(lendKeep*a.Burst*q.Grant(name).Part(n), lendKeepFor*e.demand)
 	if s < 1 {
 		return 0
 	}
@@ -42,22 +43,42 @@
 	return u
 }
 
-// Receive takes a loan. Until counts from before the loan was asked for.
-func (q *Quota) Receive(name string, units uint64, until time.Time) {
+// borrow asks for what n requests need beyond what is here and coming.
+func (q *Quota) borrow(name string, e *entry, n int, now time.Time) {
+	if q.Borrow == nil || now.Before(e.dry) {
+		return
+	}
+	u := min(n-e.coming(now)-int(e.bucket.Tokens()), borrowMost-e.pending)
+	if u <= 0 || e.ready(float64(n-e.coming(now))) <= borrowAfter {
+		return
+	}
+	e.pending += u
+	q.Borrow(name, uint64(u))
+}
+
+// Receive ends an ask for tokens with units of them, none if nobody lent any.
+// Until counts from before the loan was asked for.
+func (q *Quota) Receive(name string, asked, units uint64, until time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
 	e, ok := q.touch(name, n)
-	if !ok || !n.Before(until) {
+	if !ok {
+		return
+	}
+	e.pending = max(e.pending-int(asked), 0)
+	if units == 0 {
+		e.dry = n.Add(dryFor)
+	}
+	if !n.Before(until) {
 		return
 	}
-	// Only what somebody waits for is taken; the rest is lost.
-	u := min(units, uint64(max(e.waiting, 0)))
 	if !n.Before(e.borrowedUntil) {
 		e.borrowed = 0
 		e.borrowedUntil = until
 	}
-	e.borrowed += u
+	// Only what somebody waits for is taken; the rest is lost.
+	e.borrowed += min(int(units), e.waiting-e.borrowed)
 	if until.Before(e.borrowedUntil) {
 		e.borrowedUntil = until
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -33,8 +33,8 @@
 	Grant func(name string) grant.Grant
 	// Hold is the age beyond which Confirm takes a token anew.
 	Hold time.Duration
-	// Borrow asks another host for tokens and reports later through Receive;
-	// nil means that nobody lends. It must not block.
+	// Borrow asks other hosts for tokens and later calls Receive once, with or
+	// without tokens; nil means that nobody lends. It must not block.
 	Borrow func(name string, units uint64)
 
 	mu      sync.Mutex
@@ -100,8 +100,9 @@
 		return 0, true
 	}
 	d := e.ready(1)
-	if turn && n.Sub(e.asked) < borrowWait {
-		d = min(d, borrowPoll)
+	if turn {
+		q.borrow(name, e, e.waiting, n)
+		d = min(d, e.answer(n))
 	}
 	return d, false
 }
@@ -116,15 +117,8 @@
 	if !ok {
 		return false
 	}
-	d := e.ready(float64(e.waiting) + 1)
-	if d > borrowAfter && q.Borrow != nil && n.Sub(e.asked) >= borrowEvery {
-		e.asked = n
-		q.Borrow(name, uint64(min(e.waiting+1, borrowMost)))
-		// The loan comes within a round trip; those it cannot serve are
-		// refused when their time is up.
-		d = min(d, wait)
-	}
-	if d > wait {
+	q.borrow(name, e, e.waiting+1, n)
+	if e.ready(float64(e.waiting+1-e.coming(n))) > wait {
 		return false
 	}
 	e.waiting++
