limits: scripts of failures, floors that wait only for what they take

Cause: after all hosts were replaced at once the floors waited an hour for the leased parts to settle (script all-replaced), and a smaller floor fraction moved each floor's place, so that two of three were unusable while one failure domain was cut off (script floors-change). Change: a floor leaves out what was leased in epochs that may still be in use, instead of waiting for all; each floor begins at a place of its own; a host that hears few others holds back only while the platform lists them.

--- a/author/author.go
+++ b/author/author.go
@@ -25,6 +25,10 @@
 // grow.
 const earlierMost = 8
 
+// minorityHolds is how long, in multiples of Hold, a host that hears few others
+// leaves a division alone that others may still write.
+const minorityHolds = 10
+
 // Author reads the division's row on every host and writes the next epoch on
 // the host whose name comes first; the others follow it only when it does not.
 // Two that write at once cost a conflict, never safety.
@@ -45,6 +49,9 @@
 	// Demand returns the fraction of each limit that hosts ask for, by limit
 	// and host name.
 	Demand func() map[string]map[string]float64
+	// Listed reports whether the platform lists a process as live. The list
+	// lags, so it only delays what this host does.
+	Listed func(h holder.Holder) bool
 	// Every is the time between two readings.
 	Every time.Duration
 	// Least is the least time between two epochs that only follow the demand.
@@ -149,28 +156,22 @@
 }
 
 // minority reports whether this host hears less than half of the holders, while
-// somebody whom it doesn't hear still writes. Two sides of a cut that both
+// the platform still lists some of the others. Two sides of a cut that both
 // reach the table would else drop each other again and again.
 func (a *Author) minority(d division.Division, alive []holder.Holder, now time.Time) bool {
 	m := make(map[holder.Holder]bool, len(alive))
 	for _, h := range alive {
 		m[h] = true
 	}
-	heard, known := 0, false
+	heard, listed := 0, false
 	for _, h := range d.Holders {
 		if m[h] {
 			heard++
+		} else if a.Listed(h) {
+			listed = true
 		}
-		known = known || m[h] && h.Name == d.Author
-	}
-	if 2*heard >= len(d.Holders) {
-		return false
-	}
-	t := 2 * a.Holding.Hold
-	if !known {
-		t *= 5
 	}
-	return now.Sub(a.changed) < t
+	return 2*heard < len(d.Holders) && listed && now.Sub(a.changed) < minorityHolds*a.Holding.Hold
 }
 
 // rank is this host's place in the order of the alive hosts' names.
--- a/author/cut.go
+++ b/author/cut.go
@@ -136,12 +136,13 @@
 	return r
 }
 
+// region returns a failure domain's floor. Each begins at a place of its own, so
+// that another fraction makes it shorter or longer and moves none.
 func (c *cut) region(floors []string, fraction float64, domain string) []span.Span {
 	l := c.domains(floors)
-	w := uint32(fraction * span.Whole / float64(max(len(l), 1)))
 	for i, d := range l {
-		if d == domain && w > 0 {
-			return []span.Span{{From: uint32(i) * w, To: uint32(i+1) * w}}
+		if f := uint32(i * span.Whole / len(l)); d == domain && fraction > 0 {
+			return []span.Span{{From: f, To: f + uint32(fraction*span.Whole/float64(len(l)))}}
 		}
 	}
 	return nil
--- a/division/division.go
+++ b/division/division.go
@@ -75,6 +75,19 @@
 	return p
 }
 
+// Leased returns what of a limit is leased to any holder.
+func (d *Division) Leased(limit string) []span.Span {
+	p, ok := d.Parts[limit]
+	if !ok && strings.HasPrefix(limit, RatePrefix) {
+		return d.LeasedSpans
+	}
+	var r []span.Span
+	for _, v := range p {
+		r = span.Join(r, v.Leased)
+	}
+	return r
+}
+
 // Chief returns the holder that rendezvous hashing chooses for a limit, among
 // those of a failure domain or, if that is empty, all that hold leased parts.
 func (d *Division) Chief(limit, domain string) string {
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -19,7 +19,7 @@
 	sameRegion = 500 * time.Microsecond
 	// load is the part of its rate that an account offers on an ordinary day.
 	load = 0.6
-	// home is the part of an account's requests that come in in one region.
+	// home is the part of an account's requests that one region receives.
 	home    = 0.6
 	maxWait = time.Second
 	regions = 3
--- a/experiment/way.go
+++ b/experiment/way.go
@@ -40,7 +40,7 @@
 }
 
 // equal gives each configured host the same part for good.
-func (f *fixed) equal(host int, _ string) grant.Grant {
+func (f *fixed) equal(int, string) grant.Grant {
 	n := f.play.fleet.Now()
 	t := 0
 	for _, v := range f.play.size.perRegion {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,12 +20,16 @@
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/division"
 	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/table"
 )
 
+// listLag is how long the list of hosts names a dead process.
+const listLag = 10 * time.Second
+
 var errOutage = errors.New("the platform does not answer")
 
 // Fleet is a number of hosts and the faults between them. Calls must come from
@@ -106,6 +110,13 @@
 // Kill ends a process without a word.
 func (f *Fleet) Kill(host int) {
 	f.nodes[host].dead = true
+	f.nodes[host].died = f.now
+}
+
+// listed plays the platform's list of hosts, which lags.
+func (f *Fleet) listed(h holder.Holder) bool {
+	n := f.nodes[h.Incarnation-1]
+	return !n.dead || f.now.Sub(n.died) < listLag
 }
 
 // Pause stops a process; its clock goes on.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -29,6 +29,7 @@
 	self    holder.Holder
 	clock   *clock
 	dead    bool
+	died    time.Time
 	paused  bool
 	late    []func()
 	holding *holding.Holding
@@ -70,7 +71,7 @@
 	n.demand = &demand.Demand{Clock: c, Hold: f.Hold, Account: n.account}
 	n.author = &author.Author{
 		Clock: c, Log: f.logger, Platform: f.platform(number), Holding: n.holding, Alive: n.alive,
-		Config: func() *config.Config { return f.Config }, Demand: n.demand.Fractions, Every: f.Poll, Least: f.Least,
+		Config: func() *config.Config { return f.Config }, Demand: n.demand.Fractions, Listed: f.listed, Every: f.Poll, Least: f.Least,
 	}
 	return n
 }
--- /dev/null
+++ b/fleet/script_test.go
@@ -0,0 +1,174 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/table"
+)
+
+// stage is the fleet of one script: three failure domains, d0 and d1 in region
+// r0, d2 in r1, account "a" with 40 requests per second and a burst of 20, and
+// floors of half of each limit.
+type stage struct {
+	*fleet.Fleet
+	numbers map[string]int
+	domains []string
+	cut     map[string]bool
+	out     map[string]bool
+	lose    bool
+}
+
+func newStage() *stage {
+	s := &stage{numbers: make(map[string]int), cut: make(map[string]bool), out: make(map[string]bool)}
+	s.Fleet = &fleet.Fleet{
+		Hold: hold, StoreHold: time.Hour, Heartbeat: 200 * time.Millisecond, Poll: time.Second, Least: 2 * time.Second,
+		Config: newConfig(0.5, domains), Table: new(table.Table), Random: rand.New(rand.NewPCG(1, 1)), Delay: s.delay, Store: s.store,
+	}
+	return s
+}
+
+func (s *stage) delay(from, to int) (time.Duration, bool) {
+	return time.Millisecond, s.cut[s.domains[from]] == s.cut[s.domains[to]]
+}
+
+func (s *stage) store(host int) (reached, answered bool) {
+	return !s.out[s.domains[host]] && !s.out["all"], !s.lose
+}
+
+func (s *stage) host(ts *testscript.TestScript, name string) int {
+	n, ok := s.numbers[name]
+	if !ok {
+		ts.Fatalf("no host %s", name)
+	}
+	return n
+}
+
+// Each file of testdata is one scenario. Its first lines tell what callers see,
+// what happens in what order, and why.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Values["stage"] = newStage()
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"host": host, "run": run, "end": end, "pause": pause, "resume": pause, "cut": cut, "heal": heal,
+			"store": store, "part": partIs, "epoch": epoch, "slots": slotsAre, "admit": admit, "floors": floors,
+		},
+	})
+}
+
+func on(ts *testscript.TestScript) *stage {
+	return ts.Value("stage").(*stage)
+}
+
+// host NAME DOMAIN REGION [SPEED] starts a process.
+func host(ts *testscript.TestScript, _ bool, a []string) {
+	s, v := on(ts), 1.0
+	if len(a) > 3 {
+		v = number(ts, a[3])
+	}
+	s.domains = append(s.domains, a[1])
+	s.numbers[a[0]] = s.Add(a[0], a[1], a[2], v)
+}
+
+// run DURATION lets time pass.
+func run(ts *testscript.TestScript, _ bool, a []string) {
+	d, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	on(ts).Run(d)
+}
+
+// end NAME ends a process without a word.
+func end(ts *testscript.TestScript, _ bool, a []string) {
+	on(ts).Kill(on(ts).host(ts, a[0]))
+}
+
+// pause NAME, resume NAME stop a process and let it go on.
+func pause(ts *testscript.TestScript, _ bool, a []string) {
+	s := on(ts)
+	n := s.host(ts, a[0])
+	s.Pause(n, s.Runs(n))
+}
+
+// cut DOMAIN separates a failure domain from the others, not from the table.
+func cut(ts *testscript.TestScript, _ bool, a []string) {
+	on(ts).cut[a[0]] = true
+}
+
+// heal ends all cuts.
+func heal(ts *testscript.TestScript, _ bool, _ []string) {
+	on(ts).cut = make(map[string]bool)
+}
+
+// store out|in|lose|answer [DOMAIN] sets what happens to calls of the table.
+func store(ts *testscript.TestScript, _ bool, a []string) {
+	s, d := on(ts), "all"
+	if len(a) > 1 {
+		d = a[1]
+	}
+	switch a[0] {
+	case "out", "in":
+		s.out[d] = a[0] == "out"
+	default:
+		s.lose = a[0] == "lose"
+	}
+}
+
+// floors FRACTION accepts a configuration with other floors.
+func floors(ts *testscript.TestScript, _ bool, a []string) {
+	on(ts).Config = newConfig(number(ts, a[0]), domains)
+}
+
+// part NAME LIMIT VALUE checks what a host may use now, to 1%.
+func partIs(ts *testscript.TestScript, neg bool, a []string) {
+	s := on(ts)
+	v, w := s.Holding(s.host(ts, a[0])).Part(a[1]), number(ts, a[2])
+	if ok := v > w-0.01 && v < w+0.01; ok == neg {
+		ts.Fatalf("%s uses %.4f of %s", a[0], v, a[1])
+	}
+}
+
+// epoch NAME N checks which division a host is on.
+func epoch(ts *testscript.TestScript, neg bool, a []string) {
+	s := on(ts)
+	if e := s.Holding(s.host(ts, a[0])).Epoch(); (strconv.FormatUint(e, 10) == a[1]) == neg {
+		ts.Fatalf("%s is on epoch %d", a[0], e)
+	}
+}
+
+// slots NAME LIMIT TOTAL COUNT checks how many slots a host may use.
+func slotsAre(ts *testscript.TestScript, neg bool, a []string) {
+	s := on(ts)
+	n := len(s.Holding(s.host(ts, a[0])).Slots(a[1], int(number(ts, a[2]))))
+	if (n == int(number(ts, a[3]))) == neg {
+		ts.Fatalf("%s uses %d slots of %s", a[0], n, a[1])
+	}
+}
+
+// admit NAME OFFERED ADMITTED sends requests of account "a" at once.
+func admit(ts *testscript.TestScript, neg bool, a []string) {
+	s, n := on(ts), 0
+	q := s.Quota(s.host(ts, a[0]))
+	for range int(number(ts, a[1])) {
+		if q.Take("a") {
+			n++
+		}
+	}
+	if (n == int(number(ts, a[2]))) == neg {
+		ts.Fatalf("%s admitted %d", a[0], n)
+	}
+}
+
+func number(ts *testscript.TestScript, v string) float64 {
+	f, err := strconv.ParseFloat(v, 64)
+	ts.Check(err)
+	return f
+}
--- a/holding/view.go
+++ b/holding/view.go
@@ -30,6 +30,7 @@
 	self    holder.Holder
 	chain   []*division.Division
 	settled uint64
+	floor   uint64
 
 	mu     sync.RWMutex
 	limits map[string]*use
@@ -94,7 +95,7 @@
 		g = v.renew(o, now)
 	} else {
 		v.uses = &uses{
-			self: h.Self, chain: append([]*division.Division(nil), h.chain...), settled: h.settled,
+			self: h.Self, chain: append([]*division.Division(nil), h.chain...), settled: h.settled, floor: h.floorSettled,
 			limits: make(map[string]*use), rates: make(map[string]*use),
 		}
 		g = true
@@ -175,7 +176,7 @@
 // compute returns what a host has in all epochs that somebody may be on: two
 // hosts that are on different epochs then have at least one in common.
 func (u *uses) compute(limit string) *use {
-	r := &use{floor: 1, leased: 1}
+	r := &use{leased: 1}
 	w := []span.Span{{To: span.Whole}}
 	r.floorSpans, r.leasedSpans = w, w
 	for _, d := range u.chain {
@@ -184,15 +185,28 @@
 			r.leased = min(r.leased, fraction(p.Leased))
 			r.leasedSpans = span.Intersect(r.leasedSpans, p.Leased)
 		}
-		// A floor that grew takes from what was leased before, so it waits for
-		// the users of leased parts too: the chain begins at the older of the
-		// two settled epochs.
-		r.floor = min(r.floor, fraction(p.Floor))
-		r.floorSpans = span.Intersect(r.floorSpans, p.Floor)
+		if d.Epoch >= u.floor {
+			r.floorSpans = span.Intersect(r.floorSpans, p.Floor)
+		}
+		if d.Epoch >= u.settled && d.FloorEpoch > u.chain[0].FloorEpoch || len(d.PriorFloors) > 0 || len(u.chain[0].PriorFloors) > 0 {
+			u.grown(r, limit)
+		}
 	}
+	r.floor = fraction(r.floorSpans)
 	return r
 }
 
+// grown takes from a floor what was leased in an epoch that somebody may still
+// be on: a floor that grew may not be used before the users of leased parts
+// have let go.
+func (u *uses) grown(r *use, limit string) {
+	for _, d := range u.chain {
+		if d.Epoch >= u.settled {
+			r.floorSpans = span.Subtract(r.floorSpans, d.Leased(limit))
+		}
+	}
+}
+
 func fraction(s []span.Span) float64 {
 	return float64(span.Length(s)) / span.Whole
 }
--- a/host/limits.go
+++ b/host/limits.go
@@ -72,7 +72,7 @@
 	x.quota.Borrow = l.loan.Borrow
 	l.author = &author.Author{
 		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Holding: l.holding, Alive: x.holders, Config: x.config,
-		Demand: l.demand.Fractions, Every: h.Settings.Hold / pollsPerHold, Least: followEvery,
+		Demand: l.demand.Fractions, Listed: x.membership.OnList, Every: h.Settings.Hold / pollsPerHold, Least: followEvery,
 	}
 	x.limits = l
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
+	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -50,7 +51,7 @@
 
 	mu       sync.Mutex
 	peers    map[string]*peer
-	listed   []string
+	listed   []member.Member
 	sequence uint64
 	replaced map[uint64]bool
 }
@@ -110,6 +111,18 @@
 	return p != nil && p.member.Leaving
 }
 
+// OnList reports whether the platform listed a process when last asked.
+func (m *Membership) OnList(h holder.Holder) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, v := range m.listed {
+		if v.Name == h.Name && v.Incarnation == h.Incarnation {
+			return !v.Leaving
+		}
+	}
+	return false
+}
+
 // Last returns the newest heartbeat of a peer that is alive.
 func (m *Membership) Last(name string) (*wire.Heartbeat, bool) {
 	m.mu.Lock()
@@ -138,10 +151,7 @@
 func (m *Membership) list(l []member.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = m.listed[:0]
-	for _, v := range l {
-		m.listed = append(m.listed, v.PeerAddress)
-	}
+	m.listed = l
 }
 
 func (m *Membership) compose() *wire.Heartbeat {
@@ -223,8 +233,8 @@
 	for _, a := range m.Seeds {
 		add(a)
 	}
-	for _, a := range m.listed {
-		add(a)
+	for _, v := range m.listed {
+		add(v.PeerAddress)
 	}
 	for _, p := range m.peers {
 		add(p.member.PeerAddress)
