--- a/host/parts.go
+++ b/host/parts.go
@@ -40,6 +40,7 @@
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
@@ -57,15 +58,15 @@
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
+	x.newLimits()
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serve}
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
-		OnFetch:   x.steering.relay.Answer,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnFetch:   x.fetch,
+		OnBorrow:  x.lend,
 		OnForward: x.receive.Stream,
 		OnNotify:  x.steering.relay.Receive,
 	}
@@ -85,7 +86,7 @@
 func (x *parts) newDispatch() *dispatch.Dispatch {
 	h := x.host
 	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
+		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm,
 		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
 		Upstream:    upstream.New(dialTimeout),
 		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
@@ -136,10 +137,19 @@
 func (x *parts) compose(h *wire.Heartbeat) {
 	h.Loads = x.lanes.Loads()
 	x.composeSteering(h)
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(h *wire.Heartbeat, _ time.Time) {
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
 	x.heardSteering(h)
+	x.heardLimits(h, sent)
+}
+
+func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
+	}
+	return x.steering.relay.Answer(f)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
