Queue: fair between accounts, newest first under overload, early refusals

Cause: the first queue was one line in order of arrival. A large account's rush held up everybody, callers that had left were served, and refusals came only when the wait was over.

Change: start-time fair queueing by slot time and account weight; an account whose oldest request waited 100 ms is served newest first; requests that cannot be served in time at the present rate are refused at once with the time in which the line will be served; deferrable services wait behind all others and hold at most half of the slots. One lock makes granted and refused one change.

--- a/host/host.go
+++ b/host/host.go
@@ -81,6 +81,7 @@
 		Children: []child.Child{
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
+			{Name: "lanes", Run: x.lanes.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -2,7 +2,9 @@
 package lanes
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -13,7 +15,12 @@
 	"celeryreach.example/celeryreach/wire"
 )
 
-const queueLimit = 10_000
+const (
+	queueLimit = 10_000
+	// patience is from docs/decisions/0020-queue.md.
+	patience   = 100 * time.Millisecond
+	sweepEvery = 50 * time.Millisecond
+)
 
 // Lanes makes the queues of the services on first use.
 type Lanes struct {
@@ -40,6 +47,20 @@
 	return l.lane(service).queue
 }
 
+// Run looks after the queues until ctx ends.
+func (l *Lanes) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for _, n := range l.all() {
+			n.queue.Sweep()
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.Clock.After(sweepEvery):
+		}
+	}
+	return nil
+}
+
 // Loads returns the load of each service for heartbeats.
 func (l *Lanes) Loads() []*wire.Load {
 	s := l.Snapshot()
@@ -55,6 +76,21 @@
 	return r
 }
 
+func (l *Lanes) all() []*lane {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := make([]*lane, 0, len(l.lanes))
+	for _, n := range l.lanes {
+		r = append(r, n)
+	}
+	return r
+}
+
+func (l *Lanes) weight(account string) float64 {
+	a, _ := l.Snapshot().Account(account)
+	return a.Weight
+}
+
 func (l *Lanes) lane(service string) *lane {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,7 +99,11 @@
 	}
 	b := &balancer.Balancer{Slots: l.Slots}
 	b.Backends = func() []backend.Backend { return l.Snapshot().Backends(l.Domain, service) }
-	q := &queue.Queue{Clock: l.Clock, Acquire: b.Acquire, Limit: queueLimit}
+	q := &queue.Queue{Clock: l.Clock, Acquire: b.Acquire, Limit: queueLimit, Patience: patience, Weight: l.weight}
+	q.Slots = func() int {
+		n, _ := b.Load()
+		return n
+	}
 	b.Released = q.Kick
 	if l.lanes == nil {
 		l.lanes = make(map[string]*lane)
--- /dev/null
+++ b/queue/estimate.go
@@ -0,0 +1,71 @@
+package queue
+
+import (
+	"time"
+)
+
+const (
+	// smoothing is the part of a new sample in a running mean.
+	smoothing = 0.1
+	// nominalHold stands for the time that a request holds a slot while no
+	// request has ended yet.
+	nominalHold = 0.01
+	minRetry    = 50 * time.Millisecond
+	maxRetry    = 30 * time.Second
+)
+
+// estimate knows how fast the line moves. By Little's law that is the number of
+// slots in use divided by the time a request holds one; unlike a count of
+// grants a second it needs no window and is right after an idle time too.
+type estimate struct {
+	busy     int
+	hold     float64
+	released time.Time
+	// began is when the line was last empty. Time without a release counts
+	// from there, since an idle queue has no releases either.
+	began time.Time
+}
+
+func (e *estimate) add(t float64, now time.Time) {
+	e.released = now
+	if e.hold == 0 {
+		e.hold = t
+		return
+	}
+	e.hold += smoothing * (t - e.hold)
+}
+
+// serve returns the time in which n requests get a slot, zero when nothing is
+// known. A long time without any release counts as a longer hold, since no
+// sample arrives from backend servers that went silent.
+func (e *estimate) serve(n float64, now time.Time) time.Duration {
+	if e.hold == 0 {
+		return 0
+	}
+	h := max(e.hold, min(now.Sub(e.released), now.Sub(e.began)).Seconds())
+	return seconds(n * h / float64(max(1, e.busy)))
+}
+
+// expect returns the time until the request at a place of an account's line is
+// served, if nobody else arrives: all that is served before it is at most the
+// whole line, and at most the parts that the other accounts have meanwhile.
+func (q *Queue) expect(c *class, a *account, place int, now time.Time) time.Duration {
+	n := min(float64(c.waiting), float64(place)*c.weights/a.weight)
+	if c == &q.deferred {
+		n += float64(q.urgent.waiting)
+	}
+	return q.estimate.serve(n, now)
+}
+
+func (q *Queue) retryAfter(c *class, a *account) time.Duration {
+	return q.retryAfterAt(c, a, q.Clock.Now())
+}
+
+// retryAfterAt is the time in which the account's line is served.
+func (q *Queue) retryAfterAt(c *class, a *account, now time.Time) time.Duration {
+	return min(max(q.expect(c, a, a.waiting, now), minRetry), maxRetry)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,66 +1,78 @@
-// Package queue is the line of requests that wait for a slot of a service.
+// Package queue is the line of requests that wait for a slot of a service. It
+// is fair between client accounts, keeps deadlines, and gives every request one
+// decision: granted, or refused before it ran.
 package queue
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/slot"
 )
 
-// Queue hands the slots of one service to waiting requests.
+// Queue hands the slots of one service to waiting requests. All fields are set
+// before first use; only Clock, Acquire and Limit are required.
 type Queue struct {
 	// Clock measures the waiting.
 	Clock clockwork.Clock
 	// Acquire takes a free slot, if there is one.
 	Acquire func() (slot.Slot, bool)
-	// Limit is the greatest number of waiting requests.
+	// Limit is the number of waiting requests from which on an account may
+	// only keep its fair part of the line. There are never more than 2*Limit.
 	Limit int
+	// Weight returns an account's part of a contended queue; nil means one.
+	Weight func(account string) float64
+	// Slots returns how many slots this host may use now; nil means unknown.
+	Slots func() int
+	// Patience is the waiting time of an account's oldest request from which
+	// on its newest is served first; zero means never.
+	Patience time.Duration
 
-	mu      sync.Mutex
-	waiting []*waiter
-}
-
-type waiter struct {
-	account string
-	slot    chan slot.Slot
+	mu       sync.Mutex
+	urgent   class
+	deferred class
+	estimate estimate
 }
 
 // Wait returns a slot, or the outcome that says why there is none. It holds a
 // slot only if the outcome's text is empty.
 func (q *Queue) Wait(ctx context.Context, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
-	w := &waiter{account: account, slot: make(chan slot.Slot, 1)}
-	if !q.enter(w) {
-		return slot.Slot{}, refusal(outcome.NoCapacity, "the queue is full")
-	}
-	q.Kick()
-	t := q.Clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case s := <-w.slot:
-		return s, outcome.Outcome{}
-	case <-ctx.Done():
-		return q.leave(w, refusal(outcome.Left, "the caller left"))
-	case <-t.Chan():
-		return q.leave(w, refusal(outcome.NoCapacity, "no slot came free in time"))
-	}
+	return q.wait(ctx, &q.urgent, account, d)
+}
+
+// Defer is Wait for work that may wait: it is served only when no other
+// request waits, and on no more than half of the slots.
+func (q *Queue) Defer(ctx context.Context, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
+	return q.wait(ctx, &q.deferred, account, d)
 }
 
 // Kick hands out free slots. Whoever frees a slot calls it.
 func (q *Queue) Kick() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for len(q.waiting) > 0 {
-		s, ok := q.Acquire()
-		if !ok {
-			return
+	q.kick()
+}
+
+// Sweep hands out free slots and refuses what can no longer be served in time.
+// It is called at regular intervals, for the times when nothing else happens:
+// without it, requests behind backend servers that went silent would be
+// refused only at their own deadlines.
+func (q *Queue) Sweep() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.kick()
+	n := q.Clock.Now()
+	for _, c := range []*class{&q.urgent, &q.deferred} {
+		// A copy, since an account without requests leaves the heap.
+		for _, a := range slices.Clone(c.accounts) {
+			q.sweep(c, a, n)
 		}
-		q.waiting[0].slot <- s
-		q.waiting = q.waiting[1:]
 	}
 }
 
@@ -68,38 +80,189 @@
 func (q *Queue) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting)
+	return q.urgent.waiting + q.deferred.waiting
 }
 
-func (q *Queue) enter(w *waiter) bool {
+// Hold returns the mean time that a request holds a slot, zero when not known.
+func (q *Queue) Hold() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiting) >= q.Limit {
-		return false
+	return seconds(q.estimate.hold)
+}
+
+func (q *Queue) wait(ctx context.Context, c *class, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
+	w := q.enter(ctx, c, account, d)
+	t := q.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case v := <-w.decision:
+		return v.slot, v.outcome
+	case <-ctx.Done():
+		return q.leave(w, outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"})
+	case <-t.Chan():
+		return q.leave(w, outcome.Outcome{Outcome: outcome.NoCapacity, Message: "no slot came free in time"})
 	}
-	q.waiting = append(q.waiting, w)
-	return true
 }
 
-// leave takes w out of the line. A slot that was handed out in the same moment
-// is used: a request is either granted or refused, never both.
-func (q *Queue) leave(w *waiter, o outcome.Outcome) (slot.Slot, outcome.Outcome) {
+// enter puts a request into the line. The decision may be there on return.
+func (q *Queue) enter(ctx context.Context, c *class, name string, d time.Duration) *waiter {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	select {
-	case s := <-w.slot:
-		return s, outcome.Outcome{}
+	n := q.Clock.Now()
+	w := &waiter{ctx: ctx, entered: n, deadline: n.Add(d), decision: make(chan decision, 1)}
+	if d <= 0 {
+		w.decision <- decision{outcome: outcome.Outcome{Outcome: outcome.DeadlineExceeded, Ran: outcome.RanNo, Message: "too little time is left"}}
+		return w
+	}
+	if q.urgent.waiting+q.deferred.waiting == 0 {
+		q.estimate.began = n
+	}
+	a := c.account(name, q.weight(name))
+	c.push(a, w)
+	q.kick()
+	if w.line != nil && c.waiting > q.Limit && float64(a.waiting) > float64(q.Limit)*a.weight/c.weights {
+		q.refuse(c, a.last(q.newest(a, n)), n, "the queue is full")
+	}
+	q.giveUp(c, a, n)
+	return w
+}
+
+// leave takes w out of the line. If w was decided in the same moment, that
+// decision holds: a request is either granted or refused, never both.
+func (q *Queue) leave(w *waiter, o outcome.Outcome) (slot.Slot, outcome.Outcome) {
+	q.mu.Lock()
+	if w.line != nil {
+		o.Ran = outcome.RanNo
+		if o.Outcome != outcome.Left {
+			o.RetryAfter = q.retryAfter(w.class, w.line)
+		}
+		w.class.remove(w)
+		q.mu.Unlock()
+		return slot.Slot{}, o
+	}
+	q.mu.Unlock()
+	v := <-w.decision
+	if v.outcome.Outcome == "" && w.ctx.Err() != nil {
+		// Nothing was sent yet, so the slot goes to somebody who still waits.
+		v.slot.Release(result.Unused)
+		return slot.Slot{}, outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
+	}
+	return v.slot, v.outcome
+}
+
+func (q *Queue) kick() {
+	for {
+		c := q.next()
+		if c == nil {
+			return
+		}
+		n := q.Clock.Now()
+		a := c.first()
+		w := a.first(q.newest(a, n))
+		if w.ctx.Err() != nil {
+			// Its goroutine has not woken yet. A slot would be wasted on it.
+			c.remove(w)
+			w.decision <- decision{outcome: outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}}
+			continue
+		}
+		s, ok := q.Acquire()
+		if !ok {
+			return
+		}
+		c.remove(w)
+		q.grant(c, a, w, s, n)
+	}
+}
+
+// next returns the class to serve, nil when none has a request to serve.
+func (q *Queue) next() *class {
+	switch {
+	case q.urgent.waiting > 0:
+		return &q.urgent
+	case q.deferred.waiting > 0 && !q.deferredFull():
+		return &q.deferred
 	default:
+		return nil
+	}
+}
+
+// deferredFull keeps exports from holding all slots when the next urgent
+// request comes, which would wait as long as an export takes.
+func (q *Queue) deferredFull() bool {
+	if q.Slots == nil {
+		return false
 	}
-	for i, v := range q.waiting {
-		if v == w {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			break
+	return q.deferred.busy >= max(1, q.Slots()/2)
+}
+
+func (q *Queue) grant(c *class, a *account, w *waiter, s slot.Slot, now time.Time) {
+	f := s.Release
+	p := c.charge(a, q.estimate.hold)
+	c.busy++
+	q.estimate.busy++
+	s.Release = func(r result.Result) {
+		q.mu.Lock()
+		n := q.Clock.Now()
+		t := n.Sub(now).Seconds()
+		c.busy--
+		q.estimate.busy--
+		if r == result.Unused {
+			t = 0
+		} else {
+			q.estimate.add(t, n)
+			a.learn(t)
 		}
+		c.correct(a, t-p)
+		q.mu.Unlock()
+		f(r)
 	}
-	return slot.Slot{}, o
+	w.decision <- decision{slot: s}
 }
 
-func refusal(o, m string) outcome.Outcome {
-	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: time.Second}
+// giveUp refuses the requests of an account that would be served last and
+// cannot be served before their deadlines at the present rate. They get their
+// answers now, while their callers can still go elsewhere.
+func (q *Queue) giveUp(c *class, a *account, now time.Time) {
+	for a.waiting > 0 {
+		w := a.last(q.newest(a, now))
+		if t := q.expect(c, a, a.waiting, now); !now.Add(t).After(w.deadline) {
+			return
+		}
+		q.refuse(c, w, now, "no slot will come free in time")
+	}
+}
+
+// sweep does the same for requests at any place in the line.
+func (q *Queue) sweep(c *class, a *account, now time.Time) {
+	v := q.newest(a, now)
+	p := 1
+	for w := a.first(v); w != nil; {
+		x := w.behind(v)
+		if now.Add(q.expect(c, a, p, now)).After(w.deadline) {
+			q.refuse(c, w, now, "no slot will come free in time")
+		} else {
+			p++
+		}
+		w = x
+	}
+}
+
+func (q *Queue) refuse(c *class, w *waiter, now time.Time, m string) {
+	o := outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: m, RetryAfter: q.retryAfterAt(c, w.line, now)}
+	c.remove(w)
+	w.decision <- decision{outcome: o}
+}
+
+func (q *Queue) newest(a *account, now time.Time) bool {
+	return q.Patience > 0 && a.waiting > 0 && now.Sub(a.oldest.entered) > q.Patience
+}
+
+func (q *Queue) weight(name string) float64 {
+	if q.Weight == nil {
+		return 1
+	}
+	if w := q.Weight(name); w > 0 {
+		return w
+	}
+	return 1
 }
