Queue: measured against a line in order of arrival; late requests told early

Cause: served newest first, the large account's overtaken requests waited 0.67 s (median) until they were given up, though nothing could serve them.

Change: an account's requests that have waited longer than the patience are refused when arrivals outrun its part of the slots; overload ends at half the patience. celeryreach experiment queue simulates the rush.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -25,6 +25,7 @@
 			serveCommand(),
 			platformCommand(),
 			backendCommand(),
+			{Name: "experiment", Usage: "measure a policy by simulation", Commands: []*cli.Command{experimentQueueCommand()}},
 		},
 	}
 	if err := c.Run(ctx, args); err != nil {
--- /dev/null
+++ b/contention/report.go
@@ -0,0 +1,109 @@
+package contention
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// tally is what happened to the callers of one account.
+type tally struct {
+	offered  int
+	answered int
+	refused  int
+	left     int
+	wasted   int
+	// possible counts the callers that an empty system would have answered.
+	possible int
+	waits    []time.Duration
+	refusals []time.Duration
+}
+
+func (c *Contention) report() []string {
+	t := make([]tally, accounts)
+	for _, v := range c.callers {
+		t[v.account].add(v)
+	}
+	d := due(t, slots*c.For.Seconds()/hold.Seconds())
+	r := []string{"account offered answered of-due refused left wasted wait-p50 wait-p99 refusal-p50 refusal-p99"}
+	worst := 1.0
+	sum := tally{}
+	for i, v := range t {
+		f := float64(v.answered) / d[i]
+		worst = min(worst, f)
+		n := "small-" + name(i)
+		if i == 0 {
+			n = "large"
+		}
+		r = append(r, v.line(n, f))
+		sum.merge(v)
+	}
+	r = append(r, sum.line("all", float64(sum.answered)/total(d)))
+	return append(r, fmt.Sprintf("worst-served share of its max-min due: %.3f", worst))
+}
+
+func (t *tally) add(v *caller) {
+	t.offered++
+	if v.leaves == 0 || v.leaves > v.arrives+v.hold {
+		t.possible++
+	}
+	switch v.state {
+	case answered:
+		t.answered++
+		t.waits = append(t.waits, v.granted-v.arrives)
+	case refused:
+		t.refused++
+		t.refusals = append(t.refusals, v.refused-v.arrives)
+	case left:
+		t.left++
+	case wasted:
+		t.wasted++
+	}
+}
+
+func (t *tally) merge(v tally) {
+	t.offered += v.offered
+	t.answered += v.answered
+	t.refused += v.refused
+	t.left += v.left
+	t.wasted += v.wasted
+	t.waits = append(t.waits, v.waits...)
+	t.refusals = append(t.refusals, v.refusals...)
+}
+
+func (t *tally) line(name string, f float64) string {
+	return fmt.Sprintf("%s %d %d %.3f %d %d %d %s %s %s %s", name, t.offered, t.answered, f, t.refused, t.left, t.wasted,
+		quantile(t.waits, 0.5), quantile(t.waits, 0.99), quantile(t.refusals, 0.5), quantile(t.refusals, 0.99))
+}
+
+// due divides the answers that the slots can give max-min fairly between the
+// accounts, none of which can use more than is possible.
+func due(t []tally, capacity float64) []float64 {
+	r := make([]float64, len(t))
+	var open []int
+	for i := range t {
+		open = append(open, i)
+	}
+	slices.SortFunc(open, func(i, j int) int { return t[i].possible - t[j].possible })
+	for n, i := range open {
+		r[i] = min(float64(t[i].possible), capacity/float64(len(open)-n))
+		capacity -= r[i]
+	}
+	return r
+}
+
+func total(s []float64) float64 {
+	r := 0.0
+	for _, v := range s {
+		r += v
+	}
+	return r
+}
+
+func quantile(s []time.Duration, q float64) time.Duration {
+	if len(s) == 0 {
+		return 0
+	}
+	s = slices.Sorted(slices.Values(s))
+	return s[int(q*float64(len(s)-1))].Round(100 * time.Microsecond)
+}
--- a/queue/account.go
+++ b/queue/account.go
@@ -14,9 +14,12 @@
 	weight  float64
 	virtual float64
 	hold    float64
-	waiting int
-	oldest  *waiter
-	latest  *waiter
+	flow    flow
+	// overloaded accounts are served newest first.
+	overloaded bool
+	waiting    int
+	oldest     *waiter
+	latest     *waiter
 	// index is the place in the heap, -1 when nothing waits.
 	index int
 }
--- a/queue/estimate.go
+++ b/queue/estimate.go
@@ -57,6 +57,22 @@
 	return q.estimate.serve(n, now)
 }
 
+// late reports whether the request at a place of an account's line cannot be
+// served in time. Served newest first, it also waits for those that arrive in
+// the meantime; when they arrive faster than they are served and leave, an
+// overtaken request has no chance while that lasts, and is told so.
+func (q *Queue) late(c *class, a *account, w *waiter, place int, now time.Time) bool {
+	t := q.expect(c, a, place, now)
+	if w != a.latest && q.Patience > 0 && now.Sub(w.entered) > q.Patience {
+		f := 1 - a.flow.rate(now)*t.Seconds()/float64(place)
+		if f <= 0 {
+			return true
+		}
+		t = seconds(t.Seconds() / f)
+	}
+	return now.Add(t).After(w.deadline)
+}
+
 func (q *Queue) retryAfter(c *class, a *account) time.Duration {
 	return q.retryAfterAt(c, a, q.Clock.Now())
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -52,6 +52,29 @@
 	return q.wait(ctx, &q.deferred, account, d)
 }
 
+// Enter is Wait for simulations, which cannot block: decided returns the
+// decision once there is one, and leave takes the request out of the line.
+func (q *Queue) Enter(ctx context.Context, account string, d time.Duration) (decided func() (slot.Slot, outcome.Outcome, bool), leave func()) {
+	w := q.enter(ctx, &q.urgent, account, d)
+	decided = func() (slot.Slot, outcome.Outcome, bool) {
+		select {
+		case v := <-w.decision:
+			return v.slot, v.outcome, true
+		default:
+			return slot.Slot{}, outcome.Outcome{}, false
+		}
+	}
+	leave = func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if w.line != nil {
+			w.line.flow.add(-1, q.Clock.Now())
+			w.class.remove(w)
+		}
+	}
+	return decided, leave
+}
+
 // Kick hands out free slots. Whoever frees a slot calls it.
 func (q *Queue) Kick() {
 	q.mu.Lock()
@@ -119,6 +142,7 @@
 	}
 	a := c.account(name, q.weight(name))
 	c.push(a, w)
+	a.flow.add(1, n)
 	q.kick()
 	if w.line != nil && c.waiting > q.Limit && float64(a.waiting) > float64(q.Limit)*a.weight/c.weights {
 		q.refuse(c, a.last(q.newest(a, n)), n, "the queue is full")
@@ -136,6 +160,7 @@
 		if o.Outcome != outcome.Left {
 			o.RetryAfter = q.retryAfter(w.class, w.line)
 		}
+		w.line.flow.add(-1, q.Clock.Now())
 		w.class.remove(w)
 		q.mu.Unlock()
 		return slot.Slot{}, o
@@ -225,7 +250,7 @@
 func (q *Queue) giveUp(c *class, a *account, now time.Time) {
 	for a.waiting > 0 {
 		w := a.last(q.newest(a, now))
-		if t := q.expect(c, a, a.waiting, now); !now.Add(t).After(w.deadline) {
+		if !q.late(c, a, w, a.waiting, now) {
 			return
 		}
 		q.refuse(c, w, now, "no slot will come free in time")
@@ -238,7 +263,7 @@
 	p := 1
 	for w := a.first(v); w != nil; {
 		x := w.behind(v)
-		if now.Add(q.expect(c, a, p, now)).After(w.deadline) {
+		if q.late(c, a, w, p, now) {
 			q.refuse(c, w, now, "no slot will come free in time")
 		} else {
 			p++
@@ -253,8 +278,17 @@
 	w.decision <- decision{outcome: o}
 }
 
+// newest reports whether the account is served newest first. It stays so until
+// its oldest request is well below the patience: what is older is refused, so
+// a single threshold would switch back at once and keep everybody waiting as
+// long as the patience.
 func (q *Queue) newest(a *account, now time.Time) bool {
-	return q.Patience > 0 && a.waiting > 0 && now.Sub(a.oldest.entered) > q.Patience
+	if q.Patience == 0 || a.waiting == 0 {
+		return false
+	}
+	t := now.Sub(a.oldest.entered)
+	a.overloaded = t > q.Patience || a.overloaded && t > q.Patience/2
+	return a.overloaded
 }
 
 func (q *Queue) weight(name string) float64 {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -74,6 +74,18 @@
 	return "granted"
 }
 
+// serve ends the request that holds a slot after a time.
+func (r *rig) serve(d time.Duration) {
+	for id := range r.waiters {
+		if _, ok := r.seen[id]; !ok && r.state(id) == "granted" {
+			r.clock.Advance(d)
+			r.queue.Sweep()
+			r.seen[id].slot.Release(result.Succeeded)
+			return
+		}
+	}
+}
+
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
@@ -96,6 +108,16 @@
 			"defer": func(s *testscript.TestScript, _ bool, a []string) {
 				get(s).arrive(&get(s).queue.deferred, a[0], a[1], duration(s, a[2]))
 			},
+			"burst": func(s *testscript.TestScript, _ bool, a []string) {
+				for i := range number(s, a[1]) {
+					get(s).arrive(&get(s).queue.urgent, a[0]+strconv.Itoa(i+1), a[2], duration(s, a[3]))
+				}
+			},
+			"serve": func(s *testscript.TestScript, _ bool, a []string) {
+				for range number(s, a[0]) {
+					get(s).serve(duration(s, a[1]))
+				}
+			},
 			"vanish": func(s *testscript.TestScript, _ bool, a []string) { get(s).cancels[a[0]]() },
 			"free": func(s *testscript.TestScript, _ bool, a []string) {
 				for _, v := range a {
