Balancer: signs of trouble, cold starts, drains; loans of slots between siblings

Cause: the balancer took the emptiest backend server whatever happened there. A failing one attracted traffic, a cold one got all its slots at once, canceled requests freed slots that the backend server still used, and a sibling's free slots stayed unused.

Change: two random choices by own counts and speed, reports as hints, warm-up, ejection bounded to half, drains by whichever sign comes first, slots kept for a moment after a cancel, probes; siblings lend slots with deadlines. Services may share backend servers, and deferrable ones come last there.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -19,6 +19,8 @@
 	Connections int
 	// WarmUp is how long a new backend server takes to reach full speed.
 	WarmUp time.Duration `json:",omitzero"`
+	// Health is the path of its health endpoint; empty when it has none.
+	Health string `json:",omitzero"`
 	// Draining is set by operators: no new work.
 	Draining bool `json:",omitzero"`
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,13 +48,8 @@
 	if q == nil {
 		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
 	}
-	// A slot that comes later than this comes too late for an answer in time.
-	t := min(d.Timeout(), r.Deadline.Sub(d.Clock.Now())-q.Hold()/2)
-	wait := q.Wait
-	if r.Service.Deferrable {
-		wait = q.Defer
-	}
-	s, o := wait(ctx, r.Credential.Account, t)
+	t := min(d.Timeout(), r.Deadline.Sub(d.Clock.Now()))
+	s, o := q.Wait(ctx, r.Credential.Account, t)
 	if o.Outcome != "" {
 		return o
 	}
--- a/host/parts.go
+++ b/host/parts.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
@@ -17,6 +16,7 @@
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
+	"celeryreach.example/celeryreach/loan"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
@@ -24,6 +24,7 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
@@ -41,6 +42,8 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
+	loan       *loan.Loan
+	probe      *probe.Probe
 	quota      *quota.Quota
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
@@ -55,7 +58,7 @@
 	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
 	x.membership = x.newMembership()
-	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
+	x.newDomain()
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
@@ -64,7 +67,7 @@
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
 	}
 	return x
@@ -172,29 +175,6 @@
 	return a.EntryHosts
 }
 
-// siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
-func (x *parts) siblings() (names []string, self int) {
-	for _, m := range x.membership.Alive() {
-		if m.Domain == x.host.Settings.Domain {
-			if m.Name < x.host.Settings.Name {
-				self++
-			}
-			names = append(names, m.Name)
-		}
-	}
-	return append(names, x.host.Settings.Name), self
-}
-
-func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
-}
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,11 +23,17 @@
 	Clock clockwork.Clock
 	// Acquire takes a free slot, if there is one.
 	Acquire func() (slot.Slot, bool)
+	// Borrowed takes a slot that a sibling lent for at least until a time; nil
+	// means that nobody lends.
+	Borrowed func(until time.Time) (slot.Slot, bool)
 	// Limit is the number of waiting requests from which on an account may
 	// only keep its fair part of the line. There are never more than 2*Limit.
 	Limit int
 	// Weight returns an account's part of a contended queue; nil means one.
 	Weight func(account string) float64
+	// Ahead is the queue of another service that uses the same backend
+	// servers and goes first; nil means that this queue has its own.
+	Ahead *Queue
 	// Slots returns how many slots this host may use now; nil means unknown.
 	Slots func() int
 	// Patience is the waiting time of an account's oldest request from which
@@ -41,17 +47,15 @@
 }
 
 // Wait returns a slot, or the outcome that says why there is none. It holds a
-// slot only if the outcome's text is empty.
+// slot only if the outcome's text is empty. Behind another queue a request is
+// served only when none waits there, and on no more than half of the slots.
 func (q *Queue) Wait(ctx context.Context, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
+	if q.Ahead != nil {
+		return q.Ahead.wait(ctx, &q.Ahead.deferred, account, d)
+	}
 	return q.wait(ctx, &q.urgent, account, d)
 }
 
-// Defer is Wait for work that may wait: it is served only when no other
-// request waits, and on no more than half of the slots.
-func (q *Queue) Defer(ctx context.Context, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
-	return q.wait(ctx, &q.deferred, account, d)
-}
-
 // Enter is Wait for simulations, which cannot block: decided returns the
 // decision once there is one, and leave takes the request out of the line.
 func (q *Queue) Enter(ctx context.Context, account string, d time.Duration) (decided func() (slot.Slot, outcome.Outcome, bool), leave func()) {
@@ -77,6 +81,10 @@
 
 // Kick hands out free slots. Whoever frees a slot calls it.
 func (q *Queue) Kick() {
+	if q.Ahead != nil {
+		q.Ahead.Kick()
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.kick()
@@ -87,6 +95,9 @@
 // without it, requests behind backend servers that went silent would be
 // refused only at their own deadlines.
 func (q *Queue) Sweep() {
+	if q.Ahead != nil {
+		return // the queue ahead does it
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.kick()
@@ -101,21 +112,17 @@
 
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int {
+	if q.Ahead != nil {
+		return q.Ahead.Waiting()
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.urgent.waiting + q.deferred.waiting
 }
 
-// Hold returns the mean time that a request holds a slot, zero when not known.
-func (q *Queue) Hold() time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return seconds(q.estimate.hold)
-}
-
 func (q *Queue) wait(ctx context.Context, c *class, account string, d time.Duration) (slot.Slot, outcome.Outcome) {
 	w := q.enter(ctx, c, account, d)
-	t := q.Clock.NewTimer(d)
+	t := q.Clock.NewTimer(w.deadline.Sub(w.entered))
 	defer t.Stop()
 	select {
 	case v := <-w.decision:
@@ -132,6 +139,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
+	if t, ok := ctx.Deadline(); ok {
+		// A slot that comes later than this comes too late for an answer.
+		d = min(d, t.Sub(n)-seconds(q.estimate.hold/2))
+	}
 	w := &waiter{ctx: ctx, entered: n, deadline: n.Add(d), decision: make(chan decision, 1)}
 	if d <= 0 {
 		w.decision <- decision{outcome: outcome.Outcome{Outcome: outcome.DeadlineExceeded, Ran: outcome.RanNo, Message: "too little time is left"}}
@@ -190,7 +201,7 @@
 			w.decision <- decision{outcome: outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}}
 			continue
 		}
-		s, ok := q.Acquire()
+		s, ok := q.acquire(w)
 		if !ok {
 			return
 		}
@@ -199,6 +210,20 @@
 	}
 }
 
+// acquire takes a slot for w. Only a request that ends by itself may run on a
+// borrowed one, since the lender uses it again when the loan ends.
+func (q *Queue) acquire(w *waiter) (slot.Slot, bool) {
+	s, ok := q.Acquire()
+	if ok || q.Borrowed == nil {
+		return s, ok
+	}
+	t, ok := w.ctx.Deadline()
+	if !ok {
+		return slot.Slot{}, false
+	}
+	return q.Borrowed(t)
+}
+
 // next returns the class to serve, nil when none has a request to serve.
 func (q *Queue) next() *class {
 	switch {
--- a/result/result.go
+++ b/result/result.go
@@ -14,6 +14,8 @@
 	Failed
 	// Canceled is a caller that left; it says nothing of the backend server.
 	Canceled
+	// Refused is a connection that could not be opened.
+	Refused
 	// Unused is a slot that no request was sent on.
 	Unused
 )
--- a/service/service.go
+++ b/service/service.go
@@ -17,6 +17,9 @@
 	// Deferrable marks work that may wait, such as exports: it is served only
 	// when no other work waits.
 	Deferrable bool `json:",omitzero"`
+	// SharedWith names the service whose backend servers also answer this one;
+	// empty when it has its own. What is Deferrable comes after that service.
+	SharedWith string `json:",omitzero"`
 	// Timeout is how long a request may take when its caller states no
 	// deadline.
 	Timeout time.Duration
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -2,6 +2,8 @@
 package slot
 
 import (
+	"net/http"
+
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/result"
 )
@@ -11,6 +13,9 @@
 type Slot struct {
 	// Backend is the backend server that has room.
 	Backend backend.Backend
-	// Release gives the slot back. It must be called exactly once.
+	// Answered tells the status and header of the answer when they arrive. It
+	// takes the backend server's report on itself out of the header.
+	Answered func(status int, h http.Header)
+	// Release gives the slot back. Only the first call counts.
 	Release func(r result.Result)
 }
