--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -14,6 +14,7 @@
 		Usage: "measure decisions by simulation, without sockets and with a fake clock",
 		Commands: []*cli.Command{
 			experimentQuotaCommand(),
+			experimentQueueCommand(),
 			experimentConfigCommand(),
 		},
 	}
--- a/host/limits.go
+++ b/host/limits.go
@@ -19,7 +19,6 @@
 	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/holding"
 	"celeryreach.example/celeryreach/loan"
-	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/wire"
@@ -259,33 +258,3 @@
 	}
 	return &wire.BorrowResponse{Units: x.quota.Lend(n, b.Units, d), Lender: x.host.Settings.Name, ForNanoseconds: int64(d)}
 }
-
-// targets returns the hosts of other failure domains, those with the most free
-// slots first.
-func (x *parts) targets(service string) []member.Member {
-	var r []member.Member
-	f := make(map[string]int)
-	for _, m := range x.membership.Alive() {
-		n := x.free(m.Name, service)
-		if m.Domain == x.host.Settings.Domain || m.Leaving || n <= 0 {
-			continue
-		}
-		f[m.Name] = n
-		r = append(r, m)
-	}
-	sort.SliceStable(r, func(i, j int) bool { return f[r[i].Name] > f[r[j].Name] })
-	return r
-}
-
-func (x *parts) free(host, service string) int {
-	h, ok := x.membership.Last(host)
-	if !ok {
-		return 0
-	}
-	for _, l := range h.Loads {
-		if l.Service == service {
-			return int(l.Slots) - int(l.Busy) - int(l.Waiting)
-		}
-	}
-	return 0
-}
--- a/host/parts.go
+++ b/host/parts.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
@@ -23,9 +22,11 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -39,6 +40,8 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
+	slotloan   *slotloan.Slotloan
+	probe      *probe.Probe
 	quota      *quota.Quota
 	limits     *limits
 	dispatch   *dispatch.Dispatch
@@ -57,7 +60,7 @@
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
+	x.newDomain()
 	x.newLimits()
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
@@ -66,7 +69,7 @@
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
-		OnBorrow:  x.lend,
+		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
 		OnNotify:  x.steering.relay.Receive,
 	}
@@ -164,29 +167,6 @@
 	return a.EntryHosts
 }
 
-// siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
-func (x *parts) siblings() (names []string, self int) {
-	for _, m := range x.membership.Alive() {
-		if m.Domain == x.host.Settings.Domain {
-			if m.Name < x.host.Settings.Name {
-				self++
-			}
-			names = append(names, m.Name)
-		}
-	}
-	return append(names, x.host.Settings.Name), self
-}
-
-func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
-}
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
