Requests: at most once at the entry host, proof of not run, whole answers

Cause: the record of a non-idempotent request was written in the failure domain that ran it, so a forwarded repetition could meet another record; a lost insert could block an id for ever; any failure after the dial counted as run, and a refusal by the backend server itself was passed on as an answer. net/http repeats a POST with an Idempotency-Key and no body by itself on kept connections.

Change: package once stands at the entry host, before the own domain and the others. Package gate makes sent and refused one state. Package sealconn counts writes on the connection and closes the gap to net/http's writing goroutine. Package whole holds answers back up to 64 KiB and refuses those whose end cannot be told. Tickets run from the memory of one process. A leaving host tells everybody, then refuses, then waits.

Shown: with a plain Transport the test server counts 3 runs of 2 requests; with this package one run a request, with and without a body (go test ./upstream).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 
 	"celeryreach.example/celeryreach/credential"
@@ -49,12 +50,56 @@
 		return k
 	}
 	v := r.Header.Get("Authorization")
-	if len(v) > len(bearer) && strings.EqualFold(v[:len(bearer)], bearer) {
+	if hasBearer(v) {
 		return v[len(bearer):]
 	}
 	return ""
 }
 
+// Fault returns what is wrong with the way a request carries its key, empty if
+// nothing is. A key is sent in one place: a copy elsewhere, in the query, a
+// cookie or a Referer, would reach the backend server, and of two keys one
+// would be charged for the other's request.
+func Fault(r *http.Request) string {
+	a, x := r.Header["Authorization"], r.Header[KeyHeader]
+	if len(a) > 1 || len(x) > 1 {
+		return "the key is given twice"
+	}
+	if len(x) == 1 && len(a) == 1 && hasBearer(a[0]) {
+		return "the key is given in two places"
+	}
+	k := Key(r)
+	if k == "" {
+		return ""
+	}
+	if copied(r, k) {
+		return "the key is also in another part of the request"
+	}
+	return ""
+}
+
+func copied(r *http.Request, k string) bool {
+	t := r.URL.RequestURI()
+	if u, err := url.PathUnescape(t); strings.Contains(t, k) || err == nil && strings.Contains(u, k) {
+		return true
+	}
+	for n, l := range r.Header {
+		if n == "Authorization" || n == KeyHeader {
+			continue
+		}
+		for _, v := range l {
+			if u, err := url.PathUnescape(v); strings.Contains(v, k) || err == nil && strings.Contains(u, k) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hasBearer(v string) bool {
+	return len(v) > len(bearer) && strings.EqualFold(v[:len(bearer)], bearer)
+}
+
 // Strip removes the key from the headers of a request.
 func Strip(h http.Header) {
 	h.Del(KeyHeader)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -16,6 +16,9 @@
 func Main(args []string) int {
 	ctx, f := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer f()
+	// The first signal begins the graceful shutdown and gives the signals back
+	// to the system, so that a second one ends the process at once.
+	defer context.AfterFunc(ctx, f)()
 	c := &cli.Command{
 		Name:                  "celeryreach",
 		Usage:                 "steer requests from callers toward backend servers",
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,28 +4,30 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/budget"
 	"celeryreach.example/celeryreach/credential"
-	"celeryreach.example/celeryreach/idempotency"
+	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/queue"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/upstream"
+	"celeryreach.example/celeryreach/whole"
 )
 
-// wholeBytes is how much of an answer is held back until it is complete. A
-// longer answer that breaks off ends by breaking the caller's connection.
-const wholeBytes = 64 << 10
+// maxTries bounds the tries of one request, whatever the budget has left.
+const maxTries = 3
 
 // Dispatch serves requests of the host's own callers and forwarded ones alike.
+// It sends a non-idempotent request once, and again only after proof that it
+// did not run.
 type Dispatch struct {
 	// Clock measures deadlines.
 	Clock clockwork.Clock
@@ -33,139 +35,184 @@
 	Queue func(service string) *queue.Queue
 	// Valid reports whether a key still works.
 	Valid func(c credential.Credential) bool
-	// Idempotency records non-idempotent requests.
-	Idempotency *idempotency.Idempotency
 	// Upstream sends to backend servers.
 	Upstream *upstream.Upstream
 	// Timeout is the longest wait for a slot.
 	Timeout func() time.Duration
+	// Budget bounds second tries.
+	Budget *budget.Budget
+	// Hedge learns when an answer is late.
+	Hedge *hedge.Hedge
+	// Whole passes answers on.
+	Whole *whole.Whole
+	// Linger is how long a slot stays taken after a request was canceled: the
+	// backend server works on until it has seen the connection close.
+	Linger time.Duration
+}
+
+// try is one attempt to get the head of an answer.
+type try struct {
+	answer  *http.Response
+	slot    slot.Slot
+	outcome outcome.Outcome
+	index   int
 }
 
 // Serve runs r and writes the answer to w. The outcome is Answered, or says
-// why nothing was written to w.
+// why nothing was written to w. It panics with http.ErrAbortHandler when the
+// answer broke off after its head: only a broken connection tells the caller.
 func (d *Dispatch) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	x, f := clockwork.WithDeadline(ctx, d.Clock, r.Deadline)
+	defer f()
+	d.Budget.First()
+	if !r.NonIdempotent {
+		return d.race(x, r, w)
+	}
+	t := d.try(x, r, true, func() {})
+	for n := 1; n < maxTries && d.again(t.outcome, r); n++ {
+		t = d.try(x, r, true, func() {})
+	}
+	return d.finish(x, t, w)
+}
+
+// try waits for a slot and sends r. The slot is released when the outcome is
+// not empty.
+func (d *Dispatch) try(ctx context.Context, r *request.Request, fresh bool, sent func()) try {
 	q := d.Queue(r.Service.Name)
 	if q == nil {
-		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
+		return try{outcome: refuse(outcome.NoCapacity, "the service is not known here")}
+	}
+	l := r.Deadline.Sub(d.Clock.Now())
+	if l <= 0 {
+		return try{outcome: refuse(outcome.DeadlineExceeded, "the time ran out before the request was sent")}
+	}
+	s, o := q.Wait(ctx, r.Credential.Account, min(d.Timeout(), l))
+	if o.Outcome == outcome.Left && ctx.Err() != nil {
+		return try{outcome: ended(ctx, false)}
 	}
-	t := min(d.Timeout(), r.Deadline.Sub(d.Clock.Now()))
-	s, o := q.Wait(ctx, r.Credential.Account, t)
 	if o.Outcome != "" {
-		return o
+		return try{outcome: o}
 	}
 	// The key may have been withdrawn while the request waited.
 	if !d.Valid(r.Credential) {
 		s.Release(result.Unused)
-		return outcome.Outcome{Outcome: outcome.KeyUnknown, Ran: outcome.RanNo, Message: "the key was withdrawn"}
+		return try{outcome: refuse(outcome.KeyUnknown, "the key was withdrawn")}
 	}
-	if r.NonIdempotent && r.IdempotencyID != "" {
-		return d.once(ctx, r, s, w)
+	// The process may have been paused since the wait ended.
+	if ctx.Err() != nil || !r.Gate.Send() {
+		s.Release(result.Unused)
+		return try{outcome: refuse(outcome.Left, "the caller left")}
 	}
-	p, o := d.send(ctx, r, s)
-	if o.Outcome != "" {
-		return o
+	sent()
+	t := d.Clock.Now()
+	p, ran, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // finish or end closes it
+	if err == nil {
+		d.Hedge.Observe(r.Service.Name, d.Clock.Since(t))
+		return try{answer: p, slot: s}
 	}
-	return d.copy(p, s, w)
+	o = d.failed(ctx, r, s, ran, err)
+	if o.Ran == outcome.RanNo && !r.Gate.Return() {
+		o = refuse(outcome.Left, "the caller left")
+	}
+	return try{outcome: o}
 }
 
-// once runs a request that carries an id.
-func (d *Dispatch) once(ctx context.Context, r *request.Request, s slot.Slot, w http.ResponseWriter) outcome.Outcome {
-	a := r.Credential.Account
-	c, o := d.Idempotency.Begin(ctx, a, r.IdempotencyID, r.ID, r.Method+" "+r.Target)
-	if o.Outcome == outcome.Answered {
-		s.Release(result.Unused)
-		write(w, c.Status, c.Header, c.Body)
-		return o
-	}
-	if o.Outcome != "" {
-		s.Release(result.Unused)
-		return o
-	}
-	p, o := d.send(ctx, r, s)
-	if o.Outcome != "" {
-		if o.Ran == outcome.RanNo {
-			_ = d.Idempotency.Abandon(context.WithoutCancel(ctx), a, r.IdempotencyID)
-		}
-		return o
-	}
-	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
-	if err != nil {
+// failed releases the slot of a request without an answer and says what became
+// of the request.
+func (d *Dispatch) failed(ctx context.Context, r *request.Request, s slot.Slot, ran bool, err error) outcome.Outcome {
+	switch {
+	case errors.Is(err, upstream.ErrNotRun):
+		s.Release(result.Shed)
+		return refuse(outcome.NoCapacity, "the backend server had no room")
+	case ctx.Err() != nil:
+		d.linger(s, ran)
+		return ended(ctx, ran)
+	case !ran:
+		s.Release(result.Failed)
+		return refuse(outcome.NoCapacity, "the backend server could not be reached")
+	case r.NonIdempotent:
 		s.Release(result.Failed)
 		return outcome.Outcome{Outcome: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Message: err.Error()}
+	default:
+		s.Release(result.Failed)
+		return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
 	}
-	s.Release(result.Succeeded)
-	c.Done = true
-	c.Status = p.StatusCode
-	c.Header = p.Header
-	c.Body = b
-	_ = d.Idempotency.Finish(context.WithoutCancel(ctx), a, r.IdempotencyID, c)
-	write(w, c.Status, c.Header, c.Body)
-	return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
 }
 
-// send releases the slot itself when it returns an outcome.
-func (d *Dispatch) send(ctx context.Context, r *request.Request, s slot.Slot) (*http.Response, outcome.Outcome) {
-	p, ran, err := d.Upstream.Send(ctx, r, s.Backend)
-	if err == nil {
-		return p, outcome.Outcome{}
-	}
-	if ctx.Err() != nil {
-		s.Release(result.Canceled)
-		return nil, outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown}
-	}
-	s.Release(result.Failed)
-	if !ran {
-		return nil, outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the backend server refused the connection"}
-	}
-	if r.NonIdempotent {
-		return nil, outcome.Outcome{Outcome: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Message: err.Error()}
-	}
-	return nil, outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
+// again reports whether a try with this outcome may be followed by another.
+func (d *Dispatch) again(o outcome.Outcome, r *request.Request) bool {
+	shed := o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo && o.Message != ""
+	broke := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
+	if !shed && !broke || !rewind(r) {
+		return false
+	}
+	return d.Budget.Second()
 }
 
-func (d *Dispatch) copy(p *http.Response, s slot.Slot, w http.ResponseWriter) outcome.Outcome {
-	defer p.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(p.Body, wholeBytes))
-	if err != nil {
-		s.Release(result.Failed)
+// finish passes the answer of a try on, or returns its outcome.
+func (d *Dispatch) finish(ctx context.Context, t try, w http.ResponseWriter) outcome.Outcome {
+	if t.outcome.Outcome != "" {
+		return t.outcome
+	}
+	err := d.Whole.Copy(w, t.answer, func(err error) { d.free(ctx, t.slot, err) })
+	switch {
+	case err == nil:
+		return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+	case errors.Is(err, whole.ErrBackend) && ctx.Err() != nil:
+		return ended(ctx, true)
+	case errors.Is(err, whole.ErrBackend):
 		return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
+	default:
+		panic(http.ErrAbortHandler)
 	}
-	if len(b) < wholeBytes {
+}
+
+// free releases the slot of an answer that has come to its end.
+func (d *Dispatch) free(ctx context.Context, s slot.Slot, err error) {
+	switch {
+	case err == nil:
 		s.Release(result.Succeeded)
-		write(w, p.StatusCode, p.Header, b)
-		return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
-	}
-	head(w, p.StatusCode, p.Header, p.ContentLength)
-	_, err = w.Write(b)
-	if err == nil {
-		_, err = io.Copy(w, p.Body)
+	case ctx.Err() != nil, errors.Is(err, whole.ErrCaller):
+		d.linger(s, true)
+	default:
+		s.Release(result.Failed)
 	}
-	if err != nil {
+}
+
+// linger releases the slot of a canceled request once the backend server can
+// have stopped.
+func (d *Dispatch) linger(s slot.Slot, ran bool) {
+	if !ran || d.Linger <= 0 {
 		s.Release(result.Canceled)
-		// The status is out, so only a broken connection tells the caller
-		// that the answer is not whole.
-		panic(http.ErrAbortHandler)
+		return
 	}
-	s.Release(result.Succeeded)
-	return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+	d.Clock.AfterFunc(d.Linger, func() { s.Release(result.Canceled) })
 }
 
-func write(w http.ResponseWriter, status int, h http.Header, b []byte) {
-	head(w, status, h, int64(len(b)))
-	// A failed write means that the caller left; there is nobody to tell.
-	_, _ = w.Write(b)
+// ended is the outcome of a request whose context ended.
+func ended(ctx context.Context, ran bool) outcome.Outcome {
+	o := outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		o = refuse(outcome.DeadlineExceeded, "the time ran out")
+	}
+	if ran {
+		o.Ran = outcome.RanUnknown
+	}
+	return o
 }
 
-func head(w http.ResponseWriter, status int, h http.Header, n int64) {
-	for k, v := range h {
-		if k == "Connection" || k == "Content-Length" || k == "Transfer-Encoding" {
-			continue
-		}
-		w.Header()[k] = v
+// rewind makes the body ready for another try.
+func rewind(r *request.Request) bool {
+	if r.Body == nil {
+		return true
 	}
-	if n >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	if r.Rewind == nil {
+		return false
 	}
-	w.WriteHeader(status)
+	r.Body = r.Rewind()
+	return true
+}
+
+func refuse(o, m string) outcome.Outcome {
+	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m}
 }
--- /dev/null
+++ b/dispatch/race.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/request"
+)
+
+// race is the state of an idempotent request: its tries in flight and the
+// timer of the second one.
+type race struct {
+	dispatch *Dispatch
+	request  *request.Request
+	results  chan try
+	sent     chan struct{}
+	cancels  []context.CancelFunc
+	running  int
+}
+
+// race runs an idempotent request. A connection that has gone silent looks like
+// a slow backend server; a second try on a fresh connection answers in both
+// cases, and the first answer wins.
+func (d *Dispatch) race(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	a := &race{dispatch: d, request: r, results: make(chan try, maxTries), sent: make(chan struct{}, maxTries)}
+	defer a.end()
+	a.start(ctx, false)
+	return d.finish(ctx, a.run(ctx), w)
+}
+
+// run returns the first try that has an answer, or the last outcome.
+func (a *race) run(ctx context.Context) try {
+	var late clockwork.Timer
+	var c <-chan time.Time
+	for {
+		select {
+		case <-a.sent:
+			if late == nil {
+				late = a.dispatch.Clock.NewTimer(a.dispatch.Hedge.Delay(a.request.Service.Name))
+				defer late.Stop()
+				c = late.Chan()
+			}
+		case <-c:
+			c = nil
+			if a.more() && rewind(a.request) && a.dispatch.Budget.Second() {
+				a.start(ctx, true)
+			}
+		case t := <-a.results:
+			a.running--
+			if t.outcome.Outcome == "" {
+				a.winner(t)
+				return t
+			}
+			a.cancels[t.index]()
+			if a.running > 0 {
+				continue
+			}
+			if !a.more() || !a.dispatch.again(t.outcome, a.request) {
+				return t
+			}
+			a.start(ctx, true)
+		}
+	}
+}
+
+func (a *race) more() bool {
+	return len(a.cancels) < maxTries
+}
+
+func (a *race) start(ctx context.Context, fresh bool) {
+	x, f := context.WithCancel(ctx)
+	n := len(a.cancels)
+	a.cancels = append(a.cancels, f)
+	a.running++
+	go func(r request.Request) {
+		t := a.dispatch.try(x, &r, fresh, func() { a.sent <- struct{}{} })
+		t.index = n
+		a.results <- t
+	}(*a.request)
+}
+
+// winner cancels the other tries: the backend servers stop working on them
+// while the answer is passed on.
+func (a *race) winner(t try) {
+	for i, f := range a.cancels {
+		if i != t.index {
+			f()
+		}
+	}
+}
+
+// end waits for the tries that lost and gives back what they hold.
+func (a *race) end() {
+	for _, f := range a.cancels {
+		f()
+	}
+	for ; a.running > 0; a.running-- {
+		t := <-a.results
+		if t.answer != nil {
+			t.answer.Body.Close()
+			a.dispatch.linger(t.slot, true)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,12 +6,15 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/admission"
+	"celeryreach.example/celeryreach/hop"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/refusal"
@@ -27,6 +30,9 @@
 	TimeoutHeader = "Request-Timeout"
 )
 
+// maxID is the greatest length of a caller's id.
+const maxID = 255
+
 // Entry is the handler of all caller requests but look-ups.
 type Entry struct {
 	// Clock measures deadlines.
@@ -39,6 +45,11 @@
 	Admission *admission.Admission
 	// Quota admits against rate and burst.
 	Quota *quota.Quota
+	// Once runs requests with an id at most once, by calling run.
+	Once func(ctx context.Context, r *request.Request, w http.ResponseWriter, run func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome) outcome.Outcome
+	// Leaving reports whether the host is shutting down, and Closed whether
+	// it takes no new requests any more.
+	Leaving, Closed func() bool
 	// Local runs a request in the host's own failure domain.
 	Local func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
 	// Forward runs a request in another failure domain. It returns NoCapacity
@@ -53,9 +64,16 @@
 // ServeHTTP serves one caller request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	t := e.Clock.Now()
-	r, o := e.identify(h)
+	if e.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	b := &body{reader: h.Body, empty: h.ContentLength == 0}
+	r, o := e.identify(h, b)
+	if o.Outcome == "" && e.Closed() {
+		o = refuse(outcome.Leaving, "the host is shutting down")
+	}
 	if o.Outcome == "" {
-		o = e.serve(h.Context(), r, w)
+		o = e.guard(h.Context(), r, w)
 	}
 	e.Done(r, o, e.Clock.Since(t))
 	if o.Outcome == outcome.Answered {
@@ -63,23 +81,46 @@
 	}
 	e.Log.Info("request refused", "ID", r.ID, "Account", r.Credential.Account, "Service", r.Service.Name,
 		"Outcome", o.Outcome, "Ran", o.Ran, "Message", o.Message)
-	if o.Outcome == outcome.Left {
-		// The connection is gone or half closed; breaking it makes sure that
-		// nobody takes an empty answer for a whole one.
+	if o.Outcome == outcome.Left || o.Outcome == outcome.Broken {
+		// The connection is gone or half closed, or the answer is not whole;
+		// breaking it makes sure that nobody takes it for a whole one.
 		panic(http.ErrAbortHandler)
 	}
 	if o.Ran == outcome.RanNo {
 		o.EntryHosts = e.EntryHosts(r.Credential.Account, r.Service.Name)
 	}
+	b.leave(w)
 	refusal.Write(w, o)
 }
 
-func (e *Entry) identify(h *http.Request) (*request.Request, outcome.Outcome) {
+// guard turns an answer that broke off into an outcome, so that it is counted
+// like every other.
+func (e *Entry) guard(ctx context.Context, r *request.Request, w http.ResponseWriter) (o outcome.Outcome) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if p != http.ErrAbortHandler { //nolint:errorlint // a panic value, not an error chain
+			panic(p)
+		}
+		o = outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanUnknown, Message: "the answer broke off"}
+		if ctx.Err() != nil {
+			o = outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown, Message: "the caller left"}
+		}
+	}()
+	return e.serve(ctx, r, w)
+}
+
+func (e *Entry) identify(h *http.Request, b *body) (*request.Request, outcome.Outcome) {
 	r := &request.Request{ID: rand.Text(), Method: h.Method, Target: h.URL.RequestURI()}
 	c, ok := e.Admission.Identify(h)
 	if !ok {
 		return r, refuse(outcome.KeyUnknown, "the key is missing, wrong or withdrawn")
 	}
+	if f := admission.Fault(h); f != "" {
+		return r, refuse(outcome.BadRequest, f)
+	}
 	r.Credential = c
 	v, ok := e.Snapshot().Service(h.URL.Path)
 	if !ok {
@@ -90,10 +131,15 @@
 	if o.Outcome != "" {
 		return r, o
 	}
+	if f := idFault(h); f != "" {
+		return r, refuse(outcome.BadRequest, f)
+	}
 	r.Deadline = e.Clock.Now().Add(d)
-	r.Header = h.Header.Clone()
-	admission.Strip(r.Header)
-	r.Body = h.Body
+	r.Header = header(h)
+	if !b.empty {
+		r.Body = b
+	}
+	r.Touched = new(atomic.Bool)
 	r.Length = h.ContentLength
 	r.NonIdempotent = v.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
 	r.IdempotencyID = h.Header.Get(IdempotencyHeader)
@@ -107,23 +153,88 @@
 			Message: "the account's rate is used up", RetryAfter: time.Second,
 		}
 	}
+	o := e.once(ctx, r, w)
+	if o.Ran == outcome.RanNo {
+		e.Quota.Return(r.Credential.Account)
+	}
+	return o
+}
+
+func (e *Entry) once(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	if r.NonIdempotent && r.IdempotencyID != "" {
+		return e.Once(ctx, r, w, e.place)
+	}
+	return e.place(ctx, r, w)
+}
+
+// place tries the own failure domain, and another one if that refused.
+func (e *Entry) place(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	o := e.Local(ctx, r, w)
-	if o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo {
-		o = e.Forward(ctx, r, w)
+	if o.Outcome != outcome.NoCapacity || o.Ran != outcome.RanNo || !again(r) {
+		return o
+	}
+	if !r.Gate.Send() {
+		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
 	}
+	x, f := clockwork.WithDeadline(ctx, e.Clock, r.Deadline)
+	defer f()
+	o = e.Forward(x, r, w)
 	if o.Ran == outcome.RanNo {
-		e.Quota.Return(r.Credential.Account)
+		r.Gate.Return()
 	}
 	return o
 }
 
+// again reports whether the body can still be sent whole.
+func again(r *request.Request) bool {
+	if r.Rewind != nil {
+		r.Body = r.Rewind()
+		return true
+	}
+	return r.Body == nil || !r.Touched.Load()
+}
+
+// header returns what backend servers may see of the caller's header.
+func header(h *http.Request) http.Header {
+	r := h.Header.Clone()
+	admission.Strip(r)
+	hop.Strip(r)
+	// Both are settled between the caller and this host.
+	r.Del("Expect")
+	r.Del("Content-Length")
+	if h.ContentLength >= 0 {
+		r.Set("Content-Length", strconv.FormatInt(h.ContentLength, 10))
+	}
+	return r
+}
+
+// idFault returns what is wrong with the caller's id, empty if nothing is.
+func idFault(h *http.Request) string {
+	v := h.Header[IdempotencyHeader]
+	if len(v) > 1 {
+		return IdempotencyHeader + " is given twice"
+	}
+	if len(v) == 0 {
+		return ""
+	}
+	if v[0] == "" || len(v[0]) > maxID {
+		return IdempotencyHeader + " has no or too many characters"
+	}
+	for _, c := range []byte(v[0]) {
+		if c <= ' ' || c > '~' {
+			return IdempotencyHeader + " may hold printable ASCII without spaces only"
+		}
+	}
+	return ""
+}
+
 func timeout(h *http.Request, d time.Duration) (time.Duration, outcome.Outcome) {
-	v := h.Header.Get(TimeoutHeader)
-	if v == "" {
+	v := h.Header[TimeoutHeader]
+	if len(v) == 0 {
 		return d, outcome.Outcome{}
 	}
-	t, err := time.ParseDuration(v)
-	if err != nil || t <= 0 {
+	t, err := time.ParseDuration(v[0])
+	if err != nil || t <= 0 || len(v) > 1 {
 		return 0, refuse(outcome.BadRequest, TimeoutHeader+" is no duration, such as \"2s\"")
 	}
 	return min(t, d), outcome.Outcome{}
--- a/host/host.go
+++ b/host/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -42,6 +43,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
+
+	cut atomic.Int64
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
@@ -67,7 +70,11 @@
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
 	s := h.assemble(c, p, o)
 	err = s.Run(ctx)
-	h.Log.Info("host ended", "Host", h.Settings.Name)
+	n := h.cut.Load()
+	h.Log.Info("host ended", "Host", h.Settings.Name, "Cut", n)
+	if err == nil && n > 0 {
+		return errors.Errorf("%d requests were cut after %s", n, h.Settings.DrainTimeout)
+	}
 	return err
 }
 
@@ -84,7 +91,8 @@
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
-			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
+			{Name: "records", Run: x.requests.idempotency.Run},
+			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
 		},
 	}
 }
--- a/host/parts.go
+++ b/host/parts.go
@@ -12,10 +12,8 @@
 	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
-	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
-	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
@@ -28,7 +26,6 @@
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/status"
-	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -47,6 +44,7 @@
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
+	requests   requests
 }
 
 func (h *Host) parts() *parts {
@@ -57,9 +55,9 @@
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
-	x.dispatch = x.newDispatch()
+	x.newRequests()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
 	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
@@ -79,28 +77,6 @@
 	}
 }
 
-func (x *parts) newDispatch() *dispatch.Dispatch {
-	h := x.host
-	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
-		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
-		Upstream:    upstream.New(dialTimeout),
-		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
-	}
-}
-
-// callers is the handler of the caller address.
-func (x *parts) callers() http.Handler {
-	e := &entry.Entry{
-		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
-	}
-	m := http.NewServeMux()
-	m.Handle("GET /lookup", x.lookup)
-	m.Handle("/", e)
-	return m
-}
-
 // operators is the handler of the operator address.
 func (x *parts) operators() http.Handler {
 	return &operator.Operator{
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -11,8 +11,12 @@
 )
 
 const (
+	// Slow headers hold nothing but a connection, and that not for long.
 	headerTimeout = 5 * time.Second
 	headerBytes   = 64 << 10
+	// A kept connection without a request is closed, so that connections that
+	// went silent do not add up.
+	idleTimeout = 2 * time.Minute
 )
 
 // Httplisten serves one handler on one listener and lets requests in flight
@@ -22,13 +26,15 @@
 	Listener net.Listener
 	// Handler serves the requests.
 	Handler http.Handler
+	// Leave, if set, runs after ctx has ended and before the listener closes.
+	Leave func(ctx context.Context)
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
 }
 
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
-	s := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
+	s := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout}
 	e := make(chan error, 1)
 	go func() { e <- s.Serve(l.Listener) }()
 	select {
@@ -36,6 +42,9 @@
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
+	if l.Leave != nil {
+		l.Leave(context.WithoutCancel(ctx))
+	}
 	x, f := context.WithTimeout(context.WithoutCancel(ctx), l.DrainTimeout)
 	defer f()
 	err := s.Shutdown(x)
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -52,6 +52,17 @@
 	Running = "Running"
 	// Conflict is an id that was used before with another request body.
 	Conflict = "Conflict"
+	// AnswerNotKept is a request that ran and whose answer was too large to
+	// be given again.
+	AnswerNotKept = "AnswerNotKept"
+	// TicketElsewhere is a ticket of another host, which alone may run it.
+	TicketElsewhere = "TicketElsewhere"
+	// TooLarge is a request with an id whose body is too large to be compared
+	// with that of a repetition.
+	TooLarge = "TooLarge"
+	// Broken is an answer that broke off after its head had been sent; the
+	// caller's connection is cut, so it is counted, never sent.
+	Broken = "Broken"
 	// BackendFailed is a backend server that broke off; idempotent requests
 	// may be sent again.
 	BackendFailed = "BackendFailed"
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -24,6 +24,12 @@
 		return http.StatusBadRequest
 	case outcome.Running, outcome.Conflict:
 		return http.StatusConflict
+	case outcome.AnswerNotKept:
+		return http.StatusGone
+	case outcome.TicketElsewhere:
+		return http.StatusMisdirectedRequest
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
 	case outcome.BackendFailed, outcome.OutcomeUnknown:
 		return http.StatusBadGateway
 	case outcome.DeadlineExceeded:
--- a/request/request.go
+++ b/request/request.go
@@ -4,9 +4,11 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/gate"
 	"celeryreach.example/celeryreach/service"
 )
 
@@ -27,6 +29,12 @@
 	Header http.Header
 	// Body is the body; nil when there is none.
 	Body io.Reader
+	// Rewind returns the body from its start again; nil when it can be read
+	// only once.
+	Rewind func() io.Reader
+	// Touched is set before the first byte of the body is read: a body that
+	// cannot be rewound can then not be sent anew. It may be nil.
+	Touched *atomic.Bool
 	// Length is the body's length, -1 when it is not known.
 	Length int64
 	// Deadline is when the caller stops waiting.
@@ -35,4 +43,7 @@
 	NonIdempotent bool
 	// IdempotencyID is the caller's id of a non-idempotent request.
 	IdempotencyID string
+	// Gate decides between sending the request and giving it up; nil when the
+	// request's context alone decides.
+	Gate *gate.Gate
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -3,72 +3,105 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/sealconn"
+	"celeryreach.example/celeryreach/whole"
 )
 
-// IDHeader carries the id that a backend server echoes in its answer, so that
-// an answer that belongs to another request is found out.
-const IDHeader = "X-Request-Id"
+// Header fields that backend servers see.
+const (
+	// IDHeader carries the id that a backend server echoes in its answer, so
+	// that an answer that belongs to another request is found out.
+	IDHeader = "X-Request-Id"
+	// TimeoutHeader carries the time that is left, "1.5s" for example.
+	TimeoutHeader = "Request-Timeout"
+)
+
+const (
+	headerBytes = 64 << 10
+	// A connection that stops answering probes is closed after 5 s, also
+	// while a request waits on it: the answer of a peer that lost track of the
+	// connection would never come.
+	probeIdle     = 2 * time.Second
+	probeInterval = time.Second
+	probeCount    = 3
+)
+
+// ErrNotRun is the backend server's own word that it did not run the request.
+var ErrNotRun = errors.New("the backend server refused the request unrun")
 
 // Upstream sends requests through net/http's transports.
 type Upstream struct {
+	// Clock measures what is left of deadlines.
+	Clock clockwork.Clock
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 
 	reused http.Transport
 	fresh  http.Transport
+
+	mu     sync.Mutex
+	echoes map[string]bool
 }
 
 // New returns an Upstream that keeps idle connections for idempotent requests
 // only. A kept connection can have gone silent, and net/http repeats requests
 // on kept connections by itself.
-func New(dial time.Duration) *Upstream {
-	u := &Upstream{DialTimeout: dial}
-	d := net.Dialer{Timeout: dial}
-	u.reused.DialContext = d.DialContext
+func New(c clockwork.Clock, dial time.Duration) *Upstream {
+	u := &Upstream{Clock: c, DialTimeout: dial, echoes: make(map[string]bool)}
+	u.reused.DialContext = u.dial
 	u.reused.MaxIdleConnsPerHost = 8
 	u.reused.IdleConnTimeout = 10 * time.Second
 	u.reused.DisableCompression = true
-	u.fresh.DialContext = d.DialContext
+	u.reused.MaxResponseHeaderBytes = headerBytes
+	u.fresh.DialContext = u.dial
 	u.fresh.DisableKeepAlives = true
 	u.fresh.DisableCompression = true
+	u.fresh.MaxResponseHeaderBytes = headerBytes
 	return u
 }
 
-// Send sends r to b. Ran is false only if no byte of the request can have
-// reached the backend server.
-func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend) (p *http.Response, ran bool, err error) {
-	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+b.Address+r.Target, nil)
+// Send sends r to b, on a new connection if fresh is set or if r is not
+// idempotent. Ran is false only if it is proven that b did not run r: no byte
+// was written and none can be any more, or b itself says so.
+func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend, fresh bool) (p *http.Response, ran bool, err error) {
+	var n *sealconn.Sealconn
+	wrote := false
+	x := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		// net/http comes here again when it repeats an idempotent request by
+		// itself; what was written on the connection before counts too.
+		wrote = wrote || n != nil && !n.Seal()
+		n = i.Conn.(*sealconn.Sealconn)
+		n.Mark()
+	}})
+	y := &body{reader: r.Body, touched: r.Touched}
+	q, err := u.request(x, r, b, y)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "upstream request")
-	}
-	q.Header = r.Header.Clone()
-	q.Header.Set(IDHeader, r.ID)
-	q.ContentLength = r.Length
-	w := &body{reader: r.Body}
-	if r.NonIdempotent || r.Body != nil {
-		q.Body = w
+		return nil, false, err
 	}
 	t := &u.reused
-	if r.NonIdempotent {
+	if r.NonIdempotent || fresh {
 		t = &u.fresh
 	}
 	p, err = t.RoundTrip(q)
 	if err != nil {
-		return nil, !refused(err), errors.Wrap(err, "upstream")
+		y.seal()
+		return nil, wrote || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
 	}
-	if v := p.Header.Get(IDHeader); v != "" && v != r.ID {
+	ran, err = u.check(p, r, b)
+	if err != nil {
 		p.Body.Close()
-		return nil, true, errors.New("the answer belongs to another request")
+		return nil, ran, err
 	}
 	return p, true, nil
 }
@@ -79,30 +112,49 @@
 	u.fresh.CloseIdleConnections()
 }
 
-// refused reports whether the connection was never opened.
-func refused(err error) bool {
-	var o *net.OpError
-	return errors.As(err, &o) && o.Op == "dial"
-}
-
-// body hides the type of the caller's body from net/http, which repeats a
-// request by itself when it sees no body or one that it can read again.
-type body struct {
-	reader io.Reader
-	read   atomic.Int64
+func (u *Upstream) request(ctx context.Context, r *request.Request, b backend.Backend, y *body) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+b.Address+r.Target, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "upstream request")
+	}
+	q.Header = r.Header.Clone()
+	q.Header.Set(IDHeader, r.ID)
+	q.Header.Set(TimeoutHeader, r.Deadline.Sub(u.Clock.Now()).String())
+	q.ContentLength = r.Length
+	if r.NonIdempotent || r.Body != nil {
+		q.Body = y
+	}
+	return q, nil
 }
 
-// Read counts what the transport takes of the body.
-func (b *body) Read(p []byte) (int, error) {
-	if b.reader == nil {
-		return 0, io.EOF
+// check makes sure that an answer belongs to its request. A backend server
+// that has echoed ids before must go on doing so; one that never did is
+// trusted, since some cannot.
+func (u *Upstream) check(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error) {
+	v := p.Header.Get(IDHeader)
+	u.mu.Lock()
+	e := u.echoes[b.Address]
+	u.echoes[b.Address] = e || v == r.ID
+	u.mu.Unlock()
+	switch {
+	case v != "" && v != r.ID, v == "" && e:
+		return true, errors.New("the answer belongs to another request")
+	case p.StatusCode == http.StatusSwitchingProtocols:
+		return true, errors.New("the backend server changed the protocol")
+	case p.StatusCode == http.StatusServiceUnavailable && p.Header.Get(whole.NotRunHeader) != "":
+		return false, ErrNotRun
+	default:
+		return true, nil
 	}
-	n, err := b.reader.Read(p)
-	b.read.Add(int64(n))
-	return n, err
 }
 
-// Close leaves the caller's body to net/http's server, which owns it.
-func (b *body) Close() error {
-	return nil
+func (u *Upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: u.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &sealconn.Sealconn{Conn: c}, nil
 }
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,157 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/upstream"
+)
+
+// server answers the first request of each connection and closes the
+// connection after it has read the second one: the moment at which a restarted
+// backend server has run a request and its client cannot know.
+type server struct {
+	listener net.Listener
+	runs     atomic.Int64
+}
+
+func serve(t *testing.T, answers int) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	must.NoError(t, err)
+	s := &server{listener: l}
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.connection(c, answers)
+		}
+	}()
+	t.Cleanup(func() { l.Close(); <-d })
+	return s
+}
+
+func (s *server) connection(c net.Conn, answers int) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		s.runs.Add(1)
+		if n >= answers {
+			return
+		}
+		if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+	}
+}
+
+func post(body string) *request.Request {
+	r := &request.Request{
+		ID: "1", Method: http.MethodPost, Target: "/enrolments/1", NonIdempotent: true, Length: int64(len(body)),
+		Header: http.Header{"Idempotency-Key": {"deposit-1"}}, Deadline: time.Now().Add(time.Minute), //nolint:forbidigo // real sockets
+	}
+	if body != "" {
+		r.Body = strings.NewReader(body)
+	}
+	return r
+}
+
+// A family is charged twice: the deposit's POST goes out on a kept connection,
+// the backend server runs it and dies before it answers, and net/http sends it
+// again by itself, since a POST with an Idempotency-Key and no body counts as
+// replayable. This is the test of the tests below: it shows that their server
+// brings the fault about in a plain Transport.
+func TestPlainTransportRepeats(t *testing.T) {
+	s := serve(t, 1)
+	c := new(http.Transport)
+	defer c.CloseIdleConnections()
+	for range 2 {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.listener.Addr().String()+"/", nil)
+		must.NoError(t, err)
+		q.Header.Set("Idempotency-Key", "deposit-1")
+		p, err := c.RoundTrip(q)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, p.Body)
+		must.NoError(t, err)
+		p.Body.Close()
+	}
+	must.Eq(t, 3, s.runs.Load(), must.Sprint("two requests, the second one sent twice"))
+}
+
+// The same server, with and without a body, after connections have been kept:
+// each deposit runs once, and the caller is told that the outcome is unknown.
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	for _, b := range []string{"", "child=1"} {
+		s := serve(t, 1)
+		u := upstream.New(clockwork.NewRealClock(), time.Second)
+		defer u.Close()
+		a := backend.Backend{Address: s.listener.Addr().String()}
+		g := post(b)
+		g.Method = http.MethodGet
+		g.NonIdempotent = false
+		g.Body = nil
+		g.Length = 0
+		p, _, err := u.Send(t.Context(), g, a, false)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, p.Body)
+		must.NoError(t, err)
+		p.Body.Close()
+		p, _, err = u.Send(t.Context(), post(b), a, false)
+		must.NoError(t, err)
+		p.Body.Close()
+		must.Eq(t, 2, s.runs.Load())
+
+		s = serve(t, 0)
+		a.Address = s.listener.Addr().String()
+		_, ran, err := u.Send(t.Context(), post(b), a, false) //nolint:bodyclose // there is no answer
+		must.Error(t, err)
+		must.True(t, ran, must.Sprint("the request was read, so it may have run"))
+		must.Eq(t, 1, s.runs.Load())
+	}
+}
+
+// The backend server is gone: the connection is refused, so "not run" is true
+// and the deposit may be sent elsewhere.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	s := serve(t, 0)
+	s.listener.Close()
+	u := upstream.New(clockwork.NewRealClock(), time.Second)
+	_, ran, err := u.Send(t.Context(), post(""), backend.Backend{Address: s.listener.Addr().String()}, false) //nolint:bodyclose // there is no answer
+	must.Error(t, err)
+	must.False(t, ran)
+}
+
+// The caller leaves while the connection is being opened: nothing is written,
+// and nothing can be written later.
+func TestCanceledDialIsNotRun(t *testing.T) {
+	s := serve(t, 1)
+	x, f := context.WithCancel(t.Context())
+	f()
+	u := upstream.New(clockwork.NewRealClock(), time.Second)
+	_, ran, err := u.Send(x, post("child=1"), backend.Backend{Address: s.listener.Addr().String()}, false) //nolint:bodyclose // there is no answer
+	must.Error(t, err)
+	must.False(t, ran)
+	must.Eq(t, 0, s.runs.Load())
+}
