--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -28,7 +28,7 @@
 }
 
 func serve(t *testing.T, answers int) *server {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a test's listener
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s := &server{listener: l}
 	d := make(chan struct{})
