--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,24 @@
+package capacity_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/capacity"
+	"celeryreach.example/celeryreach/target"
+)
+
+// The page is made by this command, so each of its roles must come out of a
+// run, with no cost that was not measured.
+func TestShortRun(t *testing.T) {
+	var b strings.Builder
+	c := &capacity.Capacity{Clock: clockwork.NewRealClock(), Target: target.New(), Out: &b, Short: true}
+	must.NoError(t, c.Run(t.Context()))
+	for _, r := range []string{"look-up", "admission", "membership", "quota", "configuration", "planner", "idempotency"} {
+		must.StrContains(t, b.String(), "\n| "+r+" |")
+	}
+	must.StrNotContains(t, b.String(), "NaN")
+}
--- /dev/null
+++ b/capacity/fixtures.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/blocktable"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/part"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/record"
+	"celeryreach.example/celeryreach/region"
+	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/span"
+	"celeryreach.example/celeryreach/wire"
+)
+
+const (
+	hold      = 3 * time.Second
+	beatEvery = 200 * time.Millisecond
+	// services is how many services the fixtures have.
+	services = 3
+	// keysPerAccount leaves room for a key in use and one that replaces it.
+	keysPerAccount = 2
+)
+
+func encode(v any) []byte {
+	b, err := codec.Marshal(v)
+	if err != nil {
+		panic(err) // fixtures hold nothing that JSON cannot
+	}
+	return b
+}
+
+// beat is a heartbeat that names peers and the demand of accounts.
+func beat(peers, accounts int) *wire.Heartbeat {
+	h := &wire.Heartbeat{Protocol: 1, From: newHost(0), Sequence: 1 << 20, KeyAgeNanoseconds: 1}
+	for _, k := range []string{"Config", "Plan", "Division"} {
+		h.Versions = append(h.Versions, &wire.Version{Kind: k, Version: 1 << 20, Hash: credential.Hash(k)})
+	}
+	for i := range services {
+		h.Loads = append(h.Loads, &wire.Load{
+			Service: fmt.Sprint("service-", i), Slots: 60, Busy: 30, Waiting: 3,
+			Answers: 1 << 30, Failures: 1 << 10, AnswerNanoseconds: 1 << 50,
+		})
+	}
+	for i := range peers {
+		h.Known = append(h.Known, newHost(i))
+	}
+	for i := range accounts {
+		h.Demands = append(h.Demands, &wire.Demand{Account: newName(i), Rate: 12.5})
+	}
+	return h
+}
+
+func newName(i int) string {
+	return fmt.Sprint("account-", i)
+}
+
+func newHost(i int) *wire.Host {
+	m := newMember(i)
+	return &wire.Host{
+		Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain, Region: m.Region,
+		CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress, OperatorAddress: m.OperatorAddress,
+	}
+}
+
+func newMember(i int) member.Member {
+	a := netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}).String()
+	return member.Member{
+		Name: fmt.Sprintf("domain-%d-host-%d", i%27, i), Incarnation: 1<<63 + uint64(i),
+		Domain: fmt.Sprint("domain-", i%27), Region: fmt.Sprint("region-", i%9),
+		CallerAddress: a + ":7000", PeerAddress: a + ":7001", OperatorAddress: a + ":7002",
+	}
+}
+
+func newHolder(i int) holder.Holder {
+	m := newMember(i)
+	return holder.Holder{Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain, Region: m.Region}
+}
+
+// newDivision has n parts: ten holders of n/10 accounts.
+func newDivision(n int) *division.Division {
+	const holders = 10
+	d := &division.Division{Epoch: 1, Author: newHolder(0).Name, Parts: make(map[string]map[string]part.Part), FloorFraction: 0.5}
+	for i := range holders {
+		d.Holders = append(d.Holders, newHolder(i))
+		d.Floors = append(d.Floors, newHolder(i).Domain)
+	}
+	for i := range max(1, n/holders) {
+		m := make(map[string]part.Part, holders)
+		for j, h := range d.Holders {
+			m[h.Name] = part.Part{
+				Floor:  []span.Span{{From: uint32(j * 1000), To: uint32(j*1000 + 500)}},
+				Leased: []span.Span{{From: uint32(j*1000 + 500), To: uint32(j*1000 + 1000)}},
+			}
+		}
+		d.Parts[division.RatePrefix+newName(i)] = m
+	}
+	return d
+}
+
+func newConfig(n int) *config.Config {
+	c := &config.Config{Version: 1, Preset: "Ordinary", Presets: []preset.Preset{{Name: "Ordinary", MaxWait: time.Second, LookupTTL: time.Minute}}}
+	for i := range 9 {
+		c.Regions = append(c.Regions, region.Region{Name: fmt.Sprint("region-", i)})
+	}
+	for i := range services {
+		n := fmt.Sprint("service-", i)
+		c.Services = append(c.Services, service.Service{Name: n, Prefix: "/" + n + "/", Timeout: time.Second})
+	}
+	for i := range n {
+		a := newName(i)
+		c.Accounts = append(c.Accounts, account.Account{Name: a, Rate: 10, Burst: 5})
+		for j := range keysPerAccount {
+			k := fmt.Sprintf("%s-%d", a, j)
+			c.Keys = append(c.Keys, credential.Credential{ID: k, Account: a, Hash: credential.Hash(k)})
+		}
+	}
+	return c
+}
+
+func newBlocks(n int) *blocktable.Blocktable {
+	l := make([]block.Block, n)
+	for i := range l {
+		l[i] = newBlock(i)
+	}
+	t := new(blocktable.Blocktable)
+	if err := t.Replace(l); err != nil {
+		panic(err) // the blocks are good
+	}
+	return t
+}
+
+// newBlock returns the i-th /24, in an order that is spread over the addresses.
+func newBlock(i int) block.Block {
+	p, err := address(i).Prefix(24)
+	if err != nil {
+		panic(err) // 24 bits fit an IPv4 address
+	}
+	return block.Block{Prefix: p, Region: fmt.Sprint("region-", i%9)}
+}
+
+func address(i int) netip.Addr {
+	// An odd factor permutes the 2^24 blocks.
+	n := uint32(i) * 2654435 % (1 << 24)
+	return netip.AddrFrom4([4]byte{byte(n >> 16), byte(n >> 8), byte(n), 1})
+}
+
+func newRecord(answer int) record.Record {
+	return record.Record{
+		Attempt: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Host: "domain-1-host-1", Incarnation: 1 << 63,
+		Digest: credential.Hash(""), State: record.Done, Status: 200, Body: make([]byte, answer),
+	}
+}
--- /dev/null
+++ b/capacity/measurements.go
@@ -0,0 +1,183 @@
+package capacity
+
+import (
+	"runtime"
+
+	"google.golang.org/protobuf/proto"
+
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/delta"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/holding"
+	"celeryreach.example/celeryreach/measurement"
+	"celeryreach.example/celeryreach/roster"
+	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/validate"
+	"celeryreach.example/celeryreach/wire"
+)
+
+// Names of the measured costs.
+const (
+	beatBytes      = "heartbeat, bytes by peers named"
+	beatTime       = "heartbeat written and read, by peers named"
+	demandBytes    = "heartbeat, bytes by accounts with demand"
+	divisionBytes  = "division, bytes by parts"
+	divisionTime   = "division read and taken, by parts"
+	snapshotBytes  = "configuration in memory, by accounts"
+	readTime       = "configuration read and indexed, by accounts"
+	validateTime   = "configuration checked, by accounts"
+	deltaTime      = "delta applied, by accounts"
+	blockBytes     = "client blocks in memory, by blocks"
+	blockTime      = "client block found, by blocks"
+	blockChange    = "client block changed, by blocks"
+	rosterTime     = "roster of hosts made, by hosts"
+	lookupTime     = "look-up answered, by hosts"
+	admitTime      = "request admitted, by accounts"
+	admitBytes     = "admission in memory, by accounts"
+	gaugeTime      = "loads summed up, by hosts"
+	ticketBytes    = "used tickets in memory, by tickets"
+	recordBytes    = "record of a request, bytes by answer bytes"
+	deltaWireBytes = "delta, bytes by accounts"
+	contentBytes   = "configuration, bytes by accounts"
+	memberBytes    = "member of the roster, bytes by hosts"
+)
+
+func (c *Capacity) sizes(s ...int) []int {
+	if !c.Short {
+		return s
+	}
+	r := make([]int, len(s))
+	for i := range s {
+		r[i] = max(i+1, s[i]/100)
+	}
+	return r
+}
+
+func (c *Capacity) measurements() []measurement.Measurement {
+	few := c.sizes(10, 100, 1_000)
+	many := c.sizes(1_000, 10_000, 100_000)
+	blocks := c.sizes(22_000, 220_000, 2_200_000)
+	return []measurement.Measurement{
+		{Name: beatBytes, Unit: "B", Per: "peers", Sizes: few, Measure: func(n int) float64 { return float64(proto.Size(beat(n, 0))) }},
+		{Name: beatTime, Unit: "ns", Per: "peers", Sizes: few, Measure: c.beatTime},
+		{Name: demandBytes, Unit: "B", Per: "accounts", Sizes: few, Measure: func(n int) float64 { return float64(proto.Size(beat(0, n))) }},
+		{Name: divisionBytes, Unit: "B", Per: "parts", Sizes: few, Measure: func(n int) float64 { return float64(len(encode(newDivision(n)))) }},
+		{Name: divisionTime, Unit: "ns", Per: "parts", Sizes: few, Measure: c.divisionTime},
+		{Name: snapshotBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: snapshotSize},
+		{Name: readTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.readTime},
+		{Name: validateTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: func(n int) float64 {
+			v := newConfig(n)
+			return measurement.Time(c.Clock, func() { validate.Config(v) })
+		}},
+		{Name: deltaTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.deltaTime},
+		{Name: deltaWireBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: func(n int) float64 { return float64(len(changed(n).delta)) }},
+		{Name: contentBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: func(n int) float64 { return float64(len(encode(newConfig(n)))) }},
+		{Name: blockBytes, Unit: "B", Per: "blocks", Sizes: blocks, Measure: blockSize},
+		{Name: blockTime, Unit: "ns", Per: "blocks", Sizes: blocks, Measure: c.blockTime},
+		{Name: blockChange, Unit: "ns", Per: "blocks", Sizes: blocks, Measure: c.blockChange},
+		{Name: rosterTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.rosterTime},
+		{Name: memberBytes, Unit: "B", Per: "hosts", Sizes: few, Measure: func(n int) float64 {
+			return measurement.Bytes(func() any { return roster.New(members(n), slots) })
+		}},
+		{Name: lookupTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.lookupTime},
+		{Name: admitTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.admitTime},
+		{Name: admitBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: c.admitSize},
+		{Name: gaugeTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.gaugeTime},
+		{Name: ticketBytes, Unit: "B", Per: "tickets", Sizes: many, Measure: c.ticketSize},
+		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: few, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
+	}
+}
+
+func (c *Capacity) beatTime(n int) float64 {
+	h := beat(n, 0)
+	return measurement.Time(c.Clock, func() {
+		b, err := proto.Marshal(h)
+		if err != nil {
+			panic(err) // a heartbeat holds nothing that cannot be written
+		}
+		if err := proto.Unmarshal(b, new(wire.Heartbeat)); err != nil {
+			panic(err) // it was just written
+		}
+	})
+}
+
+// divisionTime is what a host spends on a new epoch.
+func (c *Capacity) divisionTime(n int) float64 {
+	b := encode(newDivision(n))
+	h := &holding.Holding{Clock: c.Clock, Self: newHolder(0), Hold: hold, StoreHold: hold, Every: beatEvery}
+	e := uint64(0)
+	return measurement.Time(c.Clock, func() {
+		var d division.Division
+		if err := codec.Unmarshal(b, &d); err != nil {
+			panic(err) // it was just written
+		}
+		e++
+		d.Epoch = e
+		h.Learn(d, c.Clock.Now())
+	})
+}
+
+func snapshotSize(n int) float64 {
+	return measurement.Bytes(func() any { return snapshot.New(newConfig(n), "") })
+}
+
+// readTime is what today's code spends on each version on every host.
+func (c *Capacity) readTime(n int) float64 {
+	b := encode(newConfig(n))
+	return measurement.Time(c.Clock, func() {
+		v := new(config.Config)
+		if err := codec.Unmarshal(b, v); err != nil {
+			panic(err) // it was just written
+		}
+		snapshot.New(v, "")
+	})
+}
+
+// version is a configuration before and after a change of one account.
+type version struct {
+	before []byte
+	delta  []byte
+}
+
+func changed(n int) version {
+	v := newConfig(n)
+	a := encode(v)
+	v.Accounts[n/2].Rate++
+	return version{before: a, delta: delta.Make(a, encode(v))}
+}
+
+func (c *Capacity) deltaTime(n int) float64 {
+	v := changed(n)
+	return measurement.Time(c.Clock, func() {
+		if _, err := delta.Apply(v.before, v.delta); err != nil {
+			panic(err) // it was made from these two
+		}
+	})
+}
+
+func blockSize(n int) float64 {
+	return measurement.Bytes(func() any { return newBlocks(n) })
+}
+
+func (c *Capacity) blockTime(n int) float64 {
+	t := newBlocks(n)
+	i := 0
+	d := measurement.Time(c.Clock, func() {
+		i += 7919 // a prime, so that caches do not answer
+		t.Find(address(i % n))
+	})
+	runtime.KeepAlive(t)
+	return d
+}
+
+func (c *Capacity) blockChange(n int) float64 {
+	t := newBlocks(n)
+	b := newBlock(n / 2)
+	return measurement.Time(c.Clock, func() {
+		if err := t.Change([]block.Block{b}, nil); err != nil {
+			panic(err) // the block is as good as those in the table
+		}
+	})
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -83,6 +83,6 @@
 		m.drainCommand(),
 		m.statusCommand(),
 		m.lookupCommand(),
-		experimentCommand(),
+		m.experimentCommand(),
 	}
 }
--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -8,7 +8,7 @@
 	"celeryreach.example/celeryreach/experiment"
 )
 
-func experimentCommand() *cli.Command {
+func (m *Cmd) experimentCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "experiment",
 		Usage: "measure decisions by simulation, without sockets and with a fake clock",
@@ -16,6 +16,7 @@
 			experimentQuotaCommand(),
 			experimentQueueCommand(),
 			experimentConfigCommand(),
+			m.experimentCapacityCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/slope/slope_test.go
@@ -0,0 +1,25 @@
+package slope_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/slope"
+)
+
+// Points of a line give that line, whatever the line is.
+func TestLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.Float64Range(0, 1e6).Draw(t, "base")
+		e := rapid.Float64Range(0, 1e3).Draw(t, "each")
+		x := []float64{10, 100, 1000}
+		var y []float64
+		for _, v := range x {
+			y = append(y, b+e*v)
+		}
+		s := slope.New(x, y)
+		must.InDelta(t, b+e*1e6, s.At(1e6), 1e-3*(b+e*1e6)+1e-3)
+	})
+}
