Forwarding: growth cap, links, silent streams, several targets, reused connections

Cause: a forwarded request tried one host with a dial each, consumed its body, waited for ever on a silent connection, and a refusal after the answer had begun was written into it. The receiving domain took all that came.

Change: a receiving domain admits traffic from elsewhere as fast as its growth cap and the link back allow; senders count bytes on links, try up to three domains while each proves 'not run', keep short bodies and read long ones only when a domain has admitted the request; both ends send signs of life and end silent streams after 3 s; idle connections are reused for idempotent requests.

Measured: go test -race -count=10 ./receive ./forward ./pulse passes; growth and linklimit hold their bounds in property tests with their own arithmetic.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,14 +1,17 @@
 // Package forward passes requests that the own failure domain cannot take to a
-// host of another one.
+// host of another one, which admits them or refuses them unrun.
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
@@ -16,125 +19,170 @@
 	"celeryreach.example/celeryreach/wire"
 )
 
-const pieceBytes = 32 << 10
+const (
+	pieceBytes = 32 << 10
+	// bodyBytes is the longest body that is kept for a second target. A
+	// longer one is read when a target has admitted the request.
+	bodyBytes = 64 << 10
+	// maxTargets bounds the tries of one request.
+	maxTargets = 3
+)
 
-// Forward is the sending side.
+// Forward is the sending side. A request goes one hop: the receiving host runs
+// it in its own failure domain or refuses it, so that two overloaded domains
+// cannot send each other the same requests.
 type Forward struct {
 	// Clock measures deadlines.
 	Clock clockwork.Clock
+	// Region is the region of this host.
+	Region string
+	// Version returns the version of the configuration in force.
+	Version func() uint64
 	// Targets returns hosts of other failure domains that may take a request
 	// of a service, best first.
 	Targets func(service string) []member.Member
-	// Open starts a stream to a host.
-	Open func(ctx context.Context, address string) (wire.DRPCPeer_ForwardClient, func(), error)
+	// Link admits the bytes of a request on the link to a region. The function
+	// it returns corrects them by what was sent.
+	Link func(region string, bytes int64) (sent func(int64), retry time.Duration, ok bool)
+	// Open starts a stream to a host. Reused tells that its connection carried
+	// others before; fresh forbids that. Done ends the stream.
+	Open func(ctx context.Context, address string, fresh bool) (s wire.DRPCPeer_ForwardClient, reused bool, done func(clean bool), err error)
+	// Limit is how many requests are forwarded at once.
+	Limit int
+
+	mu     sync.Mutex
+	active int
 }
 
-// Serve tries one target and writes the answer to w. The receiving host admits
-// the request or refuses it.
+// Serve passes r on and writes the answer to w. Another target follows only
+// when the one before has proven that it did not run the request.
 func (f *Forward) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	t := f.Targets(r.Service.Name)
-	if len(t) == 0 {
-		return refuse("no failure domain has a free slot")
+	if !f.begin() {
+		return refuse("too many requests are forwarded", time.Second)
 	}
-	s, done, err := f.Open(ctx, t[0].PeerAddress)
+	defer f.end()
+	b, err := load(r)
 	if err != nil {
-		return refuse("the other failure domain cannot be reached")
+		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller's body broke off"}
 	}
-	defer done()
-	if err := f.send(s, r); err != nil {
-		return lost(r, err)
+	o := refuse("no failure domain has a free slot", time.Second)
+	n := 0
+	for _, m := range f.Targets(r.Service.Name) {
+		if n == maxTargets || b.spent() || ctx.Err() != nil {
+			break
+		}
+		n++
+		v := f.target(ctx, m, r, b, w)
+		if !tryNext(v) {
+			return v
+		}
+		// The caller hears of the earliest time that any target named.
+		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.RetryAfter {
+			v.RetryAfter = o.RetryAfter
+		}
+		o = v
 	}
-	return receive(s, r, w)
+	return o
 }
 
-func (f *Forward) send(s wire.DRPCPeer_ForwardClient, r *request.Request) error {
-	h := &wire.Request{
-		Id: r.ID, Account: r.Credential.Account, Service: r.Service.Name, Method: r.Method, Target: r.Target,
-		Headers: headers(r.Header), TimeoutNanoseconds: int64(r.Deadline.Sub(f.Clock.Now())),
-		IdempotencyId: r.IdempotencyID, KeyId: r.Credential.Hash,
+// target sends r to one host, and again on a fresh connection if the reused one
+// showed no life at all and a second run does no harm.
+func (f *Forward) target(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) outcome.Outcome {
+	sent, retry, ok := f.Link(m.Region, b.size(r))
+	if !ok {
+		return refuse("the link to the other region is full", retry)
 	}
-	if err := s.Send(&wire.Frame{Part: &wire.Frame_Request{Request: h}}); err != nil {
-		return err
+	c := &count{writer: w}
+	defer func() { sent(c.sent.Load()) }()
+	a := &attempt{forward: f, request: r, body: b, count: c}
+	o := a.run(ctx, m.PeerAddress, r.NonIdempotent)
+	if o.Outcome == outcome.BackendFailed && a.reused && !a.heard && !b.spent() && ctx.Err() == nil {
+		a = &attempt{forward: f, request: r, body: b, count: c}
+		o = a.run(ctx, m.PeerAddress, true)
 	}
-	if r.Body != nil {
-		if err := pieces(r.Body, func(b []byte) error {
-			return s.Send(&wire.Frame{Part: &wire.Frame_Body{Body: b}})
-		}); err != nil {
-			return err
-		}
+	return o
+}
+
+func (f *Forward) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active >= f.Limit {
+		return false
 	}
-	return s.Send(&wire.Frame{Part: &wire.Frame_End{End: true}})
+	f.active++
+	return true
 }
 
-func receive(s wire.DRPCPeer_ForwardClient, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	begun := false
-	for {
-		m, err := s.Recv()
-		if err != nil {
-			if begun {
-				// The status is out, so only a broken connection tells the
-				// caller that the answer is not whole.
-				panic(http.ErrAbortHandler)
-			}
-			return lost(r, err)
-		}
-		switch v := m.Part.(type) {
-		case *wire.Frame_Refusal:
-			return outcome.Outcome{
-				Outcome: v.Refusal.Outcome, Ran: v.Refusal.Ran, Message: v.Refusal.Message,
-				RetryAfter: time.Duration(v.Refusal.RetryAfterNanoseconds),
-			}
-		case *wire.Frame_Answer:
-			for _, h := range v.Answer.Headers {
-				w.Header()[h.Name] = h.Values
-			}
-			w.WriteHeader(int(v.Answer.Status))
-			begun = true
-		case *wire.Frame_Body:
-			if _, err := w.Write(v.Body); err != nil {
-				return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown}
-			}
-		case *wire.Frame_End:
-			return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
-		}
+func (f *Forward) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active--
+}
+
+// tryNext reports whether another domain may take the request: it did not run,
+// and the reason lies in the domain that refused it.
+func tryNext(o outcome.Outcome) bool {
+	return o.Ran == outcome.RanNo && (o.Outcome == outcome.NoCapacity || o.Outcome == outcome.Leaving)
+}
+
+// body is the caller's body, kept whole if it is short.
+type body struct {
+	whole  []byte
+	rest   io.Reader
+	length int64
+	read   bool
+}
+
+func load(r *request.Request) (*body, error) {
+	if r.Body == nil {
+		return &body{}, nil
+	}
+	if r.Length > bodyBytes {
+		return &body{rest: r.Body, length: r.Length}, nil
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, bodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "body")
+	}
+	if len(b) <= bodyBytes {
+		return &body{whole: b, length: int64(len(b))}, nil
 	}
+	return &body{rest: io.MultiReader(bytes.NewReader(b), r.Body), length: int64(len(b))}, nil
 }
 
-// lost is the outcome of a request whose stream broke after it was sent.
-func lost(r *request.Request, err error) outcome.Outcome {
-	o := outcome.BackendFailed
-	if r.NonIdempotent {
-		o = outcome.OutcomeUnknown
+// spent reports whether a part of the body is gone.
+func (b *body) spent() bool {
+	return b.read
+}
+
+// reader returns the body from its start.
+func (b *body) reader() io.Reader {
+	if b.rest == nil {
+		return bytes.NewReader(b.whole)
 	}
-	return outcome.Outcome{Outcome: o, Ran: outcome.RanUnknown, Message: err.Error()}
+	b.read = true
+	return b.rest
 }
 
-func refuse(m string) outcome.Outcome {
-	return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: m, RetryAfter: time.Second}
+// known returns the body's length, -1 when it is not known.
+func (b *body) known(r *request.Request) int64 {
+	if b.rest == nil {
+		return b.length
+	}
+	return r.Length
 }
 
-func pieces(r io.Reader, send func(b []byte) error) error {
-	b := make([]byte, pieceBytes)
-	for {
-		n, err := r.Read(b)
-		if n > 0 {
-			if err := send(b[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
+// size estimates the bytes of a request on the link.
+func (b *body) size(r *request.Request) int64 {
+	n := b.length + int64(len(r.Target))
+	for k, v := range r.Header {
+		for _, s := range v {
+			n += int64(len(k) + len(s))
 		}
 	}
+	return n
 }
 
-func headers(h http.Header) []*wire.Header {
-	var r []*wire.Header
-	for k, v := range h {
-		r = append(r, &wire.Header{Name: k, Values: v})
-	}
-	return r
+func refuse(m string, d time.Duration) outcome.Outcome {
+	return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: m, RetryAfter: d}
 }
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/wire"
+)
+
+// rig is a Forward over streams that play the other end from a script.
+type rig struct {
+	clock   *clockwork.FakeClock
+	forward *Forward
+	targets []member.Member
+	plays   map[string][][]string
+	full    string
+	mu      sync.Mutex
+	log     []string
+	bytes   int64
+	ended   chan struct{}
+	result  string
+	cancel  context.CancelFunc
+}
+
+func newRig() *rig {
+	r := &rig{clock: clockwork.NewFakeClock(), plays: map[string][][]string{}}
+	r.forward = &Forward{
+		Clock: r.clock, Region: "here", Version: func() uint64 { return 7 }, Limit: 2, Open: r.open,
+		Targets: func(string) []member.Member { return r.targets },
+		Link: func(region string, n int64) (func(int64), time.Duration, bool) {
+			if region == r.full {
+				return nil, 3 * time.Second, false
+			}
+			r.bytes += n
+			return func(s int64) { r.bytes += s - n }, 0, true
+		},
+	}
+	return r
+}
+
+func (r *rig) note(f string, a ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log = append(r.log, fmt.Sprintf(f, a...))
+}
+
+func (r *rig) notes() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.log, " ")
+}
+
+func (r *rig) open(ctx context.Context, a string, fresh bool) (wire.DRPCPeer_ForwardClient, bool, func(bool), error) {
+	if len(r.plays[a]) == 0 {
+		return nil, false, nil, errors.New("refused")
+	}
+	p := r.plays[a][0]
+	r.plays[a] = r.plays[a][1:]
+	reused := p[0] == "reused"
+	if reused {
+		if fresh {
+			return nil, false, nil, errors.New("a fresh connection was asked for")
+		}
+		p = p[1:]
+	}
+	s := &stream{rig: r, ctx: ctx, name: a, play: p, whole: make(chan struct{})}
+	return s, reused, func(clean bool) {
+		if !clean {
+			r.note("%s:closed", a)
+		}
+	}, nil
+}
+
+// stream plays one word of its script for each frame that is read.
+type stream struct {
+	wire.DRPCPeer_ForwardClient
+	rig   *rig
+	ctx   context.Context
+	name  string
+	play  []string
+	body  int
+	whole chan struct{}
+}
+
+func (s *stream) Send(m *wire.Frame) error {
+	switch v := m.Part.(type) {
+	case *wire.Frame_Request:
+		s.rig.note("%s:head", s.name)
+	case *wire.Frame_Body:
+		s.body += len(v.Body)
+	case *wire.Frame_End:
+		s.rig.note("%s:body=%d", s.name, s.body)
+		close(s.whole)
+	}
+	return s.ctx.Err()
+}
+
+func (s *stream) Recv() (*wire.Frame, error) {
+	if len(s.play) == 0 {
+		return nil, io.EOF
+	}
+	w, arg, _ := strings.Cut(s.play[0], "=")
+	s.play = s.play[1:]
+	switch w {
+	case "alive":
+		return &wire.Frame{Part: &wire.Frame_Alive{Alive: true}}, nil
+	case "wanted":
+		return &wire.Frame{Part: &wire.Frame_BodyWanted{BodyWanted: true}}, nil
+	case "whole": // waits for the whole body
+		<-s.whole
+		return s.Recv()
+	case "refuse":
+		o, ran, _ := strings.Cut(arg, ",")
+		f := &wire.Refusal{Outcome: o, Ran: ran, RetryAfterNanoseconds: int64(2 * time.Second)}
+		return &wire.Frame{Part: &wire.Frame_Refusal{Refusal: f}}, nil
+	case "head":
+		n, _ := strconv.Atoi(arg)
+		return &wire.Frame{Part: &wire.Frame_Answer{Answer: &wire.Answer{Status: int32(n)}}}, nil
+	case "body":
+		return &wire.Frame{Part: &wire.Frame_Body{Body: []byte(arg)}}, nil
+	case "large":
+		return &wire.Frame{Part: &wire.Frame_Body{Body: make([]byte, heldBytes+1)}}, nil
+	case "end":
+		return &wire.Frame{Part: &wire.Frame_End{End: true}}, nil
+	case "silent":
+		<-s.ctx.Done()
+		return nil, s.ctx.Err()
+	default:
+		return nil, errors.New("cut")
+	}
+}
+
+// serve starts one request; it runs until the script ends it.
+func (r *rig) serve(method string, size int) {
+	x, f := context.WithCancel(context.Background())
+	r.cancel = f
+	r.ended = make(chan struct{})
+	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST"}
+	if size > 0 {
+		q.Body = strings.NewReader(strings.Repeat("x", size))
+		q.Length = int64(size)
+	}
+	go func() {
+		defer close(r.ended)
+		w := httptest.NewRecorder()
+		defer func() {
+			if p := recover(); p != nil {
+				r.result = fmt.Sprint("aborted after ", w.Code)
+			}
+		}()
+		o := r.forward.Serve(x, q, w)
+		r.result = fmt.Sprintf("%s ran=%s", o.Outcome, o.Ran)
+		if o.Outcome == outcome.Answered {
+			r.result = fmt.Sprintf("%d %s", w.Code, w.Body.String()[:min(20, w.Body.Len())])
+		} else if o.RetryAfter > 0 {
+			r.result += " retry=" + o.RetryAfter.String()
+		}
+	}()
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Values["rig"] = newRig()
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			// target NAME REGION WORDS...: one stream to a host plays WORDS.
+			"target": func(s *testscript.TestScript, _ bool, a []string) {
+				r := get(s)
+				if _, ok := r.plays[a[0]]; !ok {
+					r.targets = append(r.targets, member.Member{Name: a[0], PeerAddress: a[0], Region: a[1]})
+				}
+				r.plays[a[0]] = append(r.plays[a[0]], a[2:])
+				if len(a) == 2 {
+					r.plays[a[0]] = [][]string{}
+				}
+			},
+			"linkfull": func(s *testscript.TestScript, _ bool, a []string) { get(s).full = a[0] },
+			"serve": func(s *testscript.TestScript, _ bool, a []string) {
+				n, err := strconv.Atoi(a[1])
+				s.Check(err)
+				get(s).serve(a[0], n)
+			},
+			// silence lets time pass until the request has ended.
+			"silence": func(s *testscript.TestScript, _ bool, _ []string) { pass(get(s).clock, get(s).ended) },
+			"leave": func(s *testscript.TestScript, _ bool, _ []string) {
+				s.Check(get(s).clock.BlockUntilContext(context.Background(), 1))
+				get(s).cancel()
+			},
+			"result": func(s *testscript.TestScript, _ bool, a []string) {
+				<-get(s).ended
+				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).result)
+			},
+			"sent": func(s *testscript.TestScript, _ bool, a []string) {
+				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).notes())
+			},
+			"bytes": func(s *testscript.TestScript, _ bool, a []string) {
+				must.EqOp(fatal{s}, a[0], strconv.FormatInt(get(s).bytes, 10))
+			},
+		},
+	})
+}
+
+// pass advances the clock second by second. How many it takes depends on when
+// the parties begin to wait; package pulse's own test counts them.
+func pass(c *clockwork.FakeClock, ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-time.After(time.Millisecond): //nolint:forbidigo // lets goroutines run
+			c.Advance(time.Second)
+		}
+	}
+}
+
+type fatal struct{ script *testscript.TestScript }
+
+func (f fatal) Helper() {}
+
+func (f fatal) Fatalf(m string, a ...any) { f.script.Fatalf(m, a...) }
+
+func get(s *testscript.TestScript) *rig { return s.Value("rig").(*rig) }
--- /dev/null
+++ b/growth/growth_test.go
@@ -0,0 +1,89 @@
+package growth
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const interval = 10 * time.Second
+
+func newGrowth(c clockwork.Clock, part, idle float64) *Growth {
+	return &Growth{
+		Clock: c, Cap: func() float64 { return part }, Interval: func() time.Duration { return interval },
+		Idle: func() float64 { return idle },
+	}
+}
+
+// A region fails and its callers come here as fast as they can. If all were let
+// in, this domain would fail next and then the one after it. Whatever arrives,
+// an interval admits at most what the last one did and the cap's growth of it,
+// by the test's own count.
+func TestNeverFasterThanCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := clockwork.NewFakeClock()
+		f := rapid.Float64Range(0.05, 1).Draw(t, "cap")
+		idle := rapid.Float64Range(0, 5).Draw(t, "idle")
+		g := newGrowth(c, f, idle)
+		last, lastAll := 0, 0
+		for i := range 6 {
+			n, own := 0, 0
+			for range 100 {
+				for range rapid.IntRange(0, 20).Draw(t, "arrive") {
+					if _, ok := g.Admit(); ok {
+						n++
+					}
+				}
+				for range rapid.IntRange(0, 5).Draw(t, "own") {
+					g.Note()
+					own++
+				}
+				c.Advance(interval / 100)
+			}
+			if i > 0 {
+				m := float64(last) + f*max(float64(lastAll), idle*interval.Seconds())
+				// One request may come at once whatever the rate is.
+				must.LessEq(t, m+minBurst+0.001, float64(n))
+			}
+			last, lastAll = n, n+own
+		}
+	})
+}
+
+// The refused callers come again when they are told to. Then there must be room,
+// or they only add to the rush.
+func TestRetryIsTrue(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	g := newGrowth(c, 0.5, 4)
+	for range 5 {
+		d, ok := g.Admit()
+		for !ok {
+			must.Positive(t, d)
+			c.Advance(d)
+			d, ok = g.Admit()
+			must.True(t, ok)
+		}
+	}
+}
+
+// An idle domain takes over a region step by step until it carries all of it.
+func TestGrowsToDemand(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	g := newGrowth(c, 0.5, 4)
+	var n []int
+	for range 14 {
+		k := 0
+		for range 1000 {
+			if _, ok := g.Admit(); ok {
+				k++
+			}
+			c.Advance(interval / 1000)
+		}
+		n = append(n, k)
+	}
+	must.Less(t, 30, n[0])
+	must.GreaterEq(t, 950, n[13])
+}
--- a/host/parts.go
+++ b/host/parts.go
@@ -14,8 +14,10 @@
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
+	"celeryreach.example/celeryreach/growth"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
+	"celeryreach.example/celeryreach/linklimit"
 	"celeryreach.example/celeryreach/loan"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
@@ -29,6 +31,7 @@
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/status"
+	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -44,6 +47,9 @@
 	lanes      *lanes.Lanes
 	loan       *loan.Loan
 	probe      *probe.Probe
+	links      *linklimit.Linklimit
+	growth     *growth.Growth
+	streams    *streampool.Streampool
 	quota      *quota.Quota
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
@@ -61,8 +67,7 @@
 	x.newDomain()
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
 	x.dispatch = x.newDispatch()
-	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
+	x.newForwarding()
 	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
@@ -96,7 +101,7 @@
 func (x *parts) callers() http.Handler {
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
+		Quota: x.quota, Local: x.local, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
--- a/receive/receive.go
+++ b/receive/receive.go
@@ -3,26 +3,33 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/pulse"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/wire"
 )
 
-// Receive is the receiving side of forwarding.
+const (
+	pulseEvery = time.Second
+	maxSilence = 3 * time.Second
+)
+
+// Receive is the receiving side of forwarding. It never forwards in turn.
 type Receive struct {
 	// Clock measures deadlines.
 	Clock clockwork.Clock
 	// Snapshot returns the configuration in force, nil before the first.
 	Snapshot func() *snapshot.Snapshot
+	// Admit admits a request from a region, or returns the outcome that
+	// refuses it. The function it returns is told how the request ended and
+	// how many bytes of the answer were sent.
+	Admit func(r *request.Request, region string) (ended func(o outcome.Outcome, bytes int64), o outcome.Outcome)
 	// Serve runs a request in the host's own failure domain.
 	Serve func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
 }
@@ -37,21 +44,52 @@
 	if h == nil {
 		return nil
 	}
+	// The sender learns at once that this connection works.
+	if err := s.Send(&wire.Frame{Part: &wire.Frame_Alive{Alive: true}}); err != nil {
+		return err
+	}
 	r, o := v.request(h)
-	w := &answer{stream: s, header: make(http.Header)}
-	if o.Outcome == "" {
-		r.Body = &body{stream: s}
-		o = v.serve(s.Context(), r, w)
+	if o.Outcome != "" {
+		return refuse(s, o)
 	}
+	ended, o := v.Admit(r, h.FromRegion)
+	if o.Outcome != "" {
+		return refuse(s, o)
+	}
+	w := &answer{stream: s, header: make(http.Header)}
+	o = v.run(s, r, h.HasBody, w)
+	ended(o, w.bytes)
 	if w.err != nil {
 		return w.err
 	}
 	if o.Outcome == outcome.Answered {
+		w.WriteHeader(http.StatusOK) // sends nothing if there is a head
 		return s.Send(&wire.Frame{Part: &wire.Frame_End{End: true}})
 	}
-	return s.Send(&wire.Frame{Part: &wire.Frame_Refusal{Refusal: &wire.Refusal{
-		Outcome: o.Outcome, Ran: o.Ran, Message: o.Message, RetryAfterNanoseconds: int64(o.RetryAfter),
-	}}})
+	return refuse(s, o)
+}
+
+// run serves r while it watches the sender. When the caller has left, or the
+// sender has gone silent, ctx ends and with it the request.
+func (v *Receive) run(s wire.DRPCPeer_ForwardStream, r *request.Request, hasBody bool, w *answer) outcome.Outcome {
+	x, cancel := context.WithCancel(s.Context())
+	p := &pulse.Pulse{
+		Clock: v.Clock, Every: pulseEvery, First: maxSilence, Silence: maxSilence, Lost: cancel,
+		Send: func() error { return s.Send(&wire.Frame{Part: &wire.Frame_Alive{Alive: true}}) },
+	}
+	b := &body{stream: s, pulse: p, ctx: x, pieces: make(chan []byte), ended: make(chan error, 1)}
+	if hasBody {
+		r.Body = b
+	}
+	d := make(chan struct{})
+	go p.Run(x, d)
+	// It ends with the stream, which the return of Stream ends.
+	go b.read(cancel)
+	defer func() {
+		cancel()
+		<-d
+	}()
+	return v.serve(x, r, w)
 }
 
 // serve ends a stream without its end frame when the answer broke off.
@@ -71,41 +109,52 @@
 	r := &request.Request{
 		ID: h.Id, Method: h.Method, Target: h.Target, Header: make(http.Header, len(h.Headers)),
 		Deadline: v.Clock.Now().Add(time.Duration(h.TimeoutNanoseconds)), IdempotencyID: h.IdempotencyId,
+		Length: h.Length,
 	}
 	for _, x := range h.Headers {
 		r.Header[x.Name] = x.Values
 	}
-	r.Length = length(r.Header)
 	s := v.Snapshot()
 	if s == nil {
-		return r, outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
+		return r, refusal(outcome.NoCapacity, "the host has no configuration yet")
 	}
 	c, ok := s.Key(h.KeyId)
-	if !ok {
-		return r, outcome.Outcome{Outcome: outcome.KeyUnknown, Ran: outcome.RanNo, Message: "the key was withdrawn"}
+	switch {
+	case ok:
+	case s.Config.Version < h.ConfigVersion:
+		// The sender knows a newer configuration, so the key may be new; to
+		// call it withdrawn would be false.
+		return r, refusal(outcome.NoCapacity, "the host has an older configuration")
+	default:
+		return r, refusal(outcome.KeyUnknown, "the key was withdrawn")
 	}
 	r.Credential = c
 	for _, x := range s.Config.Services {
 		if x.Name == h.Service {
 			r.Service = x
+			r.NonIdempotent = x.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
+			return r, outcome.Outcome{}
 		}
 	}
-	r.NonIdempotent = r.Service.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
-	return r, outcome.Outcome{}
+	return r, refusal(outcome.NoCapacity, "the host does not know the service")
 }
 
-func length(h http.Header) int64 {
-	n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
-	if err != nil {
-		return -1
-	}
-	return n
+func refusal(o, m string) outcome.Outcome {
+	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: time.Second}
+}
+
+func refuse(s wire.DRPCPeer_ForwardStream, o outcome.Outcome) error {
+	return s.Send(&wire.Frame{Part: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+		Outcome: o.Outcome, Ran: o.Ran, Message: o.Message, RetryAfterNanoseconds: int64(o.RetryAfter),
+	}}})
 }
 
 // answer sends what a handler writes as frames.
 type answer struct {
 	stream wire.DRPCPeer_ForwardStream
 	header http.Header
+	begun  bool
+	bytes  int64
 	err    error
 }
 
@@ -116,19 +165,28 @@
 
 // WriteHeader sends the head of the answer.
 func (a *answer) WriteHeader(status int) {
+	if a.begun || status < http.StatusOK {
+		return
+	}
+	a.begun = true
 	m := &wire.Answer{Status: int32(status)}
 	for k, v := range a.header {
 		m.Headers = append(m.Headers, &wire.Header{Name: k, Values: v})
+		for _, s := range v {
+			a.bytes += int64(len(k) + len(s))
+		}
 	}
 	a.send(&wire.Frame{Part: &wire.Frame_Answer{Answer: m}})
 }
 
 // Write sends a piece of the body.
 func (a *answer) Write(b []byte) (int, error) {
+	a.WriteHeader(http.StatusOK)
 	a.send(&wire.Frame{Part: &wire.Frame_Body{Body: b}})
 	if a.err != nil {
 		return 0, a.err
 	}
+	a.bytes += int64(len(b))
 	return len(b), nil
 }
 
@@ -137,32 +195,3 @@
 		a.err = a.stream.Send(m)
 	}
 }
-
-// body reads the body frames of a stream. A stream that ends without its end
-// frame is an error, so that a cut body is never taken for a whole one.
-type body struct {
-	stream wire.DRPCPeer_ForwardStream
-	rest   []byte
-	ended  bool
-}
-
-// Read returns the next piece of the body.
-func (b *body) Read(p []byte) (int, error) {
-	for len(b.rest) == 0 {
-		if b.ended {
-			return 0, io.EOF
-		}
-		m, err := b.stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return 0, io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return 0, err
-		}
-		b.rest = m.GetBody()
-		b.ended = m.GetEnd()
-	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
-	return n, nil
-}
