--- a/probe/probe.go
+++ b/healthcheck/healthcheck.go
@@ -1,5 +1,5 @@
-// Package probe asks backend servers for their health.
-package probe
+// Package healthcheck asks backend servers for their health.
+package healthcheck
 
 import (
 	"context"
@@ -18,9 +18,9 @@
 // 6 ms, and silent ones must not hold up the others.
 const concurrent = 8
 
-// Probe asks at regular intervals, each time on a new connection: an old one
+// Healthcheck asks at regular intervals, each time on a new connection: an old one
 // may have gone silent while the backend server is well.
-type Probe struct {
+type Healthcheck struct {
 	// Clock paces the probes.
 	Clock clockwork.Clock
 	// Interval is the time between two probes of a backend server.
@@ -34,7 +34,7 @@
 }
 
 // Run probes until ctx ends.
-func (p *Probe) Run(ctx context.Context) error {
+func (p *Healthcheck) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		p.round(ctx)
 		select {
@@ -45,7 +45,7 @@
 	return nil
 }
 
-func (p *Probe) round(ctx context.Context) {
+func (p *Healthcheck) round(ctx context.Context) {
 	b := p.Backends()
 	d := make(chan struct{}, len(b))
 	s := make(chan struct{}, concurrent)
@@ -61,7 +61,7 @@
 	}
 }
 
-func (p *Probe) probe(ctx context.Context, b backend.Backend, done func()) {
+func (p *Healthcheck) probe(ctx context.Context, b backend.Backend, done func()) {
 	defer done()
 	x, f := clockwork.WithTimeout(ctx, p.Clock, p.Timeout)
 	defer f()
--- a/host/domain.go
+++ b/host/domain.go
@@ -10,15 +10,15 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/growth"
+	"celeryreach.example/celeryreach/healthcheck"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/link"
 	"celeryreach.example/celeryreach/linklimit"
-	"celeryreach.example/celeryreach/loan"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
-	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -39,7 +39,7 @@
 // failure domain.
 func (x *parts) newDomain() {
 	h := x.host
-	x.loan = &loan.Loan{
+	x.loan = &slotloan.Slotloan{
 		Clock: h.Clock, Host: h.Settings.Name, Longest: h.Settings.Hold * 9 / 10,
 		Siblings: x.lenders, Ask: x.peerclient.Borrow,
 	}
@@ -53,7 +53,7 @@
 	x.loan.Adopt = x.lanes.Adopt
 	x.loan.Kick = x.lanes.Kick
 	x.loan.Lend = x.lanes.Lend
-	x.probe = &probe.Probe{
+	x.probe = &healthcheck.Healthcheck{
 		Clock: h.Clock, Interval: probeEvery, Timeout: probeTimeout, Backends: x.lanes.Suspects, Report: x.lanes.Probed,
 	}
 }
@@ -134,7 +134,7 @@
 
 // borrow answers a request for a loan.
 func (x *parts) borrow(b *wire.BorrowRequest) *wire.BorrowResponse {
-	if strings.HasPrefix(b.Limit, loan.Prefix) {
+	if strings.HasPrefix(b.Limit, slotloan.Prefix) {
 		return x.loan.Receive(b)
 	}
 	return &wire.BorrowResponse{}
--- a/host/parts.go
+++ b/host/parts.go
@@ -15,10 +15,10 @@
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/growth"
+	"celeryreach.example/celeryreach/healthcheck"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/linklimit"
-	"celeryreach.example/celeryreach/loan"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
@@ -26,10 +26,10 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
-	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/status"
 	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/upstream"
@@ -45,8 +45,8 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
-	loan       *loan.Loan
-	probe      *probe.Probe
+	loan       *slotloan.Slotloan
+	probe      *healthcheck.Healthcheck
 	links      *linklimit.Linklimit
 	growth     *growth.Growth
 	streams    *streampool.Streampool
--- a/loan/loan.go
+++ b/slotloan/slotloan.go
@@ -1,9 +1,9 @@
-// Package loan lends free slots between the hosts of a failure domain. Each
+// Package slotloan lends free slots between the hosts of a failure domain. Each
 // slot of a backend server has one owner; a loan lets a sibling run requests on
 // it until a deadline. The owner closes the slot before it answers and opens it
 // again when the loan was returned or its deadline is over. A lost message costs
 // a slot for a while; nothing makes two of one.
-package loan
+package slotloan
 
 import (
 	"context"
@@ -35,8 +35,8 @@
 	pending = 16
 )
 
-// Loan is the borrowing and the lending side of one host.
-type Loan struct {
+// Slotloan is the borrowing and the lending side of one host.
+type Slotloan struct {
 	// Clock measures the loans.
 	Clock clockwork.Clock
 	// Host is the name of this host.
@@ -84,7 +84,7 @@
 
 // Acquire takes a borrowed slot for a request that ends at a time. If there is
 // none it asks the siblings, and Kick is called when one has lent.
-func (l *Loan) Acquire(service string, until time.Time) (slot.Slot, bool) {
+func (l *Slotloan) Acquire(service string, until time.Time) (slot.Slot, bool) {
 	v := l.take(service, until)
 	if v == nil {
 		l.want(service, until)
@@ -99,7 +99,7 @@
 }
 
 // Run asks for and returns loans until ctx ends.
-func (l *Loan) Run(ctx context.Context) error {
+func (l *Slotloan) Run(ctx context.Context) error {
 	c := l.channel()
 	t := l.Clock.NewTicker(idle)
 	defer t.Stop()
@@ -116,7 +116,7 @@
 }
 
 // Receive takes a sibling's message.
-func (l *Loan) Receive(b *wire.BorrowRequest) *wire.BorrowResponse {
+func (l *Slotloan) Receive(b *wire.BorrowRequest) *wire.BorrowResponse {
 	if b.Returned {
 		l.end(b.Loan)
 		return &wire.BorrowResponse{Lender: l.Host}
@@ -137,7 +137,7 @@
 	return &wire.BorrowResponse{Units: 1, Lender: l.Host, ForNanoseconds: int64(d), Backend: n}
 }
 
-func (l *Loan) take(service string, until time.Time) *borrowed {
+func (l *Slotloan) take(service string, until time.Time) *borrowed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, v := range l.borrowed {
@@ -149,7 +149,7 @@
 	return nil
 }
 
-func (l *Loan) free(v *borrowed) {
+func (l *Slotloan) free(v *borrowed) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v.busy = false
@@ -157,7 +157,7 @@
 }
 
 // want has the siblings asked, unless they just refused.
-func (l *Loan) want(service string, until time.Time) {
+func (l *Slotloan) want(service string, until time.Time) {
 	c := l.channel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -181,11 +181,11 @@
 
 // usable is the part of a loan in which the borrower may start requests that
 // end within it.
-func (l *Loan) usable(d time.Duration) time.Duration {
+func (l *Slotloan) usable(d time.Duration) time.Duration {
 	return d - time.Duration(drift*float64(d)) - stop
 }
 
-func (l *Loan) borrow(ctx context.Context, service string) {
+func (l *Slotloan) borrow(ctx context.Context, service string) {
 	defer func() {
 		l.mu.Lock()
 		delete(l.wanted, service)
@@ -202,7 +202,7 @@
 	l.mu.Unlock()
 }
 
-func (l *Loan) ask(ctx context.Context, m member.Member, service string) bool {
+func (l *Slotloan) ask(ctx context.Context, m member.Member, service string) bool {
 	x, f := clockwork.WithTimeout(ctx, l.Clock, askTimeout)
 	defer f()
 	// Counted from before the message left, so that the loan ends here before
@@ -226,7 +226,7 @@
 
 // giveBack returns the loans that nobody used for a while. They are forgotten
 // first: after a message that may have arrived the slot is the lender's again.
-func (l *Loan) giveBack(ctx context.Context) {
+func (l *Slotloan) giveBack(ctx context.Context) {
 	for _, v := range l.unused() {
 		x, f := clockwork.WithTimeout(ctx, l.Clock, askTimeout)
 		// If this is lost, the loan ends by its deadline.
@@ -235,7 +235,7 @@
 	}
 }
 
-func (l *Loan) unused() []*borrowed {
+func (l *Slotloan) unused() []*borrowed {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.Clock.Now()
@@ -255,7 +255,7 @@
 	return r
 }
 
-func (l *Loan) note(id uint64, v lent) {
+func (l *Slotloan) note(id uint64, v lent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.Clock.Now()
@@ -270,7 +270,7 @@
 	l.lent[id] = v
 }
 
-func (l *Loan) end(id uint64) {
+func (l *Slotloan) end(id uint64) {
 	l.mu.Lock()
 	v, ok := l.lent[id]
 	delete(l.lent, id)
@@ -280,7 +280,7 @@
 	}
 }
 
-func (l *Loan) channel() chan string {
+func (l *Slotloan) channel() chan string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.wants == nil {
