--- a/host/domain.go
+++ b/host/domain.go
@@ -7,7 +7,9 @@
 	"strings"
 	"time"
 
+	"celeryreach.example/celeryreach/author"
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/growth"
 	"celeryreach.example/celeryreach/healthcheck"
@@ -35,25 +37,51 @@
 	forwards          = 1000
 )
 
-// newDomain makes the parts that look after the backend servers of the host's
-// failure domain.
+// site holds the parts that look after the backend servers of the host's
+// failure domain, and that pass requests between domains.
+type site struct {
+	loan    *slotloan.Slotloan
+	checks  *healthcheck.Healthcheck
+	links   *linklimit.Linklimit
+	growth  *growth.Growth
+	streams *streampool.Streampool
+}
+
+// newDomain makes them.
 func (x *parts) newDomain() {
+	x.site = new(site)
+	x.newLanes()
+	x.newForwarding()
+}
+
+// children are the supervised parts of the domain.
+func (d *site) children(x *parts) []child.Child {
+	return []child.Child{
+		{Name: "lanes", Run: x.lanes.Run},
+		{Name: "healthcheck", Run: d.checks.Run},
+		{Name: "slotloan", Run: d.loan.Run},
+		{Name: "streams", Run: d.streams.Run},
+	}
+}
+
+func (x *parts) newLanes() {
 	h := x.host
-	x.loan = &slotloan.Slotloan{
+	d := x.site
+	d.loan = &slotloan.Slotloan{
 		Clock: h.Clock, Host: h.Settings.Name, Longest: h.Settings.Hold * 9 / 10,
-		Siblings: x.lenders, Ask: x.peerclient.Borrow,
+		Siblings: x.slotLenders, Ask: x.peerclient.Borrow,
 	}
 	x.lanes = &lanes.Lanes{
 		Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot,
-		Slots: x.slots, Borrowed: x.loan.Acquire,
+		Slots: x.slots, Borrowed: d.loan.Acquire,
 		Drained: func(name, sign string, d time.Duration) {
 			h.Log.Info("backend server drained", "Backend", name, "Sign", sign, "Took", d)
 		},
 	}
-	x.loan.Adopt = x.lanes.Adopt
-	x.loan.Kick = x.lanes.Kick
-	x.loan.Lend = x.lanes.Lend
-	x.probe = &healthcheck.Healthcheck{
+	d.loan.Adopt = x.lanes.Adopt
+	d.loan.Kick = x.lanes.Kick
+	d.loan.Lend = x.lanes.Lend
+	d.checks = &healthcheck.Healthcheck{
 		Clock: h.Clock, Interval: probeEvery, Timeout: probeTimeout, Backends: x.lanes.Suspects, Report: x.lanes.Probed,
 	}
 }
@@ -61,31 +89,32 @@
 // newForwarding makes the parts that pass requests between failure domains.
 func (x *parts) newForwarding() {
 	h := x.host
-	x.links = &linklimit.Linklimit{Clock: h.Clock, Links: x.linksInForce, Part: x.fraction}
-	x.streams = &streampool.Streampool{
-		Clock: h.Clock, Dial: h.Dial, Idle: streamIdle, PerAddress: streamsPerAddress, Dials: dials,
+	d := x.site
+	d.links = &linklimit.Linklimit{Clock: h.Clock, Links: x.linksInForce, Part: x.limits.holding.Part}
+	d.streams = &streampool.Streampool{
+		Clock: h.Clock, Dial: h.dialPeer, Idle: streamIdle, PerAddress: streamsPerAddress, Dials: dials,
 	}
 	x.forward = &forward.Forward{
-		Clock: h.Clock, Region: h.Settings.Region, Targets: x.targets, Open: x.streams.Open, Limit: forwards,
+		Clock: h.Clock, Region: h.Settings.Region, Targets: x.targets, Open: d.streams.Open, Limit: forwards,
 		Version: func() uint64 { return x.follower.Snapshot().Config.Version },
 		Link: func(region string, n int64) (func(int64), time.Duration, bool) {
-			return x.links.Take(h.Settings.Region, region, n)
+			return d.links.Take(h.Settings.Region, region, n)
 		},
 	}
-	x.growth = &growth.Growth{
+	d.growth = &growth.Growth{
 		Clock:    h.Clock,
 		Cap:      func() float64 { return x.follower.Snapshot().Preset.GrowthCap },
 		Interval: func() time.Duration { return x.follower.Snapshot().Preset.ShiftInterval },
 		Idle:     x.idleRate,
 	}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Admit: x.admitForwarded, Serve: x.dispatch.Serve}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Admit: x.admitForwarded, Serve: x.serve}
 }
 
 // local runs a request of an own caller.
 func (x *parts) local(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	o := x.dispatch.Serve(ctx, r, w)
+	o := x.serve(ctx, r, w)
 	if o.Ran != outcome.RanNo {
-		x.growth.Note()
+		x.site.growth.Note()
 	}
 	return o
 }
@@ -93,15 +122,15 @@
 // admitForwarded lets a request of another failure domain in as fast as the
 // growth cap and the link back allow.
 func (x *parts) admitForwarded(r *request.Request, region string) (func(o outcome.Outcome, bytes int64), outcome.Outcome) {
-	t, ok := x.growth.Admit()
+	t, ok := x.site.growth.Admit()
 	if !ok {
 		return nil, outcome.Outcome{
 			Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "traffic from elsewhere grows too fast", RetryAfter: t,
 		}
 	}
-	sent, t, ok := x.links.Take(x.host.Settings.Region, region, r.Service.AnswerBytes)
+	sent, t, ok := x.site.links.Take(x.host.Settings.Region, region, r.Service.AnswerBytes)
 	if !ok {
-		x.growth.Return()
+		x.site.growth.Return()
 		return nil, outcome.Outcome{
 			Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the link to the caller's region is full", RetryAfter: t,
 		}
@@ -109,7 +138,7 @@
 	return func(o outcome.Outcome, n int64) {
 		sent(n)
 		if o.Ran == outcome.RanNo {
-			x.growth.Return()
+			x.site.growth.Return()
 		}
 	}, outcome.Outcome{}
 }
@@ -135,14 +164,14 @@
 // borrow answers a request for a loan.
 func (x *parts) borrow(b *wire.BorrowRequest) *wire.BorrowResponse {
 	if strings.HasPrefix(b.Limit, slotloan.Prefix) {
-		return x.loan.Receive(b)
+		return x.site.loan.Receive(b)
 	}
-	return &wire.BorrowResponse{}
+	return x.lend(b)
 }
 
-// lenders returns the hosts of the own failure domain that report more than
+// slotLenders returns the hosts of the own failure domain that report more than
 // one free slot of a service, those with the most first.
-func (x *parts) lenders(service string) []member.Member {
+func (x *parts) slotLenders(service string) []member.Member {
 	return x.ranked(service, func(m member.Member, free int) bool {
 		return m.Domain == x.host.Settings.Domain && free > 1
 	})
@@ -197,11 +226,7 @@
 	return append(names, x.host.Settings.Name), self
 }
 
+// slots returns how many slots of a backend server this host owns.
 func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
+	return len(x.limits.holding.Slots(author.SlotsPrefix+b.Domain, b.Slots))
 }
--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/certs"
 	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/httplisten"
@@ -20,7 +21,6 @@
 )
 
 const (
-	configPoll     = time.Second
 	restartBackoff = time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
@@ -40,8 +40,12 @@
 	Incarnation uint64
 	// Dial opens connections to other hosts; nil means plain TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Listen opens the listeners of the host; nil means plain TCP.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 	// Counter counts how requests ended.
 	Counter *counter.Counter
+
+	peers *certs.Certs
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
@@ -49,21 +53,28 @@
 	if h.Dial == nil {
 		h.Dial = dial
 	}
-	c, err := listen(ctx, h.Settings.CallerAddress)
+	if h.Listen == nil {
+		h.Listen = listen
+	}
+	c, err := h.Listen(ctx, h.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "CallerAddress")
 	}
 	defer c.Close()
-	p, err := listen(ctx, h.Settings.PeerAddress)
+	p, err := h.Listen(ctx, h.Settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "PeerAddress")
 	}
 	defer p.Close()
-	o, err := listen(ctx, h.Settings.OperatorAddress)
+	o, err := h.Listen(ctx, h.Settings.OperatorAddress)
 	if err != nil {
 		return errors.Wrap(err, "OperatorAddress")
 	}
 	defer o.Close()
+	c, p, o, err = h.secure(c, p, o)
+	if err != nil {
+		return err
+	}
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
 	s := h.assemble(c, p, o)
 	err = s.Run(ctx)
@@ -74,22 +85,28 @@
 func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
 	x := h.parts()
 	x.peerserver.Listener = p
-	return &supervisor.Supervisor{
+	r := &supervisor.Supervisor{
 		Clock:   h.Clock,
 		Log:     h.Log,
 		Backoff: restartBackoff,
 		Children: []child.Child{
+			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
-			{Name: "lanes", Run: x.lanes.Run},
-			{Name: "probe", Run: x.probe.Run},
+			{Name: "history", Run: x.remember},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
-			{Name: "loan", Run: x.loan.Run},
+			{Name: "relay", Run: x.steering.relay.Run},
+			{Name: "plan", Run: x.steering.plans.Replica().Run},
+			{Name: "planner", Run: x.steering.planner.Run},
+			{Name: "steering", Run: x.look},
+			{Name: "readiness", Run: x.becomeReady},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
 		},
 	}
+	r.Children = append(append(x.limits.children(x), x.site.children(x)...), r.Children...)
+	return r
 }
 
 func listen(ctx context.Context, a string) (net.Listener, error) {
--- a/host/parts.go
+++ b/host/parts.go
@@ -4,34 +4,27 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/change"
-	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
-	"celeryreach.example/celeryreach/growth"
-	"celeryreach.example/celeryreach/healthcheck"
+	"celeryreach.example/celeryreach/history"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
-	"celeryreach.example/celeryreach/linklimit"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/operator"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/slotloan"
-	"celeryreach.example/celeryreach/status"
-	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -45,36 +38,37 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
-	loan       *slotloan.Slotloan
-	probe      *healthcheck.Healthcheck
-	links      *linklimit.Linklimit
-	growth     *growth.Growth
-	streams    *streampool.Streampool
+	site       *site
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
+	history    history.History
+	steering   *steering
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
-	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
-	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
-	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
+	x.steering = x.newSteering()
+	x.follower = x.newFollower()
+	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
+	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
+	x.newLimits()
 	x.newDomain()
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
 	x.dispatch = x.newDispatch()
-	x.newForwarding()
-	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
+	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
 		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
+		OnNotify:  x.steering.relay.Receive,
 	}
+	x.steering.relay.Replicas = x.replicas()
 	return x
 }
 
@@ -90,7 +84,7 @@
 func (x *parts) newDispatch() *dispatch.Dispatch {
 	h := x.host
 	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
+		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm,
 		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
 		Upstream:    upstream.New(dialTimeout),
 		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
@@ -106,15 +100,7 @@
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("/", e)
-	return m
-}
-
-// operators is the handler of the operator address.
-func (x *parts) operators() http.Handler {
-	return &operator.Operator{
-		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: &change.Change{Platform: x.host.Platform},
-		Check: func(*config.Config) []string { return nil }, Status: x.status,
-	}
+	return x.gate(m)
 }
 
 func (x *parts) self() member.Member {
@@ -147,28 +133,21 @@
 }
 
 func (x *parts) compose(h *wire.Heartbeat) {
-	v, s, _ := x.follower.Content()
-	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeSteering(h)
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
-
-func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
-	v, h, b := x.follower.Content()
-	if f.Kind != "Config" || v <= f.Have {
-		return &wire.FetchResponse{}
-	}
-	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
+	x.heardSteering(h)
+	x.heardLimits(h, sent)
 }
 
-func (x *parts) status() status.Status {
-	s := status.Status{Host: x.self(), Peers: x.membership.Alive()}
-	if c := x.follower.Snapshot(); c != nil {
-		s.ConfigVersion = c.Config.Version
-		s.Preset = c.Config.Preset
+func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
 	}
-	return s
+	return x.steering.relay.Answer(f)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
@@ -176,7 +155,10 @@
 }
 
 func (x *parts) entryHosts(account, service string) []string {
-	a := x.lookup.Find(account, service, x.host.Settings.Region)
+	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
+	if o.Outcome != "" {
+		return o.EntryHosts
+	}
 	return a.EntryHosts
 }
 
--- a/linklimit/linklimit.go
+++ b/linklimit/linklimit.go
@@ -13,7 +13,7 @@
 
 // Prefix starts the names of the limits that are links; the sending and the
 // receiving region follow.
-const Prefix = "links/"
+const Prefix = "link/"
 
 // window is how much of a second's bytes may be sent at once.
 const window = 0.25
--- a/streampool/streampool.go
+++ b/streampool/streampool.go
@@ -70,6 +70,13 @@
 	return s, reused, func(clean bool) { p.done(address, c, s, clean) }, nil
 }
 
+// Run ends all idle connections when ctx ends.
+func (p *Streampool) Run(ctx context.Context) error {
+	<-ctx.Done()
+	p.Close()
+	return nil
+}
+
 // Close ends all idle connections.
 func (p *Streampool) Close() {
 	p.mu.Lock()
