--- a/host/domain.go
+++ b/host/domain.go
@@ -72,7 +72,7 @@
 		Siblings: x.slotLenders, Ask: x.peerclient.Borrow,
 	}
 	x.lanes = &lanes.Lanes{
-		Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot,
+		Clock: h.Clock, Domains: x.reach, Snapshot: x.follower.Snapshot,
 		Slots: x.slots, Borrowed: d.loan.Acquire,
 		Drained: func(name, sign string, d time.Duration) {
 			h.Log.Info("backend server drained", "Backend", name, "Sign", sign, "Took", d)
@@ -226,6 +226,22 @@
 	return append(names, x.host.Settings.Name), self
 }
 
+// reach returns the own failure domain, and those of the region whose slots
+// this host got when they lost their last host.
+func (x *parts) reach() []string {
+	r := []string{x.host.Settings.Domain}
+	s := x.follower.Snapshot()
+	if s == nil {
+		return r
+	}
+	for _, d := range s.Config.Domains {
+		if d.Name != r[0] && d.Region == x.host.Settings.Region && x.limits.holding.Part(author.SlotsPrefix+d.Name) > 0 {
+			r = append(r, d.Name)
+		}
+	}
+	return r
+}
+
 // slots returns how many slots of a backend server this host owns.
 func (x *parts) slots(b backend.Backend) int {
 	return len(x.limits.holding.Slots(author.SlotsPrefix+b.Domain, b.Slots))
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,8 +30,9 @@
 type Lanes struct {
 	// Clock is passed to the queues.
 	Clock clockwork.Clock
-	// Domain is the failure domain of the host.
-	Domain string
+	// Domains returns the failure domains whose backend servers this host may
+	// use: its own, and others that lost all their hosts.
+	Domains func() []string
 	// Snapshot returns the configuration in force, nil before the first.
 	Snapshot func() *snapshot.Snapshot
 	// Slots returns how many slots of a backend server this host owns now.
@@ -41,8 +43,9 @@
 	// Drained is told how long a drain of a backend server took.
 	Drained func(name, sign string, d time.Duration)
 
-	mu    sync.Mutex
-	lanes map[string]*lane
+	domains atomic.Pointer[[]string]
+	mu      sync.Mutex
+	lanes   map[string]*lane
 }
 
 type lane struct {
@@ -58,6 +61,8 @@
 // Run looks after the queues until ctx ends.
 func (l *Lanes) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		d := l.Domains()
+		l.domains.Store(&d)
 		for _, n := range l.all() {
 			n.queue.Sweep()
 		}
@@ -147,6 +152,14 @@
 	return r
 }
 
+// current returns the domains as of the last sweep.
+func (l *Lanes) current() []string {
+	if d := l.domains.Load(); d != nil {
+		return *d
+	}
+	return l.Domains()
+}
+
 func (l *Lanes) weight(account string) float64 {
 	a, _ := l.Snapshot().Account(account)
 	return a.Weight
@@ -186,7 +199,7 @@
 }
 
 func (l *Lanes) build(name string) *lane {
-	c := &backends{domain: l.Domain, service: name, snapshot: l.Snapshot}
+	c := &backends{service: name, snapshot: l.Snapshot, domains: l.current}
 	b := &balancer.Balancer{Clock: l.Clock, Backends: c.get, Slots: l.Slots, Drained: l.Drained}
 	q := &queue.Queue{Clock: l.Clock, Acquire: b.Acquire, Limit: queueLimit, Patience: patience, Weight: l.weight}
 	q.Slots = func() int {
--- /dev/null
+++ b/lanes/lanes_test.go
@@ -0,0 +1,83 @@
+package lanes
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/snapshot"
+)
+
+// rig is a host's lanes over one configuration.
+type rig struct {
+	clock   *clockwork.FakeClock
+	lanes   *Lanes
+	domains []string
+}
+
+func newRig() *rig {
+	c := &config.Config{
+		Services: []service.Service{{Name: "deposits"}, {Name: "rosters", SharedWith: "deposits", Deferrable: true}},
+		Backends: []backend.Backend{
+			{Name: "one", Domain: "lagos-1", Service: "deposits", Slots: 2},
+			{Name: "two", Domain: "lagos-2", Service: "deposits", Slots: 1},
+		},
+	}
+	s := snapshot.New(c, "")
+	r := &rig{clock: clockwork.NewFakeClock(), domains: []string{"lagos-1"}}
+	r.lanes = &Lanes{
+		Clock: r.clock, Domains: func() []string { return r.domains }, Snapshot: func() *snapshot.Snapshot { return s },
+		Slots: func(b backend.Backend) int { return b.Slots },
+	}
+	return r
+}
+
+// A domain lost its only host, and its backend servers stand idle. A host of the
+// region got their slots and uses them; when the domain has a host again, it
+// stops.
+func TestTakeover(t *testing.T) {
+	r := newRig()
+	x, f := context.WithCancel(t.Context())
+	d := make(chan error, 1)
+	go func() { d <- r.lanes.Run(x) }()
+	slots := func() uint32 { return r.lanes.Loads()[0].Slots }
+	must.NoError(t, r.clock.BlockUntilContext(x, 1))
+	must.EqOp(t, 2, slots())
+	for _, v := range []struct {
+		domains []string
+		slots   uint32
+	}{{[]string{"lagos-1", "lagos-2"}, 3}, {[]string{"lagos-1"}, 2}} {
+		r.domains = v.domains
+		r.clock.Advance(sweepEvery)
+		must.NoError(t, r.clock.BlockUntilContext(x, 1))
+		must.EqOp(t, v.slots, slots())
+	}
+	f()
+	must.NoError(t, <-d)
+}
+
+// Roster exports use the backend servers of deposits. A deposit that comes while
+// one export runs and another waits is served before that.
+func TestSharedBackends(t *testing.T) {
+	r := newRig()
+	first, o := r.lanes.Queue("rosters").Wait(t.Context(), "a", time.Minute)
+	must.EqOp(t, "", o.Outcome)
+	c := make(chan string, 1)
+	go func() {
+		_, o := r.lanes.Queue("rosters").Wait(t.Context(), "a", time.Minute)
+		c <- o.Outcome
+	}()
+	must.NoError(t, r.clock.BlockUntilContext(t.Context(), 1))
+	second, o := r.lanes.Queue("deposits").Wait(t.Context(), "a", time.Minute)
+	must.EqOp(t, "", o.Outcome)
+	must.EqOp(t, "one", second.Backend.Name)
+	first.Release(result.Succeeded)
+	must.EqOp(t, "", <-c)
+}
