Balancer: health endpoints are asked also while requests succeed

Cause: a drain that only the health endpoint announced was not seen while the backend server was busy, since only idle ones were probed. Change: those with a health endpoint are always probed.

--- a/balancer/probed.go
+++ b/balancer/probed.go
@@ -8,7 +8,8 @@
 )
 
 // Suspects returns the backend servers to probe: those that are out of use or
-// draining, and those that no request has vouched for lately.
+// draining, those that no request has vouched for lately, and those with a
+// health endpoint, which may announce a drain before answers do.
 func (b *Balancer) Suspects() []backend.Backend {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -16,7 +17,7 @@
 	b.refresh(n)
 	var r []backend.Backend
 	for _, s := range b.servers {
-		if b.out(s, n) || s.closed(n) || n.Sub(s.succeeded) > recent {
+		if s.backend.Health != "" || b.out(s, n) || s.closed(n) || n.Sub(s.succeeded) > recent {
 			r = append(r, s.backend)
 		}
 	}
