--- a/balancer/server.go
+++ b/balancer/server.go
@@ -25,9 +25,12 @@
 	awayFor       = time.Second
 	maxAway       = 8 * time.Second
 	maxDoublings  = 3
-	minLinger     = 5 * time.Millisecond
-	maxLinger     = 250 * time.Millisecond
-	lingerDecay   = 50
+	// shedFor doubles up to 1.28 s while a backend server sheds.
+	shedFor          = 10 * time.Millisecond
+	maxShedDoublings = 7
+	minLinger        = 5 * time.Millisecond
+	maxLinger        = 250 * time.Millisecond
+	lingerDecay      = 50
 )
 
 // server is what this host knows of one backend server.
@@ -49,6 +52,7 @@
 	sick      time.Time
 	away      time.Time
 	refusals  int
+	sheds     int
 	// leaving is until when a sign of its own keeps new work away.
 	leaving time.Time
 	// signs counts the drains that answers announced without one in between
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"celeryreach.example/celeryreach/hop"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/pulse"
 	"celeryreach.example/celeryreach/request"
@@ -227,6 +228,7 @@
 	for _, v := range a.head.Headers {
 		h[v.Name] = v.Values
 	}
+	hop.Strip(h)
 	a.count.writer.WriteHeader(int(a.head.Status))
 	if len(a.held) > 0 {
 		// A failed write means that the caller left; the next one tells.
--- a/host/domain.go
+++ b/host/domain.go
@@ -107,7 +107,7 @@
 		Interval: func() time.Duration { return x.follower.Snapshot().Preset.ShiftInterval },
 		Idle:     x.idleRate,
 	}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Admit: x.admitForwarded, Serve: x.serve}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Admit: x.admitForwarded, Serve: x.serveForwarded}
 }
 
 // local runs a request of an own caller.
@@ -213,7 +213,7 @@
 }
 
 // siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
+// alive, this one included, and this one's place among them by name.
 func (x *parts) siblings() (names []string, self int) {
 	for _, m := range x.membership.Alive() {
 		if m.Domain == x.host.Settings.Domain {
--- a/host/parts.go
+++ b/host/parts.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
 	"celeryreach.example/celeryreach/dispatch"
-	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/history"
-	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
@@ -25,7 +22,6 @@
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -48,6 +44,7 @@
 	admission  *admission.Admission
 	history    history.History
 	steering   *steering
+	requests   requests
 }
 
 func (h *Host) parts() *parts {
@@ -59,7 +56,7 @@
 	x.membership = x.newMembership()
 	x.newLimits()
 	x.newDomain()
-	x.dispatch = x.newDispatch()
+	x.newRequests()
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
@@ -81,28 +78,6 @@
 	}
 }
 
-func (x *parts) newDispatch() *dispatch.Dispatch {
-	h := x.host
-	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm,
-		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
-		Upstream:    upstream.New(dialTimeout),
-		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
-	}
-}
-
-// callers is the handler of the caller address.
-func (x *parts) callers() http.Handler {
-	e := &entry.Entry{
-		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.local, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
-	}
-	m := http.NewServeMux()
-	m.Handle("GET /lookup", x.lookup)
-	m.Handle("/", e)
-	return x.gate(m)
-}
-
 func (x *parts) self() member.Member {
 	s := x.host.Settings
 	return member.Member{
