Lanes: whole deployments that lend, forward, take over and shed

Cause: no test ran the wiring of loans, forwarding and takeover. Change: four scenarios over real sockets; targets of the own region first and in random order weighted by free slots; a leaving host lends nothing.

--- a/backendstandin/backendstandin.go
+++ b/backendstandin/backendstandin.go
@@ -100,6 +100,11 @@
 	b.answer(w, r, k, hex.EncodeToString(h.Sum(nil)))
 }
 
+// Busy returns how many requests run or are being refused now.
+func (b *Backendstandin) Busy() int {
+	return int(b.busy.Load())
+}
+
 // Runs returns how often each id was run.
 func (b *Backendstandin) Runs() map[string]int {
 	b.mu.Lock()
--- a/host/domain.go
+++ b/host/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sort"
 	"strings"
@@ -80,12 +81,21 @@
 	}
 	d.loan.Adopt = x.lanes.Adopt
 	d.loan.Kick = x.lanes.Kick
-	d.loan.Lend = x.lanes.Lend
+	d.loan.Lend = x.lendSlot
 	d.checks = &healthcheck.Healthcheck{
 		Clock: h.Clock, Interval: probeEvery, Timeout: probeTimeout, Backends: x.lanes.Suspects, Report: x.lanes.Probed,
 	}
 }
 
+// lendSlot lends a free slot, but not on the way out: others get this host's
+// slots before a loan of them is over.
+func (x *parts) lendSlot(service string, d time.Duration) (backend string, back func(), ok bool) {
+	if x.leaving.Load() {
+		return "", nil, false
+	}
+	return x.lanes.Lend(service, d)
+}
+
 // newForwarding makes the parts that pass requests between failure domains.
 func (x *parts) newForwarding() {
 	h := x.host
@@ -170,32 +180,37 @@
 }
 
 // slotLenders returns the hosts of the own failure domain that report more than
-// one free slot of a service, those with the most first.
+// one free slot of a service.
 func (x *parts) slotLenders(service string) []member.Member {
-	return x.ranked(service, func(m member.Member, free int) bool {
+	return x.drawn(service, func(m member.Member, free int) bool {
 		return m.Domain == x.host.Settings.Domain && free > 1
 	})
 }
 
-// targets returns the hosts of other failure domains, those with the most free
-// slots first.
+// targets returns the hosts of other failure domains with free slots, those of
+// the own region first: a link costs bytes and a hundred times the time.
 func (x *parts) targets(service string) []member.Member {
-	return x.ranked(service, func(m member.Member, free int) bool {
+	r := x.drawn(service, func(m member.Member, free int) bool {
 		return m.Domain != x.host.Settings.Domain && !m.Leaving && free > 0
 	})
+	near := func(m member.Member) bool { return m.Region == x.host.Settings.Region }
+	sort.SliceStable(r, func(i, j int) bool { return near(r[i]) && !near(r[j]) })
+	return r
 }
 
-// ranked returns the peers that are wanted by their reported free slots.
-func (x *parts) ranked(service string, wanted func(m member.Member, free int) bool) []member.Member {
+// drawn returns the peers that are wanted in random order, weighted by their
+// reported free slots. In the order of a report that is seconds old, every host
+// would send its requests to the same one.
+func (x *parts) drawn(service string, wanted func(m member.Member, free int) bool) []member.Member {
 	var r []member.Member
-	f := make(map[string]int)
+	f := make(map[string]float64)
 	for _, m := range x.membership.Alive() {
 		if n := x.free(m.Name, service); wanted(m, n) {
-			f[m.Name] = n
+			f[m.Name] = -math.Log(open()) / float64(n)
 			r = append(r, m)
 		}
 	}
-	sort.SliceStable(r, func(i, j int) bool { return f[r[i].Name] > f[r[j].Name] })
+	sort.Slice(r, func(i, j int) bool { return f[r[i].Name] < f[r[j].Name] })
 	return r
 }
 
--- /dev/null
+++ b/lanes/fleet_test.go
@@ -0,0 +1,127 @@
+package lanes_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backendknobs"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/region"
+	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/staleness"
+)
+
+// start runs a deployment with the failure domains n1 and, in the same or in
+// another region, n2.
+func start(t *testing.T, hosts, backends int, second string, work time.Duration) (context.Context, *fleet.Fleet) {
+	ctx, c := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(c)
+	f := &fleet.Fleet{
+		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), HostsPerDomain: hosts, BackendsPerService: backends, Slots: 4, Work: work,
+		Config: config.Config{
+			Preset: "Ordinary",
+			Presets: []preset.Preset{{
+				Name: "Ordinary", ShiftCap: 0.1, ShiftInterval: time.Second, GrowthCap: 1, FloorFraction: 0.5,
+				MaxWait: 2 * time.Second, LookupTTL: time.Second, RetryBudget: 0.5,
+			}},
+			Regions:      []region.Region{{Name: "north"}, {Name: "south"}},
+			Domains:      []domain.Domain{{Name: "n1", Region: "north"}, {Name: "n2", Region: second}},
+			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: 2 * time.Second}},
+			Accounts:     []account.Account{{Name: "acme", Rate: 10000, Burst: 1000}},
+			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
+		},
+	}
+	t.Cleanup(func() { must.NoError(t, f.Stop()) })
+	must.NoError(t, f.Start(ctx))
+	return ctx, f
+}
+
+func slots(ctx context.Context, f *fleet.Fleet, host string) int {
+	s, err := f.Status(ctx, host)
+	if err != nil || len(s.Loads) == 0 {
+		return 0
+	}
+	return s.Loads[0].Slots
+}
+
+// answer returns who answered a request to a host, empty if nobody did.
+func answer(ctx context.Context, f *fleet.Fleet, host string) string {
+	c, b, err := f.Send(ctx, host, "acme", http.MethodGet, "/pages/1", "")
+	if err != nil || c != http.StatusOK {
+		return ""
+	}
+	n, _, _ := strings.Cut(b, " ")
+	return n
+}
+
+// All callers come to one of two hosts, which owns half of the slots. It borrows
+// from its sibling, which keeps one slot for its own next caller.
+func TestSiblingLends(t *testing.T) {
+	ctx, f := start(t, 2, 1, "south", 300*time.Millisecond)
+	must.NoError(t, f.Await(ctx, "the division", func() bool { return slots(ctx, f, "n1-a") == 2 && slots(ctx, f, "n1-b") == 2 }))
+	b := f.Backend("Pages-n1-1")
+	crowd(ctx, t, f, func() bool { return b.Busy() == 3 })
+}
+
+// crowd keeps six callers at n1-a until the condition holds.
+func crowd(ctx context.Context, t *testing.T, f *fleet.Fleet, condition func() bool) {
+	x, stop := context.WithCancel(ctx)
+	const callers = 6
+	d := make(chan struct{}, callers)
+	for range callers {
+		go func() {
+			for x.Err() == nil {
+				answer(x, f, "n1-a")
+			}
+			d <- struct{}{}
+		}()
+	}
+	err := f.Await(ctx, "the crowd", condition)
+	stop()
+	for range callers {
+		<-d
+	}
+	must.NoError(t, err)
+}
+
+// The backend servers of a domain are gone. Its callers are answered by another
+// domain's, through the same host.
+func TestForwarded(t *testing.T) {
+	ctx, f := start(t, 1, 1, "south", 0)
+	must.NoError(t, f.Await(ctx, "an answer", func() bool { return answer(ctx, f, "n1-a") == "Pages-n1-1" }))
+	must.NoError(t, f.StopBackend("Pages-n1-1"))
+	must.NoError(t, f.Await(ctx, "an answer from elsewhere", func() bool { return answer(ctx, f, "n1-a") == "Pages-n2-1" }))
+}
+
+// A domain loses its only host. The region's other host takes the leased half of
+// its slots, and callers are answered by backend servers that would be idle.
+func TestTakenOver(t *testing.T) {
+	ctx, f := start(t, 1, 1, "north", 300*time.Millisecond)
+	must.NoError(t, f.Await(ctx, "the division", func() bool { return slots(ctx, f, "n1-a") == 4 && slots(ctx, f, "n2-a") == 4 }))
+	f.KillHost("n2-a")
+	must.NoError(t, f.Await(ctx, "the slots", func() bool { return slots(ctx, f, "n1-a") > 4 }))
+	crowd(ctx, t, f, func() bool { return f.Backend("Pages-n2-1").Busy() > 0 })
+}
+
+// A backend server drains and sheds what comes. Every caller is answered by the
+// other one, since a refusal before the run can be tried again.
+func TestSheds(t *testing.T) {
+	ctx, f := start(t, 1, 2, "south", 0)
+	must.NoError(t, f.Await(ctx, "an answer", func() bool { return answer(ctx, f, "n1-a") != "" }))
+	f.Backend("Pages-n1-1").Set(backendknobs.Backendknobs{Drain: true})
+	for range 50 {
+		must.EqOp(t, "Pages-n1-2", answer(ctx, f, "n1-a"))
+	}
+}
