--- a/host/host.go
+++ b/host/host.go
@@ -100,11 +100,8 @@
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
-			{Name: "lanes", Run: x.lanes.Run},
-			{Name: "probe", Run: x.probe.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
-			{Name: "slot loans", Run: x.slotloan.Run},
 			{Name: "relay", Run: x.steering.relay.Run},
 			{Name: "plan", Run: x.steering.plans.Replica().Run},
 			{Name: "planner", Run: x.steering.planner.Run},
@@ -115,7 +112,7 @@
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
 		},
 	}
-	r.Children = append(x.limits.children(x), r.Children...)
+	r.Children = append(append(x.limits.children(x), x.site.children(x)...), r.Children...)
 	return r
 }
 
--- a/host/parts.go
+++ b/host/parts.go
@@ -19,11 +19,9 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
-	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -36,8 +34,7 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
-	slotloan   *slotloan.Slotloan
-	probe      *probe.Probe
+	site       *site
 	quota      *quota.Quota
 	limits     *limits
 	dispatch   *dispatch.Dispatch
@@ -57,11 +54,9 @@
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.newDomain()
 	x.newLimits()
+	x.newDomain()
 	x.newRequests()
-	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
