--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,85 @@
+package route_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/rendezvous"
+	"celeryreach.example/celeryreach/route"
+)
+
+var regions = []string{"abuja", "lagos", "port-harcourt"}
+
+// After any shifts, the next one moves just as many points as it names, if the
+// region has them, and no point between two other regions.
+func TestShiftMovesOnlyItsPoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := route.New("Listings", "lagos")
+		for range rapid.IntRange(1, 30).Draw(t, "shifts") {
+			a := rapid.SampledFrom(regions).Draw(t, "from")
+			b := rapid.SampledFrom(regions).Draw(t, "to")
+			if a == b {
+				continue
+			}
+			n := rapid.IntRange(0, route.Points).Draw(t, "points")
+			s := r.Shift(a, b, n)
+			must.EqOp(t, min(n, r.Share(a)), moved(t, r, s, a, b))
+			must.EqOp(t, route.Points, s.Segments[len(s.Segments)-1].Until)
+			r = s
+		}
+	})
+}
+
+func moved(t must.T, r, s route.Route, a, b string) int {
+	m := 0
+	for k := 0; k < route.Points; {
+		i, j := r.Find(k), s.Find(k)
+		e := min(i.Until, j.Until)
+		if i.Region != j.Region {
+			must.EqOp(t, a, i.Region)
+			must.EqOp(t, b, j.Region)
+			m += e - k
+		}
+		k = e
+	}
+	return m
+}
+
+// The baseline: regions by weighted rendezvous hashing. It reports how many
+// client blocks a shift of 5% from one region to another moves for each that
+// it has to.
+func BenchmarkShift(b *testing.B) {
+	const n = 200_000
+	o := map[string]float64{"abuja": 0.2, "lagos": 0.5, "port-harcourt": 0.3}
+	w := map[string]float64{"abuja": 0.25, "lagos": 0.45, "port-harcourt": 0.3}
+	r := route.New("Listings", "lagos").Shift("lagos", "abuja", 200_000).Shift("lagos", "port-harcourt", 300_000)
+	s := r.Shift("lagos", "abuja", 50_000)
+	x, y := 0, 0
+	for b.Loop() {
+		x, y = 0, 0
+		for i := range n {
+			k := strconv.Itoa(i)
+			if best(k, o) != best(k, w) {
+				x++
+			}
+			if p := route.Point("Listings", k); r.Find(p).Region != s.Find(p).Region {
+				y++
+			}
+		}
+	}
+	b.ReportMetric(float64(x)/(n*0.05), "rendezvous-moves/needed")
+	b.ReportMetric(float64(y)/(n*0.05), "segment-moves/needed")
+}
+
+func best(key string, weights map[string]float64) string {
+	r, h := "", 0.0
+	for _, n := range regions {
+		if s := rendezvous.Score(key, n, weights[n]); s > h {
+			r, h = n, s
+		}
+	}
+	return r
+}
