--- a/change/change.go
+++ b/change/change.go
@@ -53,13 +53,13 @@
 		return r
 	}
 	n.Version = from
-	r.Yours = difference.Of(*o, n)
+	r.Yours = difference.Between(o, &n)
 	t, err := c.load(ctx, a.Version, a)
 	if err != nil {
 		return r
 	}
 	t.Version = from
-	r.Theirs = difference.Of(*o, *t)
+	r.Theirs = difference.Between(o, t)
 	return r
 }
 
--- a/host/parts.go
+++ b/host/parts.go
@@ -14,21 +14,19 @@
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
+	"celeryreach.example/celeryreach/history"
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/operator"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/status"
 	"celeryreach.example/celeryreach/upstream"
-	"celeryreach.example/celeryreach/validate"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -48,13 +46,14 @@
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
 	steering   *steering
+	history    history.History
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
 	x.steering = x.newSteering()
 	x.follower = x.newFollower()
-	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
+	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
 	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
@@ -105,14 +104,6 @@
 	return x.gate(m)
 }
 
-// operators is the handler of the operator address.
-func (x *parts) operators() http.Handler {
-	return &operator.Operator{
-		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: x.newChange(),
-		Check: validate.Config, Status: x.status,
-	}
-}
-
 func (x *parts) self() member.Member {
 	s := x.host.Settings
 	return member.Member{
@@ -151,16 +142,6 @@
 	x.heardSteering(h)
 }
 
-func (x *parts) status() status.Status {
-	s := status.Status{Host: x.self(), Peers: x.membership.Alive()}
-	if c := x.follower.Snapshot(); c != nil {
-		s.ConfigVersion = c.Config.Version
-		s.Preset = c.Config.Preset
-		s.InForce = x.inForce(c.Config.Version)
-	}
-	return s
-}
-
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
 	x.host.Counter.Add(o.Outcome)
 }
--- a/status/status.go
+++ b/status/status.go
@@ -3,6 +3,7 @@
 
 import (
 	"celeryreach.example/celeryreach/inforce"
+	"celeryreach.example/celeryreach/load"
 	"celeryreach.example/celeryreach/member"
 )
 
@@ -12,10 +13,19 @@
 	Host member.Member
 	// ConfigVersion is the version in force on it.
 	ConfigVersion uint64
+	// ConfigHash is the hash of that version's content.
+	ConfigHash string
 	// Preset is the preset in force on it.
 	Preset string
+	// Loads are its loads by service.
+	Loads []load.Load
 	// Peers are the hosts it has heard lately.
 	Peers []member.Member
 	// InForce tells on which hosts ConfigVersion is in force.
 	InForce inforce.Inforce
+	// Missing are hosts on the platform's list that it has not heard lately.
+	// The list lags, so a host that ended a moment ago can be among them.
+	Missing []member.Member `json:",omitzero"`
+	// Unlisted says why the platform's list is not known.
+	Unlisted string `json:",omitzero"`
 }
