--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -80,6 +80,6 @@
 		m.drainCommand(),
 		m.statusCommand(),
 		m.lookupCommand(),
-		{Name: "experiment", Usage: "measure a policy by simulation", Commands: []*cli.Command{experimentConfigCommand()}},
+		experimentCommand(),
 	}
 }
--- a/host/parts.go
+++ b/host/parts.go
@@ -45,8 +45,8 @@
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
-	steering   *steering
 	history    history.History
+	steering   *steering
 }
 
 func (h *Host) parts() *parts {
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"celeryreach.example/celeryreach/accepted"
-	"celeryreach.example/celeryreach/conflict"
+	"celeryreach.example/celeryreach/difference"
 )
 
 // Problem is the body of every refusal of the operators' interface.
@@ -19,8 +19,10 @@
 	Mistakes []string `json:",omitzero"`
 	// Accepted is the version that was accepted in between, after a conflict.
 	Accepted accepted.Accepted `json:",omitzero"`
-	// Changes names the fields of both changes after a conflict.
-	Changes *conflict.Conflict `json:",omitzero"`
+	// Yours is what the refused change would have changed.
+	Yours []difference.Difference `json:",omitzero"`
+	// Theirs is what was changed in between.
+	Theirs []difference.Difference `json:",omitzero"`
 }
 
 // Values of Problem.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,7 +77,7 @@
 	if n.GetFrom() != nil {
 		r.Heard(n.From.Name, n.Versions)
 	}
-	return r.notice()
+	return &wire.Notice{Versions: r.versions()}
 }
 
 // Answer answers a peer's question for newer content.
@@ -267,12 +267,17 @@
 }
 
 func (r *Relay) notice() *wire.Notice {
-	s := r.Self()
-	n := &wire.Notice{From: &wire.Host{Name: s.Name, Incarnation: s.Incarnation, Domain: s.Domain, Region: s.Region, PeerAddress: s.PeerAddress}}
+	return &wire.Notice{From: &wire.Host{Name: r.Self().Name}, Versions: r.versions()}
+}
+
+func (r *Relay) versions() []*wire.Version {
+	var v []*wire.Version
 	for _, p := range r.Replicas {
-		n.Versions = append(n.Versions, p.Digest())
+		if d := p.Digest(); d.Version > 0 {
+			v = append(v, d)
+		}
 	}
-	return n
+	return v
 }
 
 // signals returns the channels that wake fetching and telling.
--- a/status/status.go
+++ b/status/status.go
@@ -21,11 +21,11 @@
 	Loads []load.Load
 	// Peers are the hosts it has heard lately.
 	Peers []member.Member
-	// InForce tells on which hosts ConfigVersion is in force.
-	InForce inforce.Inforce
 	// Missing are hosts on the platform's list that it has not heard lately.
 	// The list lags, so a host that ended a moment ago can be among them.
 	Missing []member.Member `json:",omitzero"`
 	// Unlisted says why the platform's list is not known.
 	Unlisted string `json:",omitzero"`
+	// InForce tells on which hosts ConfigVersion is in force.
+	InForce inforce.Inforce
 }
