--- a/host/host.go
+++ b/host/host.go
@@ -85,7 +85,7 @@
 func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
 	x := h.parts()
 	x.peerserver.Listener = p
-	return &supervisor.Supervisor{
+	r := &supervisor.Supervisor{
 		Clock:   h.Clock,
 		Log:     h.Log,
 		Backoff: restartBackoff,
@@ -94,8 +94,11 @@
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
+			{Name: "lanes", Run: x.lanes.Run},
+			{Name: "probe", Run: x.probe.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
+			{Name: "slot loans", Run: x.slotloan.Run},
 			{Name: "relay", Run: x.steering.relay.Run},
 			{Name: "plan", Run: x.steering.plans.Replica().Run},
 			{Name: "planner", Run: x.steering.planner.Run},
@@ -105,6 +108,8 @@
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
 		},
 	}
+	r.Children = append(x.limits.children(x), r.Children...)
+	return r
 }
 
 func listen(ctx context.Context, a string) (net.Listener, error) {
--- a/host/parts.go
+++ b/host/parts.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
@@ -23,9 +22,11 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -39,7 +40,10 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
+	slotloan   *slotloan.Slotloan
+	probe      *probe.Probe
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
@@ -56,16 +60,16 @@
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
+	x.newDomain()
+	x.newLimits()
 	x.dispatch = x.newDispatch()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serve}
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
-		OnFetch:   x.steering.relay.Answer,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnFetch:   x.fetch,
+		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
 		OnNotify:  x.steering.relay.Receive,
 	}
@@ -85,7 +89,7 @@
 func (x *parts) newDispatch() *dispatch.Dispatch {
 	h := x.host
 	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
+		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm,
 		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
 		Upstream:    upstream.New(dialTimeout),
 		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
@@ -136,10 +140,19 @@
 func (x *parts) compose(h *wire.Heartbeat) {
 	h.Loads = x.lanes.Loads()
 	x.composeSteering(h)
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(h *wire.Heartbeat, _ time.Time) {
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
 	x.heardSteering(h)
+	x.heardLimits(h, sent)
+}
+
+func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
+	}
+	return x.steering.relay.Answer(f)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
@@ -154,29 +167,6 @@
 	return a.EntryHosts
 }
 
-// siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
-func (x *parts) siblings() (names []string, self int) {
-	for _, m := range x.membership.Alive() {
-		if m.Domain == x.host.Settings.Domain {
-			if m.Name < x.host.Settings.Name {
-				self++
-			}
-			names = append(names, m.Name)
-		}
-	}
-	return append(names, x.host.Settings.Name), self
-}
-
-func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
-}
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
