--- a/host/plans.go
+++ b/host/plans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/lease"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/observation"
@@ -26,6 +28,8 @@
 
 const (
 	planEvery   = time.Second
+	plannerKey  = "lease/planner"
+	plannerTerm = 15 * time.Second
 	gaugeWindow = 10 * time.Second
 	// measureLag is how far the sum of the gauge's window, of one heartbeat
 	// and of one look may be behind.
@@ -41,13 +45,56 @@
 		Clock: h.Clock, Log: h.Log, Interval: planEvery, Lag: measureLag, Preset: x.preset,
 		Draining: x.drainingRegions, Domains: x.domains, Observe: x.observations, Current: s.plans.Plan,
 		Quiet: func() bool { return s.failover.Quiet(x.preset().ShiftInterval) },
-		Held:  func() (uint64, bool) { return 0, false },
+		Held:  s.lease.Held,
 		Publish: func(ctx context.Context, from uint64, p *plan.Plan) (bool, error) {
 			return x.publishPlan(ctx, from, p)
 		},
 	}
 }
 
+func (x *parts) newLease() *lease.Lease {
+	h := x.host
+	return &lease.Lease{
+		Clock: h.Clock, Platform: h.Platform, Name: plannerKey, Term: plannerTerm,
+		Holder: fmt.Sprintf("%s-%d", h.Settings.Name, h.Incarnation),
+	}
+}
+
+// campaign asks for the planner's lease while this host is one of those that
+// read the platform often: a lease that every host asked for would cost the
+// platform a read for each of thousands of hosts in each quarter of its term.
+func (x *parts) campaign(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if x.reads() {
+			x.runLease(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-x.host.Clock.After(planEvery):
+		}
+	}
+	return nil
+}
+
+// runLease asks for the lease until this host need not any more.
+func (x *parts) runLease(ctx context.Context) {
+	c, f := context.WithCancel(ctx)
+	defer f()
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		_ = x.steering.lease.Run(c) // it ends with c and has no other end
+	}()
+	for x.reads() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-x.host.Clock.After(planEvery):
+		}
+	}
+	f()
+	<-d
+}
+
 // publishPlan writes a plan on condition of the lease and of the plan before
 // it, so that a planner that was paused writes nothing when it goes on.
 func (x *parts) publishPlan(ctx context.Context, from uint64, p *plan.Plan) (bool, error) {
@@ -56,7 +103,7 @@
 		return false, err
 	}
 	r := x.steering.plans.Replica()
-	w := &publish.Publish{Clock: x.host.Clock, Platform: x.host.Platform, Key: accepted.PlanKey}
+	w := &publish.Publish{Clock: x.host.Clock, Platform: x.host.Platform, Key: accepted.PlanKey, Fence: x.steering.lease.Fence}
 	a, ok, err := w.Commit(ctx, from, b)
 	if err != nil {
 		return false, err
--- a/host/steering.go
+++ b/host/steering.go
@@ -14,6 +14,7 @@
 	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/gauge"
 	"celeryreach.example/celeryreach/inforce"
+	"celeryreach.example/celeryreach/lease"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/meter"
 	"celeryreach.example/celeryreach/observation"
@@ -52,6 +53,7 @@
 
 	plans    *planfollower.Planfollower
 	planner  *planner.Planner
+	lease    *lease.Lease
 	meter    *meter.Meter
 	gauge    *gauge.Gauge
 	failover *failover.Failover
@@ -90,6 +92,7 @@
 		},
 	}
 	s.failover = &failover.Failover{Clock: h.Clock, Preset: x.preset, Share: x.share, Room: x.room}
+	s.lease = x.newLease()
 	s.planner = x.newPlanner(s)
 	return s
 }
@@ -128,12 +131,19 @@
 // have. The others read rarely, in case those two are cut from the platform
 // alone.
 func (x *parts) pollEvery() time.Duration {
-	if _, i := x.siblings(); i < pollers || x.follower.Snapshot() == nil {
+	if x.reads() || x.follower.Snapshot() == nil {
 		return pollOften
 	}
 	return pollRarely
 }
 
+// reads reports whether this host is one of those of its failure domain that
+// read the platform often.
+func (x *parts) reads() bool {
+	_, i := x.siblings()
+	return i < pollers
+}
+
 // stale reports whether keys may have been withdrawn unheard for too long.
 // With one failure domain every change is accepted by a host of it, so nothing
 // can be missed.
--- a/separation/scenario_test.go
+++ b/separation/scenario_test.go
@@ -38,7 +38,7 @@
 	c := make(map[string]func(t *testscript.TestScript, neg bool, args []string))
 	for n, f := range map[string]func(s script, args []string){
 		"hosts": hosts, "restart": restart, "stop": stop, "cut": cut, "part": part, "heal": heal, "store": storeKnob,
-		"round": round, "poll": poll, "advance": advance, "report": report, "commit": commitChange, "race": race, "show": show, "admit": admit, "torn": torn,
+		"round": round, "poll": poll, "lease": leaseStep, "plan": publishPlan, "resume": resumePlan, "plans": plans, "advance": advance, "report": report, "commit": commitChange, "race": race, "show": show, "admit": admit, "torn": torn,
 	} {
 		c[n] = func(t *testscript.TestScript, _ bool, args []string) {
 			f(script{TestScript: t, world: t.Value(worldKey{}).(*world)}, args)
@@ -208,6 +208,42 @@
 	}
 }
 
+func leaseStep(s script, args []string) {
+	for _, n := range args {
+		s.world.hosts[n].stepLease()
+	}
+}
+
+// publishPlan makes a plan if the host holds the lease: plan HOST REASON.
+func publishPlan(s script, args []string) {
+	h := s.world.hosts[args[0]]
+	e, ok := h.lease.Held()
+	if !ok {
+		s.print("%s: does not hold the lease", args[0])
+		return
+	}
+	a, ok, err := h.publish(e, args[1])
+	s.print("%s: plan %d, accepted %t, error %v", args[0], a.Version, ok, err)
+}
+
+// resumePlan goes on behind the question whether the lease is held, as a
+// process does that was paused there: resume HOST REASON.
+func resumePlan(s script, args []string) {
+	h := s.world.hosts[args[0]]
+	e, _ := h.lease.Held()
+	_, ok, err := h.publish(e, args[1])
+	s.print("%s: accepted %t, error %v", args[0], ok, err)
+}
+
+// plans prints the plan on each host.
+func plans(s script, _ []string) {
+	for _, n := range s.world.names() {
+		if p := s.world.hosts[n].plans.Plan(); p != nil {
+			s.print("%s: plan %d of epoch %d: %s", n, p.Version, p.Epoch, p.Reason)
+		}
+	}
+}
+
 // show prints the version on each host.
 func show(s script, _ []string) {
 	for _, n := range s.world.names() {
--- a/separation/world_test.go
+++ b/separation/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sort"
@@ -14,12 +15,17 @@
 
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/change"
+	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/lease"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/plan"
+	"celeryreach.example/celeryreach/planfollower"
 	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/publish"
 	"celeryreach.example/celeryreach/relay"
 	"celeryreach.example/celeryreach/replica"
 	"celeryreach.example/celeryreach/row"
@@ -57,6 +63,9 @@
 	follower  *follower.Follower
 	relay     *relay.Relay
 	freshness *freshness.Freshness
+	plans     *planfollower.Planfollower
+	lease     *lease.Lease
+	ended     context.CancelFunc // ends the lease's loop after one step
 	heard     map[string]time.Time
 	keeps     bool // takes whatever comes last: the broken variant
 }
@@ -76,9 +85,14 @@
 	}
 	l := log.New(io.Discard)
 	n.follower = &follower.Follower{Clock: w.clock, Log: l, Platform: w.platform(name)}
+	n.plans = &planfollower.Planfollower{Clock: w.clock, Log: l, Platform: w.platform(name)}
+	n.lease = &lease.Lease{
+		Clock: once{FakeClock: w.clock, node: n}, Platform: w.platform(name), Name: "lease/planner",
+		Holder: fmt.Sprint(name, len(w.objects)), Term: 15 * time.Second,
+	}
 	n.relay = &relay.Relay{
 		Clock: w.clock, Log: l, Self: func() member.Member { return n.self }, Peers: n.alive,
-		Replicas: []*replica.Replica{n.follower.Replica()},
+		Replicas: []*replica.Replica{n.follower.Replica(), n.plans.Replica()},
 		Fetch:    n.fetch, Notify: n.notify, Fanout: 16, Timeout: time.Second, Retry: time.Second,
 	}
 	w.hosts[name] = n
@@ -203,7 +217,7 @@
 	m := n.self
 	return &wire.Heartbeat{
 		From:     &wire.Host{Name: m.Name, Domain: m.Domain, Region: m.Region, PeerAddress: m.PeerAddress},
-		Versions: []*wire.Version{n.follower.Replica().Digest()}, KeyAgeNanoseconds: n.freshness.Age(),
+		Versions: []*wire.Version{n.follower.Replica().Digest(), n.plans.Replica().Digest()}, KeyAgeNanoseconds: n.freshness.Age(),
 	}
 }
 
@@ -271,6 +285,44 @@
 	return n.follower.Replica().Digest().Version
 }
 
+// stepLease lets the lease renew or take the row once.
+func (n *node) stepLease() {
+	c, f := context.WithCancel(context.Background())
+	n.ended = f
+	_ = n.lease.Run(c)
+}
+
+// publish makes a plan the accepted one on condition of the lease.
+func (n *node) publish(epoch uint64, reason string) (accepted.Accepted, bool, error) {
+	var v uint64
+	if p := n.plans.Plan(); p != nil {
+		v = p.Version
+	}
+	b, err := codec.Marshal(plan.Plan{Version: v + 1, Epoch: epoch, Reason: reason})
+	if err != nil {
+		return accepted.Accepted{}, false, err
+	}
+	p := &publish.Publish{Clock: instant{n.world.clock}, Platform: n.world.platform(n.self.Name), Key: accepted.PlanKey, Fence: n.lease.Fence}
+	a, ok, err := p.Commit(context.Background(), v, b)
+	if ok {
+		err = n.plans.Replica().Offer(a.Version, a.Hash, b)
+	}
+	return a, ok, err
+}
+
+// once is a clock whose first wait ends a loop.
+type once struct {
+	*clockwork.FakeClock
+
+	node *node
+}
+
+// After ends the loop that waits.
+func (o once) After(time.Duration) <-chan time.Time {
+	o.node.ended()
+	return nil
+}
+
 // instant is a clock whose waits are over at once.
 type instant struct{ *clockwork.FakeClock }
 
