--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -37,6 +37,9 @@
 func Main(args []string) int {
 	ctx, f := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer f()
+	// The first signal begins the graceful shutdown and gives the signals back
+	// to the system, so that a second one ends the process at once.
+	defer context.AfterFunc(ctx, f)()
 	m := &Cmd{Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv, Clock: clockwork.NewRealClock()}
 	return m.Run(ctx, args)
 }
