--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -254,3 +254,23 @@
 	}
 	return m
 }
+
+// Operators drain a failure domain in a region that has half of the callers,
+// and end the drain four minutes later. Its weight falls and rises by a fifth
+// an interval, which is a tenth of all callers, the cap.
+func TestDomainDrainsInSteps(t *testing.T) {
+	s := &simulation{Regions: []place{{Name: "abuja", Slots: 100, Demand: 40}, {Name: "lagos", Slots: 100, Demand: 40}}}
+	p := s.start()
+	d := domain.Domain{Name: "lagos-1", Region: "lagos"}
+	p.Domains = func() []domain.Domain { return []domain.Domain{d} }
+	var w []int
+	for at := time.Duration(0); at < 8*time.Minute; at += tick {
+		s.step(at)
+		d.Draining = at >= time.Minute && at < 5*time.Minute
+		must.NoError(t, p.Tick(context.Background()))
+		if at%(30*time.Second) == 0 {
+			w = append(w, int(100*s.plan.Weight("lagos-1")+0.5))
+		}
+	}
+	must.Eq(t, []int{100, 100, 80, 60, 40, 20, 0, 0, 0, 0, 20, 40, 60, 80, 100, 100}, w)
+}
--- /dev/null
+++ b/separation/hostlist_test.go
@@ -0,0 +1,63 @@
+package separation_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/membership"
+	"celeryreach.example/celeryreach/roster"
+	"celeryreach.example/celeryreach/wire"
+)
+
+// For a minute the platform's list names host "dead", which is gone, and does
+// not name host "new", which runs. A caller's look-up on host "a" must name the
+// hosts that answer heartbeats: "c", which is on the list, and "new", of which
+// "c" tells; never "dead".
+func TestHostListLags(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	ctx, f := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	beats := make(map[string]int)
+	m := &membership.Membership{
+		Clock: c, Log: log.New(io.Discard), Interval: 200 * time.Millisecond, Hold: 3 * time.Second,
+		Self:    func() member.Member { return member.Member{Name: "a", PeerAddress: "a"} },
+		Compose: func(*wire.Heartbeat) {}, Heard: func(*wire.Heartbeat, time.Time) {},
+		Listed: func(context.Context) ([]member.Member, error) {
+			return []member.Member{{Name: "dead", PeerAddress: "dead"}, {Name: "c", PeerAddress: "c"}}, nil
+		},
+		Beat: func(_ context.Context, to string, _ *wire.Heartbeat) (*wire.Heartbeat, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			beats[to]++
+			if to == "dead" {
+				return nil, errCut
+			}
+			return &wire.Heartbeat{
+				From:  &wire.Host{Name: to, PeerAddress: to, CallerAddress: to, Region: "lagos", Incarnation: 1},
+				Known: []*wire.Host{{Name: "new", PeerAddress: "new"}}, Sequence: uint64(beats[to]),
+			}, nil
+		},
+	}
+	d := make(chan error, 1)
+	go func() { d <- m.Run(ctx) }()
+	for len(m.Alive()) < 2 {
+		c.Advance(100 * time.Millisecond)
+	}
+	for range 10 {
+		c.Advance(100 * time.Millisecond)
+	}
+	f()
+	must.NoError(t, <-d)
+	h, _ := roster.New(m.Alive(), func(string) int { return 0 }).Hosts("lagos")
+	must.Len(t, 2, h)
+	must.EqOp(t, "c", h[0].Name)
+	must.EqOp(t, "new", h[1].Name)
+}
