--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/replica"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -77,7 +78,7 @@
 	if n.GetFrom() != nil {
 		r.Heard(n.From.Name, n.Versions)
 	}
-	return r.notice()
+	return &wire.Notice{Versions: r.versions()}
 }
 
 // Answer answers a peer's question for newer content.
@@ -165,8 +166,9 @@
 	}
 }
 
-// ahead returns the peers with a higher version: the highest first, and among
-// equals the nearest.
+// ahead returns the peers with a higher version: the highest first, among
+// equals the nearest, and among those an order of this host's own, so that not
+// all ask the same one.
 func (r *Relay) ahead(p *replica.Replica) []member.Member {
 	v := p.Digest().Version
 	n := r.Clock.Now()
@@ -185,7 +187,10 @@
 		if x != y {
 			return x > y
 		}
-		return distance(s, a[i]) < distance(s, a[j])
+		if k, l := distance(s, a[i]), distance(s, a[j]); k != l {
+			return k < l
+		}
+		return rendezvous.Uniform(s.Name, a[i].Name) < rendezvous.Uniform(s.Name, a[j].Name)
 	})
 	return a
 }
@@ -267,12 +272,17 @@
 }
 
 func (r *Relay) notice() *wire.Notice {
-	s := r.Self()
-	n := &wire.Notice{From: &wire.Host{Name: s.Name, Incarnation: s.Incarnation, Domain: s.Domain, Region: s.Region, PeerAddress: s.PeerAddress}}
+	return &wire.Notice{From: &wire.Host{Name: r.Self().Name}, Versions: r.versions()}
+}
+
+func (r *Relay) versions() []*wire.Version {
+	var v []*wire.Version
 	for _, p := range r.Replicas {
-		n.Versions = append(n.Versions, p.Digest())
+		if d := p.Digest(); d.Version > 0 {
+			v = append(v, d)
+		}
 	}
-	return n
+	return v
 }
 
 // signals returns the channels that wake fetching and telling.
