--- a/cmd/everywhere.go
+++ b/cmd/everywhere.go
@@ -72,7 +72,9 @@
 	x, f := context.WithTimeout(ctx, d)
 	defer f()
 	for {
-		s, err := n.states(x)
+		// A round that is begun is finished: an answer that the end of the wait
+		// cut off would look like a silent host.
+		s, err := n.states(ctx)
 		if err == nil || hosts == nil {
 			hosts, all = inForce(s, version, err)
 		}
--- a/fleet/hosts.go
+++ b/fleet/hosts.go
@@ -105,6 +105,11 @@
 // Send sends one caller's request to a host, with the account's key, and
 // returns the answer's status and body. A request with an id carries a body.
 func (f *Fleet) Send(ctx context.Context, host, account, method, path, id string) (code int, answer string, err error) {
+	return f.SendKey(ctx, host, f.Keys[account], method, path, id)
+}
+
+// SendKey is Send with any key.
+func (f *Fleet) SendKey(ctx context.Context, host, key, method, path, id string) (code int, answer string, err error) {
 	var b io.Reader
 	if id != "" {
 		b = strings.NewReader("id=" + id)
@@ -113,7 +118,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	q.Header.Set("Authorization", "Bearer "+f.Keys[account])
+	q.Header.Set("Authorization", "Bearer "+key)
 	if id != "" {
 		q.Header.Set("Idempotency-Key", id)
 	}
--- /dev/null
+++ b/fleetscript/call.go
@@ -0,0 +1,126 @@
+package fleetscript
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"celeryreach.example/celeryreach/cmd"
+)
+
+var issuedKey = regexp.MustCompile(`key: ([A-Z2-7]{26})\n`)
+
+// celeryreach runs a command in this process. Arguments that name a file of
+// the script, with a dot, are made absolute: a process has one working
+// directory for all scripts.
+func celeryreach(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	o, e, c := s.command(ts, args)
+	s.note("$ celeryreach "+strings.Join(args, " "), o+e, c)
+	fmt.Fprint(ts.Stdout(), o) //nolint:errcheck // a buffer of the script
+	fmt.Fprint(ts.Stderr(), e) //nolint:errcheck // a buffer of the script
+	if neg == (c == 0) {
+		ts.Fatalf("exit code %d", c)
+	}
+}
+
+func (s *script) command(ts *testscript.TestScript, args []string) (out, err string, code int) {
+	var o, e bytes.Buffer
+	m := &cmd.Cmd{Out: &o, Err: &e, Getenv: ts.Getenv, Clock: s.clock}
+	a := []string{"celeryreach"}
+	for _, v := range args {
+		if f := ts.MkAbs(v); strings.Contains(v, ".") && isFile(f) {
+			v = f
+		}
+		a = append(a, v)
+	}
+	code = m.Run(s.context, a)
+	if k := issuedKey.FindStringSubmatch(o.String()); k != nil {
+		s.issued = append(s.issued, k[1])
+		ts.Setenv("ISSUED", k[1])
+	}
+	d := s.work + string(os.PathSeparator)
+	return strings.ReplaceAll(o.String(), d, ""), strings.ReplaceAll(e.String(), d, ""), code
+}
+
+func isFile(path string) bool {
+	i, err := os.Stat(path)
+	return err == nil && i.Mode().IsRegular()
+}
+
+func request(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	t, err := s.request(ts, args)
+	if neg != (err != nil) {
+		ts.Fatalf("request: %s%v", t, err)
+	}
+	if err != nil {
+		t = "no answer\n"
+	}
+	s.note("$ request "+strings.Join(args, " "), t, 0)
+	fmt.Fprint(ts.Stdout(), t) //nolint:errcheck // a buffer of the script
+}
+
+func (s *script) request(ts *testscript.TestScript, args []string) (string, error) {
+	f := running(ts)
+	k := ""
+	if len(args) > 2 && args[0] == "-key" {
+		k = args[1]
+		args = args[2:]
+	}
+	if len(args) < 4 || len(args) > 5 {
+		ts.Fatalf("usage: request [-key KEY] HOST ACCOUNT METHOD PATH [ID]")
+	}
+	if k == "" {
+		k = f.Keys[args[1]]
+	}
+	id := ""
+	if len(args) == 5 {
+		id = args[4]
+	}
+	c, b, err := f.SendKey(s.context, args[0], k, args[2], args[3], id)
+	return fmt.Sprintf("%d %s\n", c, strings.TrimSpace(b)), err
+}
+
+// until polls, since nothing tells a caller when the state of another host
+// has changed. It leaves one entry in the session, whatever the number of
+// polls was.
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: until PATTERN celeryreach|request ARGS")
+	}
+	r, err := regexp.Compile(args[0])
+	ts.Check(err)
+	var t string
+	err = running(ts).Await(s.context, args[0], func() bool {
+		t = s.once(ts, args[1], args[2:])
+		return r.MatchString(t)
+	})
+	if err != nil {
+		ts.Fatalf("%v; last output:\n%s", err, t)
+	}
+	s.note("$ until "+strings.Join(args[1:], " "), t, 0)
+	fmt.Fprint(ts.Stdout(), t) //nolint:errcheck // a buffer of the script
+}
+
+func (s *script) once(ts *testscript.TestScript, name string, args []string) string {
+	switch name {
+	case "celeryreach":
+		o, e, _ := s.command(ts, args)
+		return o + e
+	case "request":
+		t, err := s.request(ts, args)
+		if err != nil {
+			return "no answer\n"
+		}
+		return t
+	default:
+		ts.Fatalf("until: cannot run %s", name)
+		return ""
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,7 @@
 const (
 	configPoll     = time.Second
 	restartBackoff = time.Second
+	maxBackoff     = 30 * time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
 )
@@ -87,9 +88,10 @@
 	x := h.parts()
 	x.peerserver.Listener = p
 	return &supervisor.Supervisor{
-		Clock:   h.Clock,
-		Log:     h.Log,
-		Backoff: restartBackoff,
+		Clock:      h.Clock,
+		Log:        h.Log,
+		Backoff:    restartBackoff,
+		MaxBackoff: maxBackoff,
 		Children: []child.Child{
 			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
--- a/knobs/knobs.go
+++ b/knobs/knobs.go
@@ -12,6 +12,9 @@
 	// LoseAnswers is how many of the next commits take effect and then break
 	// the connection.
 	LoseAnswers int `json:",omitzero"`
+	// LoseCommits is how many of the next commits break the connection before
+	// they take effect: to the caller they look like lost answers.
+	LoseCommits int `json:",omitzero"`
 	// ListLag is how long the host list stays behind.
 	ListLag time.Duration `json:",omitzero"`
 }
--- /dev/null
+++ b/platformclient/platformclient_test.go
@@ -0,0 +1,96 @@
+package platformclient_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/knobs"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/standin"
+	"celeryreach.example/celeryreach/table"
+)
+
+func serve(t *testing.T, h http.Handler) platform.Platform {
+	t.Helper()
+	s := httptest.NewServer(h)
+	p := &platformclient.Platformclient{URL: s.URL, Timeout: 10 * time.Second}
+	t.Cleanup(func() {
+		p.Close()
+		s.Close()
+	})
+	return p.Platform()
+}
+
+func put(key, value string) commit.Commit {
+	return commit.Commit{Put: []row.Row{{Key: key, Value: []byte(value)}}}
+}
+
+// The platform closes a kept connection after it has read a commit and before
+// it answers. net/http repeats a request on a kept connection when it takes it
+// for replayable; a commit that was sent twice would be applied twice.
+func TestCommitIsSentOnce(t *testing.T) {
+	var n atomic.Int64
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		must.NoError(t, err)
+		if r.Method == http.MethodPost && n.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("true")) // the test sees a short answer
+	})}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		_ = s.Serve(l) // always ErrServerClosed
+	}()
+	defer func() {
+		must.NoError(t, s.Close())
+		<-d
+	}()
+	p := &platformclient.Platformclient{URL: "http://" + l.Addr().String(), Timeout: 10 * time.Second}
+	defer p.Close()
+	f := p.Platform()
+	ok, err := f.Commit(context.Background(), put("a", "1"))
+	must.NoError(t, err)
+	must.True(t, ok)
+	_, err = f.Commit(context.Background(), put("a", "2"))
+	must.Error(t, err)
+	must.Eq(t, 2, n.Load())
+}
+
+// To its caller a commit whose answer is lost looks the same whether it took
+// effect or not; only the row tells.
+func TestLostCommits(t *testing.T) {
+	s := &standin.Standin{Clock: clockwork.NewRealClock(), Table: new(table.Table)}
+	f := serve(t, s)
+	x := context.Background()
+	s.Set(knobs.Knobs{LoseCommits: 1})
+	_, err := f.Commit(x, put("before", "1"))
+	must.Error(t, err)
+	r, err := f.Read(x, "before")
+	must.NoError(t, err)
+	must.Eq(t, 0, r.Version)
+	s.Set(knobs.Knobs{LoseAnswers: 1})
+	_, err = f.Commit(x, put("after", "1"))
+	must.Error(t, err)
+	r, err = f.Read(x, "after")
+	must.NoError(t, err)
+	must.Eq(t, 1, r.Version)
+	s.Set(knobs.Knobs{Outage: true})
+	_, err = f.Read(x, "after")
+	must.Error(t, err)
+}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"net/http"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -65,6 +66,8 @@
 	k := s.knobs
 	s.mu.Unlock()
 	if k.Delay > 0 {
+		// A caller that gives up does not end the wait: a slow write takes
+		// effect when nobody expects it any more.
 		s.Clock.Sleep(k.Delay)
 	}
 	if k.Outage {
@@ -107,19 +110,28 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	ok := s.Table.Commit(c)
-	s.mu.Lock()
-	l := s.knobs.LoseAnswers > 0
-	if l {
-		s.knobs.LoseAnswers--
+	if s.spend(&s.knobs.LoseCommits) {
+		panic(http.ErrAbortHandler)
 	}
-	s.mu.Unlock()
-	if l {
+	ok := s.Table.Commit(c)
+	if s.spend(&s.knobs.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
 	reply(w, ok)
 }
 
+// spend takes one from a counter of the knobs and reports whether there was
+// one.
+func (s *Standin) spend(n *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
 func (s *Standin) object(w http.ResponseWriter, r *http.Request, b []byte) {
 	n := strings.TrimPrefix(r.URL.Path, "/objects/")
 	s.mu.Lock()
@@ -169,6 +181,7 @@
 		}
 		s.shown = append(s.shown, h.member)
 	}
+	sort.Slice(s.shown, func(i, j int) bool { return s.shown[i].Name < s.shown[j].Name })
 	return s.shown
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -11,16 +11,21 @@
 	"celeryreach.example/celeryreach/child"
 )
 
-// Supervisor starts its children in order, starts a failed one again after
-// Backoff, and stops them in reverse order, one after another, so that a part
-// never outlives what it depends on.
+// Supervisor starts its children in order, starts a failed one again after a
+// pause, and stops them in reverse order, one after another, so that a part
+// never outlives what it depends on. Its Run fits a child, so supervisors form
+// a tree.
 type Supervisor struct {
 	// Clock paces the restarts.
 	Clock clockwork.Clock
 	// Log receives one line for each failed child.
 	Log *log.Logger
-	// Backoff is the pause before a failed child starts again.
+	// Backoff is the pause before a failed child starts again. It doubles with
+	// each failure in a row, so that a part that cannot work costs little.
 	Backoff time.Duration
+	// MaxBackoff bounds the pause. A child that has run for longer than that
+	// counts as sound, and its next pause is Backoff again.
+	MaxBackoff time.Duration
 	// Children are the parts, those that others depend on first.
 	Children []child.Child
 }
@@ -49,18 +54,21 @@
 
 func (s *Supervisor) keep(ctx context.Context, c child.Child, done chan<- struct{}) {
 	defer close(done)
-	for ctx.Err() == nil {
+	p := s.Backoff
+	for n := 1; ctx.Err() == nil; n++ {
+		t := s.Clock.Now()
 		err := c.Run(ctx)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || err == nil {
 			return
 		}
-		if err == nil {
-			return
+		if s.Clock.Since(t) > s.MaxBackoff {
+			p = s.Backoff
 		}
-		s.Log.Error("child failed", "Child", c.Name, "Error", err)
+		s.Log.Error("child failed", "Child", c.Name, "Failures", n, "Error", err, "Wait", p)
 		select {
 		case <-ctx.Done():
-		case <-s.Clock.After(s.Backoff):
+		case <-s.Clock.After(p):
 		}
+		p = min(2*p, max(s.MaxBackoff, s.Backoff))
 	}
 }
