--- a/host/host.go
+++ b/host/host.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,7 +22,6 @@
 )
 
 const (
-	configPoll     = time.Second
 	restartBackoff = time.Second
 	maxBackoff     = 30 * time.Second
 	announceEvery  = 3 * time.Second
@@ -48,6 +48,7 @@
 	Counter *counter.Counter
 
 	peers *certs.Certs
+	cut   atomic.Int64
 }
 
 // Run serves until ctx ends, and then lets the requests in flight finish.
@@ -80,14 +81,18 @@
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
 	s := h.assemble(c, p, o)
 	err = s.Run(ctx)
-	h.Log.Info("host ended", "Host", h.Settings.Name)
+	n := h.cut.Load()
+	h.Log.Info("host ended", "Host", h.Settings.Name, "Cut", n)
+	if err == nil && n > 0 {
+		return errors.Errorf("%d requests were cut after %s", n, h.Settings.DrainTimeout)
+	}
 	return err
 }
 
 func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
 	x := h.parts()
 	x.peerserver.Listener = p
-	return &supervisor.Supervisor{
+	r := &supervisor.Supervisor{
 		Clock:      h.Clock,
 		Log:        h.Log,
 		Backoff:    restartBackoff,
@@ -97,12 +102,23 @@
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
+			{Name: "lanes", Run: x.lanes.Run},
+			{Name: "probe", Run: x.probe.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
+			{Name: "slot loans", Run: x.slotloan.Run},
+			{Name: "relay", Run: x.steering.relay.Run},
+			{Name: "plan", Run: x.steering.plans.Replica().Run},
+			{Name: "planner", Run: x.steering.planner.Run},
+			{Name: "steering", Run: x.look},
+			{Name: "readiness", Run: x.becomeReady},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
-			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), DrainTimeout: h.Settings.DrainTimeout}).Run},
+			{Name: "records", Run: x.requests.idempotency.Run},
+			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
 		},
 	}
+	r.Children = append(x.limits.children(x), r.Children...)
+	return r
 }
 
 func listen(ctx context.Context, a string) (net.Listener, error) {
--- a/host/parts.go
+++ b/host/parts.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"net"
-	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/dispatch"
-	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/history"
-	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
@@ -22,10 +19,11 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/upstream"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -38,33 +36,41 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
+	slotloan   *slotloan.Slotloan
+	probe      *probe.Probe
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
 	history    history.History
+	steering   *steering
+	requests   requests
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
-	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
+	x.steering = x.newSteering()
+	x.follower = x.newFollower()
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
-	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
+	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
-	x.dispatch = x.newDispatch()
+	x.newDomain()
+	x.newLimits()
+	x.newRequests()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.dispatch.Serve}
-	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
+	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
+	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
+		OnNotify:  x.steering.relay.Receive,
 	}
+	x.steering.relay.Replicas = x.replicas()
 	return x
 }
 
@@ -77,28 +83,6 @@
 	}
 }
 
-func (x *parts) newDispatch() *dispatch.Dispatch {
-	h := x.host
-	return &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid,
-		Idempotency: &idempotency.Idempotency{Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation},
-		Upstream:    upstream.New(dialTimeout),
-		Timeout:     func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
-	}
-}
-
-// callers is the handler of the caller address.
-func (x *parts) callers() http.Handler {
-	e := &entry.Entry{
-		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
-	}
-	m := http.NewServeMux()
-	m.Handle("GET /lookup", x.lookup)
-	m.Handle("/", e)
-	return m
-}
-
 func (x *parts) self() member.Member {
 	s := x.host.Settings
 	return member.Member{
@@ -129,19 +113,21 @@
 }
 
 func (x *parts) compose(h *wire.Heartbeat) {
-	v, s, _ := x.follower.Content()
-	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeSteering(h)
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
+	x.heardSteering(h)
+	x.heardLimits(h, sent)
+}
 
 func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
-	v, h, b := x.follower.Content()
-	if f.Kind != "Config" || v <= f.Have {
-		return &wire.FetchResponse{}
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
 	}
-	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
+	return x.steering.relay.Answer(f)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
@@ -149,31 +135,11 @@
 }
 
 func (x *parts) entryHosts(account, service string) []string {
-	a := x.lookup.Find(account, service, x.host.Settings.Region)
-	return a.EntryHosts
-}
-
-// siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
-func (x *parts) siblings() (names []string, self int) {
-	for _, m := range x.membership.Alive() {
-		if m.Domain == x.host.Settings.Domain {
-			if m.Name < x.host.Settings.Name {
-				self++
-			}
-			names = append(names, m.Name)
-		}
+	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
+	if o.Outcome != "" {
+		return o.EntryHosts
 	}
-	return append(names, x.host.Settings.Name), self
-}
-
-func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
+	return a.EntryHosts
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
--- a/host/product.go
+++ b/host/product.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/load"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/operator"
@@ -33,7 +32,7 @@
 func (x *parts) operators() http.Handler {
 	return &operator.Operator{
 		Log: x.host.Log, Snapshot: x.follower.Snapshot, History: &x.history,
-		Change: &change.Change{Platform: x.host.Platform}, Check: validate.Config, Status: x.status,
+		Change: x.newChange(), Check: validate.Config, Status: x.status,
 	}
 }
 
@@ -58,6 +57,7 @@
 		s.ConfigVersion = c.Config.Version
 		s.ConfigHash = c.Hash
 		s.Preset = c.Config.Preset
+		s.InForce = x.inForce(c.Config.Version)
 	}
 	for _, l := range x.lanes.Loads() {
 		s.Loads = append(s.Loads, load.Load{Service: l.Service, Slots: int(l.Slots), Busy: int(l.Busy), Waiting: int(l.Waiting)})
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -117,8 +117,10 @@
 	case err != nil:
 		refuse(w, http.StatusBadGateway, problem.Unknown, err.Error())
 	case !ok:
+		x := o.Change.Explain(r.Context(), from, c, a)
 		reply(w, http.StatusConflict, &problem.Problem{
-			Problem: problem.Conflict, Message: "another change was accepted in between; nothing was changed", Accepted: a,
+			Problem: problem.Conflict, Message: "another change was accepted in between; nothing was changed",
+			Accepted: a, Yours: x.Yours, Theirs: x.Theirs,
 		})
 	default:
 		o.Log.Info("configuration accepted", "Version", a.Version, "Preset", c.Preset)
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -1,91 +1,99 @@
-// Package probe measures one cost at several sizes.
+// Package probe asks backend servers for their health.
 package probe
 
 import (
-	"runtime"
+	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
-	"celeryreach.example/celeryreach/slope"
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/health"
+	"celeryreach.example/celeryreach/loadreport"
 )
 
-const (
-	passTime = 20 * time.Millisecond
-	passes   = 5
-)
+// concurrent bounds the probes under way. A probe costs a backend server about
+// 6 ms, and silent ones must not hold up the others.
+const concurrent = 8
 
-// Probe is one measured cost.
+// Probe asks at regular intervals, each time on a new connection: an old one
+// may have gone silent while the backend server is well.
 type Probe struct {
-	// Name says what is measured.
-	Name string
-	// Unit is the unit of the cost: "ns" or "B".
-	Unit string
-	// Per is the unit of the size: "block" for example.
-	Per string
-	// Sizes are the sizes to measure at, three or more.
-	Sizes []int
-	// Measure returns the cost at size n.
-	Measure func(n int) float64
-
-	costs []float64
+	// Clock paces the probes.
+	Clock clockwork.Clock
+	// Interval is the time between two probes of a backend server.
+	Interval time.Duration
+	// Timeout bounds a probe.
+	Timeout time.Duration
+	// Backends returns those to probe now.
+	Backends func() []backend.Backend
+	// Report is told what a probe saw.
+	Report func(b backend.Backend, h health.Health)
 }
 
-// Run measures at all sizes and returns the line through them.
-func (p *Probe) Run() slope.Slope {
-	var x []float64
-	p.costs = nil
-	for _, n := range p.Sizes {
-		x = append(x, float64(n))
-		p.costs = append(p.costs, p.Measure(n))
+// Run probes until ctx ends.
+func (p *Probe) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-p.Clock.After(p.Interval):
+		}
 	}
-	return slope.New(x, p.costs)
+	return nil
 }
 
-// Costs returns the measured costs in the order of Sizes.
-func (p *Probe) Costs() []float64 {
-	return p.costs
-}
-
-// Time returns the nanoseconds that one call of f takes: the best of several
-// passes, since other work on the machine only ever adds.
-func Time(c clockwork.Clock, f func()) float64 {
-	n := 1
-	for {
-		if d := pass(c, f, n); d >= passTime || n > 1<<28 {
-			break
-		}
-		n *= 2
+func (p *Probe) round(ctx context.Context) {
+	b := p.Backends()
+	d := make(chan struct{}, len(b))
+	s := make(chan struct{}, concurrent)
+	for _, v := range b {
+		s <- struct{}{}
+		go p.probe(ctx, v, func() {
+			<-s
+			d <- struct{}{}
+		})
 	}
-	b := time.Duration(1<<63 - 1)
-	for range passes {
-		b = min(b, pass(c, f, n))
+	for range b {
+		<-d
 	}
-	return float64(b) / float64(n)
 }
 
-// Bytes returns the heap that stays in use after f, which returns what keeps
-// it in use.
-func Bytes(f func() any) float64 {
-	a := heap()
-	v := f()
-	b := heap()
-	runtime.KeepAlive(v)
-	return max(0, float64(b)-float64(a))
-}
-
-func pass(c clockwork.Clock, f func(), n int) time.Duration {
-	t := c.Now()
-	for range n {
-		f()
+func (p *Probe) probe(ctx context.Context, b backend.Backend, done func()) {
+	defer done()
+	x, f := clockwork.WithTimeout(ctx, p.Clock, p.Timeout)
+	defer f()
+	h := Check(x, b)
+	if ctx.Err() == nil {
+		p.Report(b, h)
 	}
-	return c.Since(t)
 }
 
-func heap() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+// Check probes once. Without a health path an open connection is all it asks.
+func Check(ctx context.Context, b backend.Backend) health.Health {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", b.Address)
+	if err != nil {
+		return health.Health{}
+	}
+	defer c.Close()
+	if b.Health == "" {
+		return health.Health{Reached: true, Healthy: true}
+	}
+	t := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return c, nil },
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Address+b.Health, nil)
+	if err != nil {
+		return health.Health{Reached: true}
+	}
+	r, err := t.RoundTrip(q)
+	if err != nil {
+		return health.Health{Reached: true}
+	}
+	r.Body.Close()
+	return health.Health{Reached: true, Healthy: r.StatusCode < http.StatusBadRequest, Report: loadreport.Take(r.Header)}
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/difference"
 )
 
 // Problem is the body of every refusal of the operators' interface.
@@ -18,6 +19,10 @@
 	Mistakes []string `json:",omitzero"`
 	// Accepted is the version that was accepted in between, after a conflict.
 	Accepted accepted.Accepted `json:",omitzero"`
+	// Yours is what the refused change would have changed.
+	Yours []difference.Difference `json:",omitzero"`
+	// Theirs is what was changed in between.
+	Theirs []difference.Difference `json:",omitzero"`
 }
 
 // Values of Problem.
--- a/status/status.go
+++ b/status/status.go
@@ -2,6 +2,7 @@
 package status
 
 import (
+	"celeryreach.example/celeryreach/inforce"
 	"celeryreach.example/celeryreach/load"
 	"celeryreach.example/celeryreach/member"
 )
@@ -25,4 +26,6 @@
 	Missing []member.Member `json:",omitzero"`
 	// Unlisted says why the platform's list is not known.
 	Unlisted string `json:",omitzero"`
+	// InForce tells on which hosts ConfigVersion is in force.
+	InForce inforce.Inforce
 }
