--- a/fleetscript/session.go
+++ b/fleetscript/session.go
@@ -12,6 +12,7 @@
 	anyKey  = regexp.MustCompile(`\b[A-Z2-7]{26}\b`)
 	anyHash = regexp.MustCompile(`\b[0-9a-f]{64}\b`)
 	anyPort = regexp.MustCompile(`127\.0\.0\.1:[0-9]+`)
+	anyTime = regexp.MustCompile(`good for [0-9a-z.µ]+`)
 	anyID   = regexp.MustCompile(`-[A-Z2-7]{6}\b`)
 )
 
@@ -48,6 +49,7 @@
 	}
 	t = anyKey.ReplaceAllString(t, "KEY")
 	t = anyHash.ReplaceAllString(t, "HASH")
+	t = anyTime.ReplaceAllString(t, "good for TIME")
 	t = anyPort.ReplaceAllString(t, "ADDRESS")
 	return anyID.ReplaceAllString(t, "-ID")
 }
