Burn report: budgets by account, service and region, from all hosts

Cause: nobody could tell whether the objectives hold, nor for whom. Change: each host counts by minute, account and service, and by second against rates; report burn gathers from all hosts, names those that are silent, and writes text, JSON and one HTML page with plots. Wrongful refusals are counted after the fact by replaying all hosts' counts through one token bucket. Counts of replaced hosts come from the platform: one object and one row in five minutes and at the end. Conclusion: a fault shows in the budget of whom it hits.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -82,6 +82,7 @@
 		m.presetCommand(),
 		m.drainCommand(),
 		m.statusCommand(),
+		m.reportCommand(),
 		m.lookupCommand(),
 		experimentCommand(),
 	}
--- /dev/null
+++ b/cmd/report_burn.go
@@ -0,0 +1,117 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/burnpage"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/report"
+	"celeryreach.example/celeryreach/sums"
+)
+
+func (m *Cmd) reportBurn() *cli.Command {
+	return m.leaf("burn", "compare what all reachable hosts have counted with the service-level objectives", "", m.runReportBurn,
+		&cli.StringFlag{Name: "html", Usage: "also write a page with plots to `FILE`"})
+}
+
+func (m *Cmd) runReportBurn(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c); err != nil {
+		return err
+	}
+	n, err := m.connect(c)
+	if err != nil {
+		return err
+	}
+	defer n.close()
+	v, err := n.load(ctx)
+	if err != nil {
+		return err
+	}
+	s, err := n.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	g := n.gather(ctx, append(append([]member.Member{s.Host}, s.Peers...), s.Missing...))
+	var kept []sums.Sums
+	err = n.client.Get(ctx, "/burn/kept", &kept)
+	r := report.Build(v, append(g.sums, kept...), m.Clock.Now())
+	r.Hosts, r.Silent = g.hosts, g.silent
+	r.Replaced = replaced(kept)
+	if err != nil {
+		r.Unkept = err.Error()
+	}
+	if f := c.String("html"); f != "" {
+		if err := page(f, r); err != nil {
+			return err
+		}
+	}
+	var t error
+	if err := m.write(c, r, func() { t = r.Text(m.Out) }); err != nil {
+		return err
+	}
+	return t
+}
+
+// gathered is what the hosts answered.
+type gathered struct {
+	sums   []sums.Sums
+	hosts  []string
+	silent map[string]string
+}
+
+func (n *connection) gather(ctx context.Context, hosts []member.Member) gathered {
+	type answer struct {
+		host string
+		sums sums.Sums
+		err  error
+	}
+	c := make(chan answer)
+	for _, h := range hosts {
+		go func() {
+			a := answer{host: h.Name}
+			a.err = n.at(h).Get(ctx, "/burn", &a.sums)
+			c <- a
+		}()
+	}
+	g := gathered{silent: make(map[string]string)}
+	for range hosts {
+		a := <-c
+		if a.err != nil {
+			g.silent[a.host] = a.err.Error()
+			continue
+		}
+		g.sums = append(g.sums, a.sums)
+		g.hosts = append(g.hosts, a.host)
+	}
+	return g
+}
+
+func replaced(kept []sums.Sums) []string {
+	var r []string
+	d := make(map[string]bool)
+	for _, s := range kept {
+		n := fmt.Sprintf("%s/%016x", s.Host, s.Incarnation)
+		if !d[n] {
+			r = append(r, n)
+		}
+		d[n] = true
+	}
+	return r
+}
+
+func page(path string, r *report.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "page")
+	}
+	err = burnpage.Write(f, r)
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	return errors.Wrap(err, "page")
+}
--- a/demo/config.go
+++ b/demo/config.go
@@ -6,6 +6,7 @@
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/objective"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/service"
@@ -35,10 +36,16 @@
 	{Name: "hill-camp", Rate: 40, Burst: 20},
 }
 
+var objectives = []objective.Objective{
+	{Service: "Listings", Latency: 250 * time.Millisecond, LatencyFraction: 0.99, WholeFraction: 0.999, WrongfulFraction: 0.001, WorstShare: 0.8, Headroom: 0.2, DrainTime: 10 * time.Second},
+	{Service: "Enrolment", Latency: time.Second, LatencyFraction: 0.99, WholeFraction: 0.999, WrongfulFraction: 0.001, WorstShare: 0.8, Headroom: 0.2, DrainTime: 15 * time.Second},
+	{Service: "Rosters", Latency: 10 * time.Second, LatencyFraction: 0.95, WholeFraction: 0.99, WrongfulFraction: 0.01},
+}
+
 // newConfig returns the demo's configuration without what the fleet adds.
 func newConfig() config.Config {
 	return config.Config{
-		Preset: "Ordinary", Presets: presets(), Domains: domains, Services: services, Accounts: accounts,
+		Preset: "Ordinary", Presets: presets(), Domains: domains, Services: services, Accounts: accounts, Objectives: objectives,
 		Regions:      []region.Region{{Name: "lagos"}, {Name: "abuja"}},
 		KeyStaleness: staleness.Staleness{Idempotent: 10 * time.Minute, NonIdempotent: time.Minute},
 	}
--- a/fleetscript/fleetscript.go
+++ b/fleetscript/fleetscript.go
@@ -7,6 +7,8 @@
 //	[!] celeryreach ARGS            run a command of the command line
 //	request [-key KEY] HOST ACCOUNT METHOD PATH [ID]
 //	                                send a caller's request, print status and body
+//	offer TIME HOST ACCOUNT RATE PATH...
+//	                                send requests for a time, RATE a second for each four arguments
 //	until PATTERN COMMAND ARGS      run celeryreach or request until its output matches
 //	cut A B, heal A B               separate two places, end that
 //	kill HOST, stop HOST, start HOST, ready
@@ -56,7 +58,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet": begin, "celeryreach": celeryreach, "request": request, "until": until,
+			"fleet": begin, "celeryreach": celeryreach, "request": request, "offer": offer, "until": until,
 			"cut": cut, "heal": heal, "kill": kill, "stop": stop, "start": start, "ready": ready,
 			"platform": platform, "replace": replace, "runs": runs, "session": session,
 		},
--- a/host/domain.go
+++ b/host/domain.go
@@ -30,9 +30,7 @@
 	x.lanes = &lanes.Lanes{
 		Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot,
 		Slots: x.slots, Borrowed: x.slotloan.Acquire,
-		Drained: func(name, sign string, d time.Duration) {
-			h.Log.Info("backend server drained", "Backend", name, "Sign", sign, "Took", d)
-		},
+		Drained: x.drained,
 	}
 	x.slotloan.Adopt = x.lanes.Adopt
 	x.slotloan.Kick = x.lanes.Kick
--- a/host/host.go
+++ b/host/host.go
@@ -102,6 +102,8 @@
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
+			{Name: "kept counts", Run: x.keep.Run},
+			{Name: "burn", Run: x.burn.Run},
 			{Name: "lanes", Run: x.lanes.Run},
 			{Name: "probe", Run: x.probe.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
--- a/host/parts.go
+++ b/host/parts.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"celeryreach.example/celeryreach/burn"
+	"celeryreach.example/celeryreach/keep"
+
 	"celeryreach.example/celeryreach/admission"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/follower"
@@ -16,13 +19,11 @@
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
-	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -46,6 +47,8 @@
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
 	history    history.History
+	burn       *burn.Burn
+	keep       *keep.Keep
 	steering   *steering
 	requests   requests
 }
@@ -60,6 +63,7 @@
 	x.newDomain()
 	x.newLimits()
 	x.newRequests()
+	x.newBurn()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
 	x.lookup = x.newLookup()
@@ -130,10 +134,6 @@
 	return x.steering.relay.Answer(f)
 }
 
-func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
-	x.host.Counter.Add(o.Outcome)
-}
-
 func (x *parts) entryHosts(account, service string) []string {
 	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
 	if o.Outcome != "" {
--- a/host/product.go
+++ b/host/product.go
@@ -6,6 +6,12 @@
 	"slices"
 	"time"
 
+	"celeryreach.example/celeryreach/burn"
+	"celeryreach.example/celeryreach/keep"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/sums"
+
 	"celeryreach.example/celeryreach/load"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/operator"
@@ -15,7 +21,9 @@
 
 const (
 	// listTimeout keeps the state quick to read while the platform is down.
-	listTimeout  = 500 * time.Millisecond
+	listTimeout = 500 * time.Millisecond
+	// keepEvery is weighed in docs/decisions/0052-burn.md.
+	keepEvery    = 5 * time.Minute
 	historyEvery = 200 * time.Millisecond
 )
 
@@ -32,8 +40,46 @@
 func (x *parts) operators() http.Handler {
 	return &operator.Operator{
 		Log: x.host.Log, Snapshot: x.follower.Snapshot, History: &x.history,
-		Change: x.newChange(), Check: validate.Config, Status: x.status,
+		Change: x.newChange(), Check: validate.Config, Status: x.status, Sums: x.burn.Sums, Kept: x.kept,
+	}
+}
+
+// newBurn makes the parts that count for the burn report.
+func (x *parts) newBurn() {
+	x.burn = &burn.Burn{Clock: x.host.Clock, Self: x.self(), Latency: x.promised, Loads: x.lanes.Loads}
+	x.keep = &keep.Keep{Clock: x.host.Clock, Log: x.host.Log, Platform: x.host.Platform, Every: keepEvery, Sums: x.burn.Sums}
+}
+
+// promised returns the objective's latency of a service.
+func (x *parts) promised(service string) time.Duration {
+	s := x.follower.Snapshot()
+	if s == nil {
+		return 0
+	}
+	for _, o := range s.Config.Objectives {
+		if o.Service == service {
+			return o.Latency
+		}
 	}
+	return 0
+}
+
+func (x *parts) done(r *request.Request, o outcome.Outcome, d time.Duration) {
+	x.host.Counter.Add(o.Outcome)
+	x.burn.Record(r.Credential.Account, r.Service.Name, o, d)
+}
+
+func (x *parts) drained(name, sign string, d time.Duration) {
+	x.host.Log.Info("backend server drained", "Backend", name, "Sign", sign, "Took", d)
+	x.burn.Drained(name, d)
+}
+
+// kept returns the counts of processes that this host does not hear.
+func (x *parts) kept(ctx context.Context) ([]sums.Sums, error) {
+	h := x.hosts()
+	return x.keep.Kept(ctx, func(host string, incarnation uint64) bool {
+		return slices.ContainsFunc(h, func(m member.Member) bool { return m.Name == host && m.Incarnation == incarnation })
+	})
 }
 
 // remember feeds the history. A version that is in force for less than the
--- /dev/null
+++ b/keep/keep_test.go
@@ -0,0 +1,113 @@
+package keep_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/keep"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/sums"
+	"celeryreach.example/celeryreach/table"
+	"celeryreach.example/celeryreach/tally"
+)
+
+// store is a platform in memory that can fail.
+type store struct {
+	table   table.Table
+	mu      sync.Mutex
+	objects map[string][]byte
+	down    bool
+	puts    chan struct{}
+}
+
+func (s *store) platform() platform.Platform {
+	return platform.Platform{
+		Scan: func(_ context.Context, p string) ([]row.Row, error) { return s.table.Scan(p), nil },
+		Commit: func(_ context.Context, c commit.Commit) (bool, error) {
+			return s.table.Commit(c), nil
+		},
+		PutObject: func(_ context.Context, n string, b []byte) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			defer func() { s.puts <- struct{}{} }()
+			if s.down {
+				return errors.New("down")
+			}
+			s.objects[n] = b
+			return nil
+		},
+		GetObject: func(_ context.Context, n string) ([]byte, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.objects[n], nil
+		},
+	}
+}
+
+// A host counts in three minutes; the store is down at its first write, and it
+// ends in the third minute. Its counts are kept once each, with the second
+// write and with the last one, and are given back only while nobody answers
+// for that process itself.
+func TestKept(t *testing.T) {
+	c := clockwork.NewFakeClockAt(time.Unix(60_000_000, 0))
+	s := &store{objects: make(map[string][]byte), puts: make(chan struct{}, 10), down: true}
+	v := sums.Sums{Host: "h", Incarnation: 7, Region: "north"}
+	var mu sync.Mutex
+	count := func(n uint64) {
+		mu.Lock()
+		defer mu.Unlock()
+		v.Tallies = append(v.Tallies, tally.Tally{Minute: c.Now().Unix() / 60, Account: "a", Service: "s", Answered: n})
+	}
+	k := &keep.Keep{
+		Clock: c, Log: log.New(io.Discard), Platform: s.platform(), Every: time.Minute,
+		Sums: func() sums.Sums {
+			mu.Lock()
+			defer mu.Unlock()
+			v.At = c.Now()
+			return v
+		},
+	}
+	x, f := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	count(1)
+	go func() { d <- k.Run(x) }()
+	for _, n := range []uint64{2, 4} {
+		must.NoError(t, c.BlockUntilContext(x, 1))
+		c.Advance(time.Minute)
+		<-s.puts
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		count(n)
+	}
+	f()
+	must.NoError(t, <-d)
+	r, err := k.Kept(context.Background(), func(string, uint64) bool { return false })
+	must.NoError(t, err)
+	var a uint64
+	for _, y := range r {
+		for _, z := range y.Tallies {
+			a += z.Answered
+		}
+	}
+	must.Eq(t, 7, a)
+	must.Len(t, 2, r)
+	r, err = k.Kept(context.Background(), func(h string, i uint64) bool { return h == "h" && i == 7 })
+	must.NoError(t, err)
+	must.SliceEmpty(t, r)
+	c.Advance(7 * time.Hour)
+	r, err = k.Kept(context.Background(), func(string, uint64) bool { return false })
+	must.NoError(t, err)
+	must.SliceEmpty(t, r)
+	must.SliceEmpty(t, s.table.Scan("burn/"))
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,6 +19,7 @@
 	"celeryreach.example/celeryreach/problem"
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/status"
+	"celeryreach.example/celeryreach/sums"
 )
 
 const (
@@ -40,6 +41,10 @@
 	Check func(c *config.Config) []string
 	// Status describes what this host knows.
 	Status func(ctx context.Context) status.Status
+	// Sums returns this host's counts for the burn report.
+	Sums func() sums.Sums
+	// Kept returns the counts of processes that no longer run.
+	Kept func(ctx context.Context) ([]sums.Sums, error)
 }
 
 // ServeHTTP serves one call.
@@ -60,6 +65,10 @@
 		o.put(w, r)
 	case "GET /status":
 		reply(w, http.StatusOK, o.Status(r.Context()))
+	case "GET /burn":
+		reply(w, http.StatusOK, o.Sums())
+	case "GET /burn/kept":
+		o.kept(w, r)
 	case "GET /debug/vars":
 		expvar.Handler().ServeHTTP(w, r)
 	default:
@@ -128,6 +137,15 @@
 	}
 }
 
+func (o *Operator) kept(w http.ResponseWriter, r *http.Request) {
+	k, err := o.Kept(r.Context())
+	if err != nil {
+		refuse(w, http.StatusBadGateway, problem.Unknown, err.Error())
+		return
+	}
+	reply(w, http.StatusOK, k)
+}
+
 func allowed(s *snapshot.Snapshot, r *http.Request) bool {
 	h := credential.Hash(strings.TrimPrefix(r.Header.Get("Authorization"), bearer))
 	for _, k := range s.Config.Operators {
--- /dev/null
+++ b/replay/replay.go
@@ -0,0 +1,56 @@
+// Package replay tells after the fact which refusals for a rate were wrongful.
+package replay
+
+import (
+	"sort"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/second"
+)
+
+// Wrongful returns, by second, how many refusals of an account a single token
+// bucket that sees the requests of all hosts would not have made. The bucket
+// starts full, and what it gains within a second can be spent in that second.
+// The order of requests within a second is not known, and the hosts' wall
+// clocks differ, so at the edge of a burst a count can be off by what the
+// bucket gains in that time.
+func Wrongful(a account.Account, all []second.Second) map[int64]uint64 {
+	r := make(map[int64]uint64)
+	t := a.Burst
+	var next int64
+	for i, v := range merge(a.Name, all) {
+		if i > 0 {
+			t = min(a.Burst, t+a.Rate*float64(v.Second-next))
+		}
+		next = v.Second + 1
+		n := min(v.Admitted+v.Refused, uint64(t+a.Rate))
+		t = min(a.Burst, t+a.Rate-float64(n))
+		if n > v.Admitted {
+			r[v.Second] = n - v.Admitted
+		}
+	}
+	return r
+}
+
+// merge sums the counts of all hosts, ordered by time.
+func merge(name string, all []second.Second) []second.Second {
+	m := make(map[int64]*second.Second)
+	for _, v := range all {
+		if v.Account != name {
+			continue
+		}
+		s := m[v.Second]
+		if s == nil {
+			s = &second.Second{Second: v.Second, Account: name}
+			m[v.Second] = s
+		}
+		s.Admitted += v.Admitted
+		s.Refused += v.Refused
+	}
+	r := make([]second.Second, 0, len(m))
+	for _, s := range m {
+		r = append(r, *s)
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].Second < r[j].Second })
+	return r
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,72 @@
+package replay_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/replay"
+	"celeryreach.example/celeryreach/second"
+)
+
+// However the same requests are spread over hosts, the verdict is the same;
+// what one bucket would have admitted keeps to rate and burst over every
+// window; and no more refusals are wrongful than there were.
+func TestWrongful(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := account.Account{Name: "a", Rate: float64(rapid.IntRange(1, 50).Draw(t, "rate")), Burst: float64(rapid.IntRange(1, 100).Draw(t, "burst"))}
+		n := rapid.IntRange(1, 30).Draw(t, "seconds")
+		var one, two []second.Second
+		all := make([]second.Second, n)
+		for i := range n {
+			v := second.Second{
+				Second: int64(i), Account: "a",
+				Admitted: rapid.Uint64Range(0, 40).Draw(t, "admitted"), Refused: rapid.Uint64Range(0, 200).Draw(t, "refused"),
+			}
+			all[i] = v
+			one = append(one, v)
+			p := rapid.Uint64Range(0, v.Admitted).Draw(t, "part")
+			q := rapid.Uint64Range(0, v.Refused).Draw(t, "part")
+			two = append(two,
+				second.Second{Second: v.Second, Account: "a", Admitted: v.Admitted - p, Refused: q},
+				second.Second{Second: v.Second, Account: "other", Admitted: 7, Refused: 7},
+				second.Second{Second: v.Second, Account: "a", Admitted: p, Refused: v.Refused - q})
+		}
+		w := replay.Wrongful(a, one)
+		must.Eq(t, w, replay.Wrongful(a, two))
+		for i := range n {
+			var would uint64
+			for j := i; j < n; j++ {
+				must.LessEq(t, all[j].Refused, w[int64(j)])
+				if w[int64(j)] > 0 {
+					would += all[j].Admitted + w[int64(j)]
+				}
+				must.LessEq(t, a.Burst+a.Rate*float64(j-i+1), float64(would))
+			}
+		}
+	})
+}
+
+// An account at five times its rate is refused rightfully four times of five,
+// once its burst is gone; the same refusals without the admitted requests
+// would all have been wrongful up to the rate.
+func TestFiveTimesTheRate(t *testing.T) {
+	a := account.Account{Name: "a", Rate: 10, Burst: 20}
+	var fair, unfair []second.Second
+	for i := range 100 {
+		n := uint64(10)
+		if i == 0 {
+			n = 30
+		}
+		fair = append(fair, second.Second{Second: int64(i), Account: "a", Admitted: n, Refused: 50 - n})
+		unfair = append(unfair, second.Second{Second: int64(i), Account: "a", Refused: 50})
+	}
+	must.MapEmpty(t, replay.Wrongful(a, fair))
+	var s uint64
+	for _, n := range replay.Wrongful(a, unfair) {
+		s += n
+	}
+	must.Eq(t, 20+100*10, s)
+}
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,107 @@
+package report_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/burnpage"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/document"
+	"celeryreach.example/celeryreach/drained"
+	"celeryreach.example/celeryreach/report"
+	"celeryreach.example/celeryreach/second"
+	"celeryreach.example/celeryreach/sums"
+	"celeryreach.example/celeryreach/tally"
+	"celeryreach.example/celeryreach/usage"
+)
+
+var now = time.Date(2026, 3, 1, 12, 0, 30, 0, time.UTC)
+
+// Each script holds a configuration, what the hosts have counted, and the
+// report. UPDATE=1 rewrites the reports.
+func TestReports(t *testing.T) {
+	f, err := filepath.Glob("testdata/*.txtar")
+	must.NoError(t, err)
+	must.Positive(t, len(f))
+	for _, n := range f {
+		t.Run(filepath.Base(n), func(t *testing.T) {
+			a, err := txtar.ParseFile(n)
+			must.NoError(t, err)
+			d, err := document.Parse(a.Files[0].Data)
+			must.NoError(t, err)
+			var c config.Config
+			must.SliceEmpty(t, d.Decode(&c))
+			r := report.Build(&c, counts(t, string(a.Files[1].Data)), now)
+			var b bytes.Buffer
+			must.NoError(t, r.Text(&b))
+			if os.Getenv("UPDATE") != "" {
+				a.Files[2].Data = b.Bytes()
+				must.NoError(t, os.WriteFile(n, txtar.Format(a), 0o600))
+			}
+			must.Eq(t, string(a.Files[2].Data), b.String())
+			var p bytes.Buffer
+			must.NoError(t, burnpage.Write(&p, r))
+			must.Eq(t, 3, strings.Count(p.String(), "</svg>"))
+			must.StrNotContains(t, p.String(), "src=")
+		})
+	}
+}
+
+// counts reads one host's counts from "host NAME REGION" to the next. Minutes
+// and seconds are counted back from now.
+func counts(t *testing.T, text string) []sums.Sums {
+	t.Helper()
+	var r []sums.Sums
+	s := bufio.NewScanner(strings.NewReader(text))
+	for s.Scan() {
+		w, a, _ := strings.Cut(s.Text(), " ")
+		var h *sums.Sums
+		if len(r) > 0 {
+			h = &r[len(r)-1]
+		}
+		var from, to int64
+		var err error
+		switch w {
+		case "host":
+			v := sums.Sums{}
+			_, err = fmt.Sscan(a, &v.Host, &v.Region)
+			r = append(r, v)
+		case "tally": // minutes from to, account, service, answered timely left failed inside overrate
+			var v tally.Tally
+			_, err = fmt.Sscan(a, &from, &to, &v.Account, &v.Service, &v.Answered, &v.Timely, &v.Left, &v.Failed, &v.Inside, &v.OverRate)
+			for m := from; m >= to; m-- {
+				v.Minute = now.Unix()/60 - m
+				h.Tallies = append(h.Tallies, v)
+			}
+		case "second": // seconds from to, account, admitted refused
+			var v second.Second
+			_, err = fmt.Sscan(a, &from, &to, &v.Account, &v.Admitted, &v.Refused)
+			for m := from; m >= to; m-- {
+				v.Second = now.Unix() - m
+				h.Seconds = append(h.Seconds, v)
+			}
+		case "usage":
+			v := usage.Usage{Minute: now.Unix() / 60}
+			_, err = fmt.Sscan(a, &v.Service, &v.Slots, &v.Busy)
+			h.Usages = append(h.Usages, v)
+		case "drain":
+			v := drained.Drained{At: now}
+			var d string
+			_, err = fmt.Sscan(a, &v.Backend, &d)
+			must.NoError(t, err)
+			v.Took, err = time.ParseDuration(d)
+			h.Drains = append(h.Drains, v)
+		}
+		must.NoError(t, err)
+	}
+	return r
+}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -55,7 +55,7 @@
 	s := &supervisor.Supervisor{
 		Clock: c, Log: log.NewWithOptions(&b, log.Options{Formatter: log.LogfmtFormatter}),
 		Backoff: time.Second, MaxBackoff: 4 * time.Second,
-		Children: []child.Child{r.child("part", func(ctx context.Context) error {
+		Children: []child.Child{r.child("part", func(context.Context) error {
 			select {
 			case <-good:
 				c.Advance(time.Hour)
