--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,7 @@
 
 const (
 	restartBackoff = time.Second
+	maxBackoff     = 30 * time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
 )
@@ -92,14 +93,17 @@
 	x := h.parts()
 	x.peerserver.Listener = p
 	r := &supervisor.Supervisor{
-		Clock:   h.Clock,
-		Log:     h.Log,
-		Backoff: restartBackoff,
+		Clock:      h.Clock,
+		Log:        h.Log,
+		Backoff:    restartBackoff,
+		MaxBackoff: maxBackoff,
 		Children: []child.Child{
 			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
+			{Name: "kept counts", Run: x.keep.Run},
+			{Name: "burn", Run: x.burn.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
 			{Name: "relay", Run: x.steering.relay.Run},
