--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"celeryreach.example/celeryreach/budget"
 	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/queue"
@@ -62,7 +63,7 @@
 // why nothing was written to w. It panics with http.ErrAbortHandler when the
 // answer broke off after its head: only a broken connection tells the caller.
 func (d *Dispatch) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	x, f := clockwork.WithDeadline(ctx, d.Clock, r.Deadline)
+	x, f := deadline.With(ctx, d.Clock, r.Deadline.Sub(d.Clock.Now()))
 	defer f()
 	d.Budget.First()
 	if !r.NonIdempotent {
@@ -192,7 +193,7 @@
 // ended is the outcome of a request whose context ended.
 func ended(ctx context.Context, ran bool) outcome.Outcome {
 	o := outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if deadline.Exceeded(ctx) {
 		o = refuse(outcome.DeadlineExceeded, "the time ran out")
 	}
 	if ran {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/admission"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/hop"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/quota"
@@ -176,7 +177,7 @@
 	if !r.Gate.Send() {
 		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
 	}
-	x, f := clockwork.WithDeadline(ctx, e.Clock, r.Deadline)
+	x, f := deadline.With(ctx, e.Clock, r.Deadline.Sub(e.Clock.Now()))
 	defer f()
 	o = e.Forward(x, r, w)
 	if o.Ran == outcome.RanNo {
--- a/group/group.go
+++ b/group/group.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/row"
 )
 
@@ -90,7 +91,7 @@
 		g.next = nil
 	}
 	g.mu.Unlock()
-	x, f := clockwork.WithTimeout(ctx, g.Clock, g.Timeout)
+	x, f := deadline.With(ctx, g.Clock, g.Timeout)
 	defer f()
 	b.ok, b.err = g.Commit(x, b.commit)
 }
--- a/host/requests.go
+++ b/host/requests.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"celeryreach.example/celeryreach/budget"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
 	"celeryreach.example/celeryreach/group"
@@ -122,7 +121,7 @@
 	h.Clock.Sleep(n)
 	<-d
 	x.requests.closed.Store(true)
-	y, f := clockwork.WithTimeout(ctx, h.Clock, h.Settings.DrainTimeout)
+	y, f := deadline.With(ctx, h.Clock, h.Settings.DrainTimeout)
 	defer f()
 	c := x.requests.inflight.Wait(y)
 	h.cut.Store(int64(c))
@@ -133,7 +132,7 @@
 // the next heartbeat.
 func (x *parts) sayLeaving(ctx context.Context, t time.Duration, done chan<- struct{}) {
 	defer close(done)
-	y, f := clockwork.WithTimeout(ctx, x.host.Clock, t)
+	y, f := deadline.With(ctx, x.host.Clock, t)
 	defer f()
 	if err := x.host.Platform.Announce(y, x.self()); err != nil {
 		x.host.Log.Warn("leaving not announced", "Host", x.host.Settings.Name, "Error", err)
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/group"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/platform"
@@ -145,7 +146,7 @@
 	if err != nil {
 		panic(err) // a Record holds nothing that JSON cannot
 	}
-	x, f := clockwork.WithTimeout(ctx, i.Clock, i.Timeout)
+	x, f := deadline.With(ctx, i.Clock, i.Timeout)
 	defer f()
 	v := uint64(0)
 	for {
@@ -226,7 +227,6 @@
 	defer i.mu.Unlock()
 	r := a.record
 	r.State = record.Void
-	i.given[r.Attempt] = true
 	i.end(a, r)
 	if ctx.Err() != nil {
 		return r, refuse(outcome.Left, outcome.RanNo, "the caller left")
--- a/idempotency/run.go
+++ b/idempotency/run.go
@@ -69,9 +69,14 @@
 	return i.wake
 }
 
-// end makes r the final record of an attempt. The caller holds the lock.
+// end makes r the final record of an attempt. Until the store knows a void one,
+// this process knows that the attempt did not run, and lets the next one have
+// the row. The caller holds the lock.
 func (i *Idempotency) end(a *attempt, r record.Record) {
 	a.record = r
+	if r.State == record.Void {
+		i.given[r.Attempt] = true
+	}
 	close(a.done)
 	i.pending = append(i.pending, a)
 	if i.wake == nil {
