--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	Queue func(service string) *queue.Queue
 	// Valid reports whether a key still works.
 	Valid func(c credential.Credential) bool
+	// Confirm reports whether the request's token may still be used.
+	Confirm func(r *request.Request) bool
 	// Upstream sends to backend servers.
 	Upstream *upstream.Upstream
 	// Timeout is the longest wait for a slot.
@@ -99,7 +101,12 @@
 		s.Release(result.Unused)
 		return try{outcome: refuse(outcome.KeyUnknown, "the key was withdrawn")}
 	}
-	// The process may have been paused since the wait ended.
+	// The process may have been paused since the request was admitted.
+	if !d.Confirm(r) {
+		s.Release(result.Unused)
+		return try{outcome: refuse(outcome.OverRate, "the token is too old")}
+	}
+	// Or since the wait ended.
 	if ctx.Err() != nil || !r.Gate.Send() {
 		s.Release(result.Unused)
 		return try{outcome: refuse(outcome.Left, "the caller left")}
--- a/host/parts.go
+++ b/host/parts.go
@@ -3,29 +3,27 @@
 import (
 	"context"
 	"net"
-	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"celeryreach.example/celeryreach/admission"
-	"celeryreach.example/celeryreach/backend"
-	"celeryreach.example/celeryreach/change"
-	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/follower"
 	"celeryreach.example/celeryreach/forward"
+	"celeryreach.example/celeryreach/history"
 	"celeryreach.example/celeryreach/lanes"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/operator"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/status"
+	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -38,33 +36,41 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
+	slotloan   *slotloan.Slotloan
+	probe      *probe.Probe
 	quota      *quota.Quota
+	limits     *limits
 	dispatch   *dispatch.Dispatch
 	forward    *forward.Forward
 	receive    *receive.Receive
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
+	history    history.History
+	steering   *steering
 	requests   requests
 }
 
 func (h *Host) parts() *parts {
 	x := &parts{host: h}
-	x.follower = &follower.Follower{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: configPoll}
-	x.peerclient = &peerclient.Peerclient{Dial: h.Dial}
-	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot}
+	x.steering = x.newSteering()
+	x.follower = x.newFollower()
+	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
+	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.lanes = &lanes.Lanes{Clock: h.Clock, Domain: h.Settings.Domain, Snapshot: x.follower.Snapshot, Slots: x.slots}
-	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Fraction: x.fraction}
+	x.newDomain()
+	x.newLimits()
 	x.newRequests()
 	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
-	x.lookup = &lookup.Lookup{Snapshot: x.follower.Snapshot, Hosts: x.hosts}
+	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
 		OnFetch:   x.fetch,
-		OnBorrow:  func(*wire.BorrowRequest) *wire.BorrowResponse { return &wire.BorrowResponse{} },
+		OnBorrow:  x.borrow,
 		OnForward: x.receive.Stream,
+		OnNotify:  x.steering.relay.Receive,
 	}
+	x.steering.relay.Replicas = x.replicas()
 	return x
 }
 
@@ -77,14 +83,6 @@
 	}
 }
 
-// operators is the handler of the operator address.
-func (x *parts) operators() http.Handler {
-	return &operator.Operator{
-		Log: x.host.Log, Snapshot: x.follower.Snapshot, Change: &change.Change{Platform: x.host.Platform},
-		Check: func(*config.Config) []string { return nil }, Status: x.status,
-	}
-}
-
 func (x *parts) self() member.Member {
 	s := x.host.Settings
 	return member.Member{
@@ -115,28 +113,21 @@
 }
 
 func (x *parts) compose(h *wire.Heartbeat) {
-	v, s, _ := x.follower.Content()
-	h.Versions = append(h.Versions, &wire.Version{Kind: "Config", Version: v, Hash: s})
 	h.Loads = x.lanes.Loads()
+	x.composeSteering(h)
+	x.composeLimits(h)
 }
 
-func (x *parts) heard(*wire.Heartbeat, time.Time) {}
-
-func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
-	v, h, b := x.follower.Content()
-	if f.Kind != "Config" || v <= f.Have {
-		return &wire.FetchResponse{}
-	}
-	return &wire.FetchResponse{Version: v, Hash: h, Content: b}
+func (x *parts) heard(h *wire.Heartbeat, sent time.Time) {
+	x.heardSteering(h)
+	x.heardLimits(h, sent)
 }
 
-func (x *parts) status() status.Status {
-	s := status.Status{Host: x.self(), Peers: x.membership.Alive()}
-	if c := x.follower.Snapshot(); c != nil {
-		s.ConfigVersion = c.Config.Version
-		s.Preset = c.Config.Preset
+func (x *parts) fetch(f *wire.FetchRequest) *wire.FetchResponse {
+	if f.Kind == divisionKind {
+		return x.division(f.Have)
 	}
-	return s
+	return x.steering.relay.Answer(f)
 }
 
 func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
@@ -144,31 +135,11 @@
 }
 
 func (x *parts) entryHosts(account, service string) []string {
-	a := x.lookup.Find(account, service, x.host.Settings.Region)
-	return a.EntryHosts
-}
-
-// siblings returns the names of the hosts of the own failure domain that are
-// alive, this one included, in order.
-func (x *parts) siblings() (names []string, self int) {
-	for _, m := range x.membership.Alive() {
-		if m.Domain == x.host.Settings.Domain {
-			if m.Name < x.host.Settings.Name {
-				self++
-			}
-			names = append(names, m.Name)
-		}
+	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
+	if o.Outcome != "" {
+		return o.EntryHosts
 	}
-	return append(names, x.host.Settings.Name), self
-}
-
-func (x *parts) slots(b backend.Backend) int {
-	n, i := x.siblings()
-	r := b.Slots / len(n)
-	if i < b.Slots%len(n) {
-		r++
-	}
-	return r
+	return a.EntryHosts
 }
 
 func dial(ctx context.Context, address string) (net.Conn, error) {
--- a/host/requests.go
+++ b/host/requests.go
@@ -67,7 +67,7 @@
 		Lifetime: ticketLifetime, Bytes: ticketBytes, Limit: ticketLimit,
 	}
 	x.dispatch = &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Upstream: upstream.New(h.Clock, dialTimeout),
+		Clock: h.Clock, Queue: x.lanes.Queue, Valid: x.admission.Valid, Confirm: x.confirm, Upstream: upstream.New(h.Clock, dialTimeout),
 		Timeout: func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
 		Budget:  &budget.Budget{Ratio: func() float64 { return x.follower.Snapshot().Preset.RetryBudget }},
 		Hedge:   &hedge.Hedge{Initial: hedgeInitial, Least: hedgeLeast, Most: hedgeMost},
@@ -81,14 +81,14 @@
 	o := &once.Once{Begin: q.idempotency.Begin, End: q.idempotency.End, Tickets: q.tickets}
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.dispatch.Serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
+		Quota: x.quota, Local: x.serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
 		Once: o.Serve, Leaving: x.leaving.Load, Closed: q.closed.Load,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("GET /tickets", &mint.Mint{Admission: x.admission, Ticket: q.tickets, EntryHost: x.host.Settings.CallerAddress})
 	m.Handle("/", x.counted(e))
-	return m
+	return x.gate(m)
 }
 
 // counted counts the requests that a graceful shutdown waits for.
@@ -105,7 +105,7 @@
 	if x.requests.closed.Load() {
 		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the host is shutting down"}
 	}
-	return x.dispatch.Serve(ctx, r, w)
+	return x.serve(ctx, r, w)
 }
 
 // leave prepares the end of the host. First it only tells everybody, and still
