--- a/backendstandin/backendstandin.go
+++ b/backendstandin/backendstandin.go
@@ -23,6 +23,10 @@
 	"celeryreach.example/celeryreach/whole"
 )
 
+// JudgeHeader names one attempt of a caller's, so that the runs of repeated
+// attempts are told apart.
+const JudgeHeader = "X-Judge-Id"
+
 const (
 	coldFactor = 10
 	maxKnobs   = 64 << 10
@@ -192,7 +196,10 @@
 }
 
 func (b *Backendstandin) record(r *http.Request) {
-	k := r.Header.Get("Idempotency-Key")
+	k := r.Header.Get(JudgeHeader)
+	if k == "" {
+		k = r.Header.Get("Idempotency-Key")
+	}
 	if k == "" {
 		k = r.Header.Get(upstream.IDHeader)
 	}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -84,5 +84,6 @@
 		m.statusCommand(),
 		m.lookupCommand(),
 		experimentCommand(),
+		stressCommand(),
 	}
 }
--- a/idempotency/run.go
+++ b/idempotency/run.go
@@ -6,6 +6,7 @@
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/record"
 	"celeryreach.example/celeryreach/row"
 )
@@ -18,8 +19,9 @@
 	endPause = 20 * time.Millisecond
 	// failPause is the time before a store that failed is tried again.
 	failPause = 250 * time.Millisecond
-	// flushRounds bounds the last writes of a host that shuts down.
-	flushRounds = 8
+	// flushTimeout bounds the last writes of a host that shuts down: a silent
+	// store must not hold up the end of the process.
+	flushTimeout = 2 * time.Second
 )
 
 // Run writes the records of ended attempts until ctx ends, and then those that
@@ -37,13 +39,17 @@
 			i.sleep(ctx)
 		}
 	}
-	for n := 0; n < flushRounds && i.left() > 0; n++ {
-		i.flush(context.WithoutCancel(ctx))
+	x, f := deadline.With(context.WithoutCancel(ctx), i.Clock, flushTimeout)
+	defer f()
+	for i.left() > 0 && x.Err() == nil {
+		if !i.flush(x) {
+			i.pause(x)
+		}
 	}
 	return nil
 }
 
-// Left returns the number of ended attempts that the store does not know yet.
+// left returns the number of ended attempts that the store does not know yet.
 func (i *Idempotency) left() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -97,18 +103,27 @@
 	if n == 0 {
 		return true
 	}
-	x, f := context.WithCancel(ctx)
-	defer f()
-	s := i.together(x, p)
+	s := i.together(ctx, p)
 	if s == nil {
-		s = make([]bool, n)
-		for j, a := range p {
-			s[j] = i.alone(x, a)
-		}
+		s = i.each(ctx, p)
 	}
 	return i.settled(p, s)
 }
 
+// each writes the records one by one, and stops when the store does not answer:
+// the others would only wait for it in turn.
+func (i *Idempotency) each(ctx context.Context, p []*attempt) []bool {
+	s := make([]bool, len(p))
+	for j, a := range p {
+		ok, err := i.alone(ctx, a)
+		if err != nil {
+			break
+		}
+		s[j] = ok
+	}
+	return s
+}
+
 // together writes all records with one commit; nil says that it did not work.
 func (i *Idempotency) together(ctx context.Context, p []*attempt) []bool {
 	var c commit.Commit
@@ -130,25 +145,24 @@
 // alone writes one record after reading the row: only a row of the attempt
 // itself is changed, and an absent one is filled, so that an insert that still
 // travels fails its expectation.
-func (i *Idempotency) alone(ctx context.Context, a *attempt) bool {
+func (i *Idempotency) alone(ctx context.Context, a *attempt) (bool, error) {
 	o, err := i.Platform.Read(ctx, a.key)
 	if err != nil {
-		return false
+		return false, err
 	}
 	if o.Version != 0 {
 		var v record.Record
 		if err := codec.Unmarshal(o.Value, &v); err != nil {
-			return true
+			return true, nil
 		}
 		if v.Attempt != a.record.Attempt || v.State != record.Running {
-			return true
+			return true, nil
 		}
 	}
-	ok, err := i.Platform.Commit(ctx, commit.Commit{
+	return i.Platform.Commit(ctx, commit.Commit{
 		Expect: []row.Row{{Key: a.key, Version: o.Version}},
 		Put:    []row.Row{{Key: a.key, Value: marshal(a.record)}},
 	})
-	return err == nil && ok
 }
 
 // settled takes the attempts that the store knows off the list.
