--- /dev/null
+++ b/deadline/deadline.go
@@ -0,0 +1,42 @@
+// Package deadline ends contexts by the clock that is passed in.
+package deadline
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// timed is a context that also tells when it ends: a slot that a sibling lent
+// is used only by requests that are known to end within the loan.
+type timed struct {
+	context.Context
+
+	at time.Time
+}
+
+// Deadline returns when the context ends at the latest.
+func (t timed) Deadline() (time.Time, bool) {
+	if p, ok := t.Context.Deadline(); ok && p.Before(t.at) {
+		return p, true
+	}
+	return t.at, true
+}
+
+// With returns a context that ends after d. The contexts of clockwork do not
+// serve: with a fake clock, their Err waits until the context has ended.
+func With(ctx context.Context, c clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	x, f := context.WithCancelCause(ctx)
+	t := c.AfterFunc(d, func() { f(context.DeadlineExceeded) })
+	return timed{Context: x, at: c.Now().Add(d)}, func() {
+		t.Stop()
+		f(context.Canceled)
+	}
+}
+
+// Exceeded reports whether a context ended because its time ran out.
+func Exceeded(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
