Hosts: callers come only when a host has its parts of the limits

Cause: fleetscript/burn was red: a small account inside its rate was refused ten times in the first 100 ms. A starting host served as soon as it had the configuration, before it had a part of any limit, and refused everybody; the burn report counted these refusals as wrongful, rightly. Ruled out: the large account (the refusals ended before it began to send). Change: a host is ready when it has a part of the limits too (or after three Holds without one); until then it says so in heartbeats (Starting), and look-ups name it not.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"celeryreach.example/celeryreach/backendstandin"
 	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/standin"
@@ -137,14 +138,14 @@
 	return nil
 }
 
-// Ready waits until every running host has a configuration and hears every
-// other running host.
+// Ready waits until every running host serves callers and hears that every
+// other running host does.
 func (f *Fleet) Ready(ctx context.Context) error {
 	return f.Await(ctx, "all hosts to hear each other", func() bool {
 		n := f.Running()
 		for _, h := range n {
 			s, err := f.Status(ctx, h)
-			if err != nil || s.ConfigVersion == 0 || len(s.Peers) != len(n)-1 {
+			if err != nil || s.ConfigVersion == 0 || s.Host.Starting || serving(s.Peers) != len(n)-1 {
 				return false
 			}
 		}
@@ -198,6 +199,16 @@
 	return nil
 }
 
+func serving(m []member.Member) int {
+	n := 0
+	for _, v := range m {
+		if !v.Starting {
+			n++
+		}
+	}
+	return n
+}
+
 func first(a, b error) error {
 	if a != nil {
 		return a
--- a/host/parts.go
+++ b/host/parts.go
@@ -87,7 +87,7 @@
 	return member.Member{
 		Name: s.Name, Incarnation: x.host.Incarnation, Domain: s.Domain, Region: s.Region,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, OperatorAddress: s.OperatorAddress,
-		Leaving: x.leaving.Load(),
+		Leaving: x.leaving.Load(), Starting: !x.steering.ready.Load(),
 	}
 }
 
--- a/host/steering.go
+++ b/host/steering.go
@@ -230,6 +230,8 @@
 	for !x.steering.ready.Load() {
 		if x.isReady(x.host.Clock.Since(t)) {
 			x.steering.ready.Store(true)
+			// Look-ups name this host from now on, not from the next look.
+			x.steering.roster.Store(x.newRoster())
 			x.host.Log.Info("host is ready", "Version", x.follower.Snapshot().Config.Version)
 			return nil
 		}
@@ -254,6 +256,10 @@
 		// A peer can tell of a version and be cut off from being asked for it.
 		return waited >= readyHolds*x.host.Settings.Hold
 	}
+	if !x.limits.holding.Valid() && waited < readyHolds*x.host.Settings.Hold {
+		// It would refuse callers who are inside their rate.
+		return false
+	}
 	return x.steering.polled.Load() || waited >= x.host.Settings.Hold
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -20,4 +20,7 @@
 	OperatorAddress string
 	// Leaving tells that the host is shutting down and takes no new work.
 	Leaving bool `json:",omitzero"`
+	// Starting tells that the host cannot serve callers yet: it has no
+	// configuration or no part of the limits. Look-ups do not name it.
+	Starting bool `json:",omitzero"`
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -249,7 +249,7 @@
 	return &wire.Host{
 		Name: m.Name, Incarnation: m.Incarnation, Domain: m.Domain, Region: m.Region,
 		CallerAddress: m.CallerAddress, PeerAddress: m.PeerAddress,
-		OperatorAddress: m.OperatorAddress, Leaving: m.Leaving,
+		OperatorAddress: m.OperatorAddress, Leaving: m.Leaving, Starting: m.Starting,
 	}
 }
 
@@ -257,6 +257,6 @@
 	return member.Member{
 		Name: h.Name, Incarnation: h.Incarnation, Domain: h.Domain, Region: h.Region,
 		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress,
-		OperatorAddress: h.OperatorAddress, Leaving: h.Leaving,
+		OperatorAddress: h.OperatorAddress, Leaving: h.Leaving, Starting: h.Starting,
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -40,12 +40,12 @@
 	r := &Roster{hosts: make(map[string][]member.Member), weights: make(map[string][]float64), totals: make(map[string]float64)}
 	n := make(map[string]int)
 	for _, v := range m {
-		if !v.Leaving {
+		if !v.Leaving && !v.Starting {
 			n[v.Domain]++
 		}
 	}
 	for _, v := range m {
-		if v.Leaving {
+		if v.Leaving || v.Starting {
 			continue
 		}
 		w := max(1, float64(slots(v.Domain))/float64(n[v.Domain]))
