Entry: scenarios of keys, broken answers, refusals, leaving callers and malformed requests

Cause: an answer that broke off while it was held back was refused, although an idempotent request can be sent again, and a non-idempotent one was reported as BackendFailed, which invites a repetition. Change: the race goes on after a broken answer; non-idempotent requests end as OutcomeUnknown.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -75,7 +75,7 @@
 	for n := 1; n < maxTries && d.again(t.outcome, r); n++ {
 		t = d.try(x, r, true, func() {})
 	}
-	return d.finish(x, t, w)
+	return d.finish(x, r, t, w)
 }
 
 // try waits for a slot and sends r. The slot is released when the outcome is
@@ -138,15 +138,21 @@
 	case !ran:
 		s.Release(result.Failed)
 		return refuse(outcome.NoCapacity, "the backend server could not be reached")
-	case r.NonIdempotent:
-		s.Release(result.Failed)
-		return outcome.Outcome{Outcome: outcome.OutcomeUnknown, Ran: outcome.RanUnknown, Message: err.Error()}
 	default:
 		s.Release(result.Failed)
-		return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
+		return broken(r, err)
 	}
 }
 
+// broken is the outcome of a request that was sent and has no whole answer.
+func broken(r *request.Request, err error) outcome.Outcome {
+	o := outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
+	if r.NonIdempotent {
+		o.Outcome = outcome.OutcomeUnknown
+	}
+	return o
+}
+
 // again reports whether a try with this outcome may be followed by another.
 func (d *Dispatch) again(o outcome.Outcome, r *request.Request) bool {
 	shed := o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo && o.Message != ""
@@ -158,7 +164,7 @@
 }
 
 // finish passes the answer of a try on, or returns its outcome.
-func (d *Dispatch) finish(ctx context.Context, t try, w http.ResponseWriter) outcome.Outcome {
+func (d *Dispatch) finish(ctx context.Context, r *request.Request, t try, w http.ResponseWriter) outcome.Outcome {
 	if t.outcome.Outcome != "" {
 		return t.outcome
 	}
@@ -169,7 +175,7 @@
 	case errors.Is(err, whole.ErrBackend) && ctx.Err() != nil:
 		return ended(ctx, true)
 	case errors.Is(err, whole.ErrBackend):
-		return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: err.Error()}
+		return broken(r, err)
 	default:
 		panic(http.ErrAbortHandler)
 	}
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -29,7 +29,13 @@
 	a := &race{dispatch: d, request: r, results: make(chan try, maxTries), sent: make(chan struct{}, maxTries)}
 	defer a.end()
 	a.start(ctx, false)
-	return d.finish(ctx, a.run(ctx), w)
+	o := d.finish(ctx, r, a.run(ctx), w)
+	// An answer that broke off while it was held back can be asked for again.
+	for o.Outcome == outcome.BackendFailed && a.more() && d.again(o, r) {
+		a.start(ctx, true)
+		o = d.finish(ctx, r, a.run(ctx), w)
+	}
+	return o
 }
 
 // run returns the first try that has an answer, or the last outcome.
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,305 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/admission"
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendknobs"
+	"celeryreach.example/celeryreach/backendstandin"
+	"celeryreach.example/celeryreach/budget"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/dispatch"
+	"celeryreach.example/celeryreach/entry"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/group"
+	"celeryreach.example/celeryreach/hedge"
+	"celeryreach.example/celeryreach/httplisten"
+	"celeryreach.example/celeryreach/idempotency"
+	"celeryreach.example/celeryreach/once"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/queue"
+	"celeryreach.example/celeryreach/quota"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/slot"
+	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/table"
+	"celeryreach.example/celeryreach/ticket"
+	"celeryreach.example/celeryreach/upstream"
+	"celeryreach.example/celeryreach/whole"
+)
+
+// site is one entry host with backend servers on loopback. Slots are handed
+// out in turn.
+type site struct {
+	clock    clockwork.Clock
+	address  string
+	servers  []backend.Backend
+	handlers map[string]*backendstandin.Backendstandin
+	store    table.Table
+	stop     []func()
+	closed   atomic.Bool
+	done     chan string
+
+	mu   sync.Mutex
+	turn int
+}
+
+func (s *site) acquire() (slot.Slot, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.servers) == 0 {
+		return slot.Slot{}, false
+	}
+	s.turn++
+	return slot.Slot{Backend: s.servers[s.turn%len(s.servers)], Release: func(result.Result) {}}, true
+}
+
+func (s *site) snapshot() *snapshot.Snapshot {
+	c := &config.Config{
+		Preset: "Ordinary", Presets: []preset.Preset{{Name: "Ordinary", MaxWait: 100 * time.Millisecond, RetryBudget: 0.1}},
+		Services: []service.Service{{Name: "All", Prefix: "/", Timeout: time.Second}},
+		Accounts: []account.Account{{Name: "camp", Rate: 1000, Burst: 1000}, {Name: "studio", Rate: 1000, Burst: 1000}},
+		Keys: []credential.Credential{
+			{ID: "1", Account: "camp", Hash: credential.Hash("camp-key-1")},
+			{ID: "2", Account: "studio", Hash: credential.Hash("studio-key-2")},
+		},
+	}
+	return snapshot.New(c, "")
+}
+
+func (s *site) entry() *entry.Entry {
+	v := s.snapshot()
+	n := func() *snapshot.Snapshot { return v }
+	a := &admission.Admission{Snapshot: n}
+	p := platform.Platform{
+		Read:   platformRead(&s.store),
+		Commit: platformCommit(&s.store),
+	}
+	i := &idempotency.Idempotency{
+		Clock: s.clock, Platform: p, Host: "a", Incarnation: 1, Timeout: time.Second,
+		Group: &group.Group{Clock: s.clock, Commit: p.Commit, Limit: 16, Timeout: time.Second},
+		Alive: func(string, uint64) bool { return false },
+	}
+	s.run(i.Run)
+	q := &queue.Queue{Clock: s.clock, Acquire: s.acquire, Limit: 100}
+	d := &dispatch.Dispatch{
+		Clock: s.clock, Queue: func(string) *queue.Queue { return q }, Valid: a.Valid, Upstream: upstream.New(s.clock, time.Second),
+		Confirm: func(*request.Request) bool { return true },
+		Timeout: func() time.Duration { return v.Preset.MaxWait }, Budget: &budget.Budget{Ratio: func() float64 { return 1 }},
+		Hedge: &hedge.Hedge{Initial: 50 * time.Millisecond, Least: 50 * time.Millisecond, Most: 50 * time.Millisecond},
+		Whole: &whole.Whole{Clock: s.clock, Limit: 1000},
+	}
+	s.stop = append(s.stop, d.Upstream.Close)
+	o := &once.Once{Begin: i.Begin, End: i.End, Tickets: &ticket.Ticket{Clock: s.clock}}
+	return &entry.Entry{
+		Clock: s.clock, Log: log.New(io.Discard), Snapshot: n, Admission: a, Once: o.Serve, Local: d.Serve,
+		Quota: &quota.Quota{Clock: s.clock, Account: v.Account, Hold: time.Hour, Grant: func(string) grant.Grant {
+			return grant.Grant{Floor: 1, FloorUntil: s.clock.Now().Add(time.Hour), Unused: true}
+		}},
+		Forward: func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome {
+			return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
+		},
+		EntryHosts: func(string, string) []string { return []string{"10.0.0.2:80"} },
+		Leaving:    s.closed.Load, Closed: s.closed.Load,
+		Done: func(_ *request.Request, o outcome.Outcome, _ time.Duration) { s.done <- o.Outcome },
+	}
+}
+
+func (s *site) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.run((&httplisten.Httplisten{Listener: l, Handler: h}).Run)
+	return l.Addr().String(), nil
+}
+
+// run runs a part until the script ends.
+func (s *site) run(f func(context.Context) error) {
+	x, c := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	go func() { d <- f(x) }()
+	s.stop = append(s.stop, func() { c(); <-d })
+}
+
+// TestScripts runs testdata. The commands are:
+//
+//	backend NAME KNOBS       starts a backend server, or sets its faults
+//	send METHOD PATH [HEADER]... [=BODY]
+//	                         prints the status with outcome and Ran, or with the answer
+//	leave METHOD PATH ...    sends, and leaves once a backend server runs it
+//	ended OUTCOME            waits for the next request to end, and compares
+//	raw FILE                 sends the file's bytes and prints what comes back
+//	runs ID COUNT            compares how often an id was run
+//	seen TEXT                succeeds if a backend server saw the text
+//	shutdown                 lets the host refuse new requests
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			s := &site{clock: clockwork.NewRealClock(), handlers: make(map[string]*backendstandin.Backendstandin), done: make(chan string, 100)}
+			e.Values["site"] = s
+			e.Defer(func() {
+				for i := len(s.stop) - 1; i >= 0; i-- {
+					s.stop[i]()
+				}
+			})
+			a, err := s.serve(s.entry())
+			s.address = a
+			return err
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"backend": backendCommand, "send": send, "leave": leave, "ended": ended, "raw": raw, "runs": runs, "seen": seen,
+			"shutdown": func(t *testscript.TestScript, _ bool, _ []string) { t.Value("site").(*site).closed.Store(true) },
+		},
+	})
+}
+
+func backendCommand(t *testscript.TestScript, _ bool, a []string) {
+	s := t.Value("site").(*site)
+	var k backendknobs.Backendknobs
+	t.Check(codec.Unmarshal([]byte(a[1]), &k))
+	if h := s.handlers[a[0]]; h != nil {
+		h.Set(k)
+		return
+	}
+	h := &backendstandin.Backendstandin{Clock: s.clock, Name: a[0], Slots: 10}
+	h.Set(k)
+	b, err := s.serve(h)
+	t.Check(err)
+	s.handlers[a[0]] = h
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, backend.Backend{Name: a[0], Address: b})
+}
+
+func (s *site) request(ctx context.Context, a []string) (*http.Request, error) {
+	var b io.Reader
+	if v, ok := strings.CutPrefix(a[len(a)-1], "="); ok {
+		b = strings.NewReader(v)
+		a = a[:len(a)-1]
+	}
+	q, err := http.NewRequestWithContext(ctx, a[0], "http://"+s.address+a[1], b)
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range a[2:] {
+		k, v, _ := strings.Cut(h, ": ")
+		q.Header.Add(k, v)
+	}
+	return q, nil
+}
+
+func send(t *testscript.TestScript, _ bool, a []string) {
+	s := t.Value("site").(*site)
+	q, err := s.request(context.Background(), a)
+	t.Check(err)
+	p, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		_, _ = io.WriteString(t.Stdout(), "broken answer\n")
+		return
+	}
+	if p.Header.Get(whole.NotRunHeader) != "" {
+		t.Fatalf("the caller sees %s", whole.NotRunHeader)
+	}
+	var o outcome.Outcome
+	if err := codec.Unmarshal(b, &o); err == nil {
+		b = []byte(o.Outcome + " " + o.Ran + " " + strings.Join(o.EntryHosts, ","))
+	}
+	_, _ = io.WriteString(t.Stdout(), p.Status[:4]+strings.TrimSpace(string(b))+"\n")
+}
+
+func leave(t *testscript.TestScript, _ bool, a []string) {
+	s := t.Value("site").(*site)
+	x, f := context.WithCancel(context.Background())
+	q, err := s.request(x, a)
+	t.Check(err)
+	n := s.total()
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		if p, err := http.DefaultClient.Do(q); err == nil {
+			p.Body.Close()
+		}
+	}()
+	for s.total() == n {
+		<-s.clock.After(time.Millisecond)
+	}
+	f()
+	<-d
+}
+
+func (s *site) total() int {
+	n := 0
+	for _, h := range s.handlers {
+		for _, v := range h.Runs() {
+			n += v
+		}
+	}
+	return n
+}
+
+func ended(t *testscript.TestScript, _ bool, a []string) {
+	for o := range t.Value("site").(*site).done {
+		if o == a[0] {
+			return
+		}
+		t.Logf("ended: %s", o)
+	}
+}
+
+func raw(t *testscript.TestScript, _ bool, a []string) {
+	s := t.Value("site").(*site)
+	c, err := net.Dial("tcp", s.address)
+	t.Check(err)
+	defer c.Close()
+	_, err = io.WriteString(c, strings.ReplaceAll(t.ReadFile(a[0]), "\n", "\r\n"))
+	t.Check(err)
+	b, _ := io.ReadAll(c) // a reset after the answer is one way to close
+	_, _ = t.Stdout().Write(append(b, '\n'))
+}
+
+func runs(t *testscript.TestScript, _ bool, a []string) {
+	n := 0
+	for _, h := range t.Value("site").(*site).handlers {
+		n += h.Runs()[a[0]]
+	}
+	if got := string(rune('0' + n)); got != a[1] {
+		t.Fatalf("%s ran %s times, not %s", a[0], got, a[1])
+	}
+}
+
+func seen(t *testscript.TestScript, neg bool, a []string) {
+	f := false
+	for _, h := range t.Value("site").(*site).handlers {
+		f = f || strings.Contains(strings.Join(h.Seen(), "\n"), a[0])
+	}
+	if f == neg {
+		t.Fatalf("seen %q: %t", a[0], f)
+	}
+}
