--- a/backendstandin/backendstandin.go
+++ b/backendstandin/backendstandin.go
@@ -19,6 +19,7 @@
 
 	"celeryreach.example/celeryreach/backendknobs"
 	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/loadreport"
 	"celeryreach.example/celeryreach/upstream"
 	"celeryreach.example/celeryreach/whole"
 )
@@ -76,6 +77,10 @@
 	w.Header().Set(upstream.IDHeader, r.Header.Get(upstream.IDHeader))
 	n := b.busy.Add(1)
 	defer b.busy.Add(-1)
+	w.Header().Set(loadreport.LoadHeader, strconv.FormatFloat(float64(n)/float64(b.Slots), 'f', 2, 64))
+	if k.Drain {
+		w.Header().Set(loadreport.DrainingHeader, "yes")
+	}
 	if n > int64(b.Slots) || k.Shed || k.Drain {
 		w.Header().Set(whole.NotRunHeader, "shed")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -99,6 +104,11 @@
 	b.answer(w, r, k, hex.EncodeToString(h.Sum(nil)))
 }
 
+// Busy returns how many requests run or are being refused now.
+func (b *Backendstandin) Busy() int {
+	return int(b.busy.Load())
+}
+
 // Runs returns how often each id was run.
 func (b *Backendstandin) Runs() map[string]int {
 	b.mu.Lock()
@@ -174,6 +184,9 @@
 	b.mu.Lock()
 	k := b.knobs
 	b.mu.Unlock()
+	if k.Drain != k.Lie {
+		w.Header().Set(loadreport.DrainingHeader, "yes")
+	}
 	if (k.Drain || k.Silent) != k.Lie {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- a/balancer/probed.go
+++ b/balancer/probed.go
@@ -8,7 +8,8 @@
 )
 
 // Suspects returns the backend servers to probe: those that are out of use or
-// draining, and those that no request has vouched for lately.
+// draining, those that no request has vouched for lately, and those with a
+// health endpoint, which may announce a drain before answers do.
 func (b *Balancer) Suspects() []backend.Backend {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -16,7 +17,7 @@
 	b.refresh(n)
 	var r []backend.Backend
 	for _, s := range b.servers {
-		if b.out(s, n) || s.closed(n) || n.Sub(s.succeeded) > recent {
+		if s.backend.Health != "" || b.out(s, n) || s.closed(n) || n.Sub(s.succeeded) > recent {
 			r = append(r, s.backend)
 		}
 	}
@@ -38,6 +39,9 @@
 	if !h.Healthy {
 		s.sick = n
 	}
+	if h.Report.Draining {
+		s.claimed = n
+	}
 	s.report(h.Report, n)
 	switch {
 	case h.Report.Draining && b.mayLeave(s, n):
@@ -54,18 +58,19 @@
 	b.Released()
 }
 
-// mayLeave bounds the drains that rest on health endpoints alone to half of the
-// backend servers. Drains that operators order and that answers to requests
-// announce are not bounded.
+// mayLeave bounds the drains that rest on health endpoints alone to an eighth of
+// the backend servers, and one: where all endpoints lie, the domain keeps most of
+// its slots. The others that claim to drain become the last choice. Drains that
+// operators order and that answers to requests announce are not bounded.
 func (b *Balancer) mayLeave(s *server, now time.Time) bool {
 	if s.leaving.After(now) {
 		return true
 	}
-	m := 1
+	m := 0
 	for _, v := range b.servers {
-		if v.leaving.After(now) {
+		if v.leaving.After(now) && v.signs == 0 {
 			m++
 		}
 	}
-	return float64(m) <= ejectFraction*float64(len(b.servers))
+	return m < (len(b.servers)+claimDivisor-1)/claimDivisor
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -82,8 +82,9 @@
 		m.presetCommand(),
 		m.drainCommand(),
 		m.statusCommand(),
+		m.reportCommand(),
 		m.lookupCommand(),
-		experimentCommand(),
+		m.experimentCommand(),
 		stressCommand(),
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -116,6 +117,7 @@
 	p, ran, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // finish or end closes it
 	if err == nil {
 		d.Hedge.Observe(r.Service.Name, d.Clock.Since(t))
+		s.Answered(p.StatusCode, p.Header)
 		return try{answer: p, slot: s}
 	}
 	o = d.failed(ctx, r, s, ran, err)
@@ -135,8 +137,11 @@
 	case ctx.Err() != nil:
 		d.linger(s, ran)
 		return ended(ctx, ran)
+	case !ran && unreachable(err):
+		s.Release(result.Refused)
+		return refuse(outcome.NoCapacity, "the backend server could not be reached")
 	case !ran:
-		s.Release(result.Failed)
+		s.Release(result.Unused)
 		return refuse(outcome.NoCapacity, "the backend server could not be reached")
 	default:
 		s.Release(result.Failed)
@@ -196,7 +201,11 @@
 // linger releases the slot of a canceled request once the backend server can
 // have stopped.
 func (d *Dispatch) linger(s slot.Slot, ran bool) {
-	if !ran || d.Linger <= 0 {
+	if !ran {
+		s.Release(result.Unused)
+		return
+	}
+	if d.Linger <= 0 {
 		s.Release(result.Canceled)
 		return
 	}
@@ -215,6 +224,12 @@
 	return o
 }
 
+// unreachable reports whether no connection could be opened.
+func unreachable(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
 // rewind makes the body ready for another try.
 func rewind(r *request.Request) bool {
 	if r.Body == nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -139,7 +139,10 @@
 	x, c := context.WithCancel(context.Background())
 	d := make(chan error, 1)
 	go func() { d <- f(x) }()
-	s.stop = append(s.stop, func() { c(); <-d })
+	s.stop = append(s.stop, func() {
+		c()
+		<-d //nolint:errcheck // the part has ended, which is all that counts
+	})
 }
 
 // TestScripts runs testdata. The commands are:
--- a/host/parts.go
+++ b/host/parts.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"celeryreach.example/celeryreach/burn"
+	"celeryreach.example/celeryreach/keep"
+
 	"celeryreach.example/celeryreach/admission"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/follower"
@@ -16,14 +19,10 @@
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
-	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
-	"celeryreach.example/celeryreach/probe"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/receive"
-	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/slotloan"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -36,8 +35,7 @@
 	peerclient *peerclient.Peerclient
 	peerserver *peerserver.Peerserver
 	lanes      *lanes.Lanes
-	slotloan   *slotloan.Slotloan
-	probe      *probe.Probe
+	site       *site
 	quota      *quota.Quota
 	limits     *limits
 	dispatch   *dispatch.Dispatch
@@ -46,6 +44,8 @@
 	lookup     *lookup.Lookup
 	admission  *admission.Admission
 	history    history.History
+	burn       *burn.Burn
+	keep       *keep.Keep
 	steering   *steering
 	requests   requests
 }
@@ -57,11 +57,10 @@
 	x.peerclient = &peerclient.Peerclient{Dial: h.dialPeer}
 	x.admission = &admission.Admission{Snapshot: x.follower.Snapshot, Stale: x.stale}
 	x.membership = x.newMembership()
-	x.newDomain()
 	x.newLimits()
+	x.newDomain()
 	x.newRequests()
-	x.forward = &forward.Forward{Clock: h.Clock, Targets: x.targets, Open: x.peerclient.Forward}
-	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Serve: x.serveForwarded}
+	x.newBurn()
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
 		OnBeat:    x.membership.Receive,
@@ -130,10 +129,6 @@
 	return x.steering.relay.Answer(f)
 }
 
-func (x *parts) done(_ *request.Request, o outcome.Outcome, _ time.Duration) {
-	x.host.Counter.Add(o.Outcome)
-}
-
 func (x *parts) entryHosts(account, service string) []string {
 	a, o := x.lookup.Find(account, service, x.host.Settings.Region, netip.Addr{})
 	if o.Outcome != "" {
--- a/host/requests.go
+++ b/host/requests.go
@@ -39,8 +39,7 @@
 	hedgeLeast   = 20 * time.Millisecond
 	hedgeMost    = time.Second
 
-	heldBytes  = 64 << 10
-	slotLinger = 20 * time.Millisecond
+	heldBytes = 64 << 10
 	// leaveNotice is how long a leaving host still takes requests, in
 	// heartbeats: by then every peer that it can reach has heard of it.
 	leaveNotice = 3
@@ -71,7 +70,7 @@
 		Timeout: func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
 		Budget:  &budget.Budget{Ratio: func() float64 { return x.follower.Snapshot().Preset.RetryBudget }},
 		Hedge:   &hedge.Hedge{Initial: hedgeInitial, Least: hedgeLeast, Most: hedgeMost},
-		Whole:   &whole.Whole{Clock: h.Clock, Limit: heldBytes}, Linger: slotLinger,
+		Whole:   &whole.Whole{Clock: h.Clock, Limit: heldBytes},
 	}
 }
 
@@ -81,7 +80,7 @@
 	o := &once.Once{Begin: q.idempotency.Begin, End: q.idempotency.End, Tickets: q.tickets}
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.follower.Snapshot, Admission: x.admission,
-		Quota: x.quota, Local: x.serve, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
+		Quota: x.quota, Local: x.local, Forward: x.forward.Serve, EntryHosts: x.entryHosts, Done: x.done,
 		Once: o.Serve, Leaving: x.leaving.Load, Closed: q.closed.Load,
 	}
 	m := http.NewServeMux()
