Entry: small bodies are read before the wait, within the deadline

Cause: net/http notices that a caller left only after its body has been read, so requests with bodies stayed in the queue for callers that were gone (seen as a backend stand-in that did not end in the long stress run, for the same reason).

--- a/backendstandin/backendstandin.go
+++ b/backendstandin/backendstandin.go
@@ -86,14 +86,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if k.Silent {
-		<-r.Context().Done()
-		return
-	}
 	h := sha256.New()
 	if _, err := io.Copy(h, r.Body); err != nil {
 		return
 	}
+	if k.Silent {
+		// The body is read by now, so the server sees the client leave.
+		<-r.Context().Done()
+		return
+	}
 	// A request counts as run from here on, whoever still waits for it.
 	b.record(r)
 	select {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,7 +68,7 @@
 	if e.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	b := &body{reader: h.Body, empty: h.ContentLength == 0}
+	b := &body{reader: h.Body, writer: w, empty: h.ContentLength == 0}
 	r, o := e.identify(h, b)
 	if o.Outcome == "" && e.Closed() {
 		o = refuse(outcome.Leaving, "the host is shutting down")
@@ -90,7 +90,7 @@
 	if o.Ran == outcome.RanNo {
 		o.EntryHosts = e.EntryHosts(r.Credential.Account, r.Service.Name)
 	}
-	b.leave(w)
+	b.leave()
 	refusal.Write(w, o)
 }
 
@@ -137,9 +137,6 @@
 	}
 	r.Deadline = e.Clock.Now().Add(d)
 	r.Header = header(h)
-	if !b.empty {
-		r.Body = b
-	}
 	r.Touched = new(atomic.Bool)
 	r.Length = h.ContentLength
 	r.NonIdempotent = v.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
@@ -147,7 +144,7 @@
 	if !e.Admission.Trusts(r.NonIdempotent) {
 		return r, refuse(outcome.KeyStale, "this failure domain is cut off and cannot know whether the key was withdrawn")
 	}
-	return r, outcome.Outcome{}
+	return r, b.take(r)
 }
 
 func (e *Entry) serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -71,7 +71,7 @@
 		return slot.Slot{}, false
 	}
 	s.turn++
-	return slot.Slot{Backend: s.servers[s.turn%len(s.servers)], Release: func(result.Result) {}}, true
+	return slot.Slot{Backend: s.servers[s.turn%len(s.servers)], Release: func(result.Result) {}, Answered: func(int, http.Header) {}}, true
 }
 
 func (s *site) snapshot() *snapshot.Snapshot {
@@ -186,7 +186,7 @@
 		h.Set(k)
 		return
 	}
-	h := &backendstandin.Backendstandin{Clock: s.clock, Name: a[0], Slots: 10}
+	h := &backendstandin.Backendstandin{Clock: s.clock, Name: a[0], Slots: 10, Work: 20 * time.Millisecond}
 	h.Set(k)
 	b, err := s.serve(h)
 	t.Check(err)
--- a/stress/stress.go
+++ b/stress/stress.go
@@ -76,13 +76,15 @@
 			err = s.play(ctx)
 		}
 	}
-	if e := s.fleet.Stop(); err == nil && e != nil {
-		err = errors.Wrap(e, "stop")
-	}
+	e := s.fleet.Stop()
 	if err != nil {
 		return err
 	}
-	return s.report()
+	err = s.report()
+	if err == nil && e != nil {
+		err = errors.Wrap(e, "stop")
+	}
+	return err
 }
 
 // enlarge gives some backend servers answers that are passed on in pieces.
