--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -55,10 +55,12 @@
 	address  string
 	servers  []backend.Backend
 	handlers map[string]*backendstandin.Backendstandin
+	patience time.Duration
 	store    table.Table
 	stop     []func()
 	closed   atomic.Bool
 	done     chan string
+	queue    *queue.Queue
 
 	mu   sync.Mutex
 	turn int
@@ -76,8 +78,8 @@
 
 func (s *site) snapshot() *snapshot.Snapshot {
 	c := &config.Config{
-		Preset: "Ordinary", Presets: []preset.Preset{{Name: "Ordinary", MaxWait: 100 * time.Millisecond, RetryBudget: 0.1}},
-		Services: []service.Service{{Name: "All", Prefix: "/", Timeout: time.Second}},
+		Preset: "Ordinary", Presets: []preset.Preset{{Name: "Ordinary", MaxWait: s.patience, RetryBudget: 0.1}},
+		Services: []service.Service{{Name: "All", Prefix: "/", Timeout: 10 * s.patience}},
 		Accounts: []account.Account{{Name: "camp", Rate: 1000, Burst: 1000}, {Name: "studio", Rate: 1000, Burst: 1000}},
 		Keys: []credential.Credential{
 			{ID: "1", Account: "camp", Hash: credential.Hash("camp-key-1")},
@@ -101,7 +103,8 @@
 		Alive: func(string, uint64) bool { return false },
 	}
 	s.run(i.Run)
-	q := &queue.Queue{Clock: s.clock, Acquire: s.acquire, Limit: 100}
+	q := &queue.Queue{Clock: s.clock, Acquire: s.acquire, Limit: 1000}
+	s.queue = q
 	d := &dispatch.Dispatch{
 		Clock: s.clock, Queue: func(string) *queue.Queue { return q }, Valid: a.Valid, Upstream: upstream.New(s.clock, time.Second),
 		Confirm: func(*request.Request) bool { return true },
@@ -160,7 +163,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
-			s := &site{clock: clockwork.NewRealClock(), handlers: make(map[string]*backendstandin.Backendstandin), done: make(chan string, 100)}
+			s := &site{clock: clockwork.NewRealClock(), patience: 100 * time.Millisecond, handlers: make(map[string]*backendstandin.Backendstandin), done: make(chan string, 100)}
 			e.Values["site"] = s
 			e.Defer(func() {
 				for i := len(s.stop) - 1; i >= 0; i-- {
