--- a/host/host.go
+++ b/host/host.go
@@ -114,6 +114,7 @@
 			{Name: "readiness", Run: x.becomeReady},
 			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
 			{Name: "records", Run: x.requests.idempotency.Run},
+			{Name: "expiry", Run: x.requests.expiry.Run},
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
 		},
 	}
--- a/host/requests.go
+++ b/host/requests.go
@@ -10,6 +10,7 @@
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
+	"celeryreach.example/celeryreach/expiry"
 	"celeryreach.example/celeryreach/group"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/idempotency"
@@ -31,6 +32,8 @@
 	// leave, and 10 after they ended: 550 from 11 hosts at the very worst.
 	commitGap   = 25 * time.Millisecond
 	commitLimit = 64
+	// retention is how long callers may repeat a request under its id.
+	retention = 24 * time.Hour
 
 	ticketLifetime = 10 * time.Minute
 	ticketBytes    = 32 << 20
@@ -49,6 +52,7 @@
 // requests are the parts on the path of a request.
 type requests struct {
 	idempotency *idempotency.Idempotency
+	expiry      *expiry.Expiry
 	tickets     *ticket.Ticket
 	inflight    inflight.Inflight
 	closed      atomic.Bool
@@ -60,8 +64,9 @@
 	q.idempotency = &idempotency.Idempotency{
 		Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation,
 		Group: &group.Group{Clock: h.Clock, Commit: h.Platform.Commit, Gap: commitGap, Limit: commitLimit, Timeout: storeTimeout},
-		Alive: x.alive, Timeout: storeTimeout,
+		Alive: x.alive, Timeout: storeTimeout, Index: expiry.Index,
 	}
+	q.expiry = &expiry.Expiry{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Retention: retention, Sweeps: x.sweeps}
 	q.tickets = &ticket.Ticket{
 		Clock: h.Clock, Host: h.Settings.Name, Incarnation: h.Incarnation, Find: x.find,
 		Lifetime: ticketLifetime, Bytes: ticketBytes, Limit: ticketLimit,
@@ -154,3 +159,13 @@
 	}
 	return "", false
 }
+
+// sweeps reports whether this host has the first name of all that are heard.
+func (x *parts) sweeps() bool {
+	for _, m := range x.membership.Alive() {
+		if m.Name < x.host.Settings.Name {
+			return false
+		}
+	}
+	return true
+}
