Lanes: a leaver's slot in another region, and a link that goes silent, over sockets

Cause: cancels and signs of life were tested only against streams that a script plays. Change: one scenario of a whole deployment. Measured: go test -race -count=3 -run 'LeaverAndSil|Sheds' ./lanes passes. Conclusion: holds end to end.

--- a/lanes/fleet_test.go
+++ b/lanes/fleet_test.go
@@ -23,9 +23,16 @@
 	"celeryreach.example/celeryreach/staleness"
 )
 
+// forever is work that only a cancel ends.
+const forever = time.Hour
+
 // start runs a deployment with the failure domains n1 and, in the same or in
 // another region, n2.
 func start(t *testing.T, hosts, backends int, second string, work time.Duration) (context.Context, *fleet.Fleet) {
+	timeout := 2 * time.Second
+	if work == forever {
+		timeout = 50 * time.Second
+	}
 	ctx, c := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(c)
 	f := &fleet.Fleet{
@@ -38,7 +45,7 @@
 			}},
 			Regions:      []region.Region{{Name: "north"}, {Name: "south"}},
 			Domains:      []domain.Domain{{Name: "n1", Region: "north"}, {Name: "n2", Region: second}},
-			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: 2 * time.Second}},
+			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: timeout}},
 			Accounts:     []account.Account{{Name: "acme", Rate: 10000, Burst: 1000}},
 			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
 		},
@@ -125,3 +132,32 @@
 		must.EqOp(t, "Pages-n1-2", answer(ctx, f, "n1-a"))
 	}
 }
+
+// A caller whose request runs in another region leaves, and its slot there must
+// be free at once, not when the request's time is up. Then the link goes silent
+// under the next request: no error ever arrives, but the caller gets an answer
+// and the slot comes back, since both ends miss the other's signs of life.
+func TestLeaverAndSilence(t *testing.T) {
+	ctx, f := start(t, 1, 1, "south", forever)
+	must.NoError(t, f.StopBackend("Pages-n1-1"))
+	b := f.Backend("Pages-n2-1")
+	send := func(x context.Context, end chan<- int) {
+		c := http.StatusServiceUnavailable // not run: the hosts have just started
+		for c == http.StatusServiceUnavailable && x.Err() == nil {
+			c, _, _ = f.Send(x, "n1-a", "acme", http.MethodGet, "/pages/1", "")
+		}
+		end <- c
+	}
+	x, leave := context.WithCancel(ctx)
+	d := make(chan int, 1)
+	go send(x, d)
+	must.NoError(t, f.Await(ctx, "the request", func() bool { return b.Busy() == 1 }))
+	leave()
+	must.Zero(t, <-d)
+	must.NoError(t, f.Await(ctx, "the free slot", func() bool { return b.Busy() == 0 }))
+	go send(ctx, d)
+	must.NoError(t, f.Await(ctx, "the second request", func() bool { return b.Busy() == 1 }))
+	f.Cut("n1", "n2")
+	must.EqOp(t, http.StatusBadGateway, <-d)
+	must.NoError(t, f.Await(ctx, "the free slot", func() bool { return b.Busy() == 0 }))
+}
