--- a/cmd/experimentconfig.go
+++ b/cmd/experimentconfig.go
@@ -20,7 +20,6 @@
 		Name:  "config",
 		Usage: "measure how long a change of the configuration takes until it is in force on every host",
 		Flags: []cli.Flag{
-			&cli.IntFlag{Name: "hosts", Usage: "number of hosts", Value: 11},
 			&cli.IntFlag{Name: "changes", Usage: "number of changes", Value: 50},
 			&cli.IntFlag{Name: "accounts", Usage: "number of client accounts", Value: 8},
 			&cli.IntSliceFlag{Name: "fleet", Usage: "also simulate the relay in fleets of these numbers of hosts", Value: []int{100, 1000, 7900}},
@@ -30,7 +29,7 @@
 			l.SetLevel(log.ErrorLevel)
 			t := &configtrial.Configtrial{
 				Clock: clockwork.NewRealClock(), Out: c.Root().Writer, Log: l,
-				Hosts: c.Int("hosts"), Changes: c.Int("changes"), Accounts: c.Int("accounts"),
+				Changes: c.Int("changes"), Accounts: c.Int("accounts"),
 			}
 			if err := t.Run(ctx); err != nil {
 				return err
--- a/configtrial/configtrial.go
+++ b/configtrial/configtrial.go
@@ -5,11 +5,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"fmt"
 	"io"
-	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,90 +16,69 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
-	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/answer"
-	"celeryreach.example/celeryreach/change"
-	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
-	"celeryreach.example/celeryreach/counter"
-	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/domain"
-	"celeryreach.example/celeryreach/host"
-	"celeryreach.example/celeryreach/httplisten"
-	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/fleet"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/service"
-	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/staleness"
-	"celeryreach.example/celeryreach/standin"
-	"celeryreach.example/celeryreach/supervisor"
-	"celeryreach.example/celeryreach/table"
 )
 
 const (
 	regions   = 3
 	perRegion = 2
-	look      = 2 * time.Millisecond
-	patience  = 20 * time.Second
-	maxOctet  = 250
+	perDomain = 2
 )
 
-// Configtrial runs a platform stand-in and hosts, and makes changes.
+// Configtrial runs a deployment of six failure domains with two hosts each and
+// makes changes.
 type Configtrial struct {
 	// Clock is the clock of all parts.
 	Clock clockwork.Clock
-	// Out receives the figures.
-	Out io.Writer
 	// Log receives the events of all parts.
 	Log *log.Logger
-	// Hosts is the number of hosts.
-	Hosts int
+	// Out receives the figures.
+	Out io.Writer
 	// Changes is the number of changes to measure.
 	Changes int
 	// Accounts is the number of client accounts in the configuration.
 	Accounts int
 
-	hosts    []settings.Settings
-	children []child.Child
-	platform *platformclient.Platformclient
-	operator string
-	config   config.Config
+	fleet *fleet.Fleet
 }
 
 // Run measures and prints p50 and the maximum.
 func (c *Configtrial) Run(ctx context.Context) error {
-	if err := c.build(ctx); err != nil {
-		return err
+	c.fleet = &fleet.Fleet{Clock: c.Clock, Log: c.Log, Config: c.describe(), HostsPerDomain: perDomain}
+	err := c.fleet.Start(ctx)
+	if err == nil {
+		err = c.measure(ctx)
 	}
-	s := &supervisor.Supervisor{Clock: c.Clock, Log: c.Log, Backoff: time.Second, Children: c.children}
-	x, f := context.WithCancel(context.WithoutCancel(ctx))
-	e := make(chan error, 1)
-	go func() { e <- s.Run(x) }()
-	err := c.measure(ctx)
-	f()
-	if r := <-e; err == nil {
-		err = r
+	if e := c.fleet.Stop(); err == nil {
+		err = e
 	}
 	return err
 }
 
 func (c *Configtrial) measure(ctx context.Context) error {
-	k := &change.Change{Platform: c.platform.Platform(), Clock: c.Clock}
-	if _, ok, err := k.Commit(ctx, 0, c.config); err != nil || !ok {
-		return errors.Errorf("first configuration: %v", err)
-	}
-	if err := c.everywhere(ctx, 1); err != nil {
-		return err
-	}
+	n := c.fleet.Config
+	h := c.fleet.Hosts()
 	var d, o []time.Duration
+	var z int
 	for i := range c.Changes {
 		v := uint64(i + 1)
-		c.config.Accounts[i%len(c.config.Accounts)].Rate++
+		n.Accounts[i%len(n.Accounts)].Rate++
+		b, err := codec.Marshal(n)
+		if err != nil {
+			return err
+		}
+		z = len(b)
 		t := c.Clock.Now()
-		if err := c.put(ctx, c.hosts[i%len(c.hosts)], v); err != nil {
+		if err := c.put(ctx, h[i%len(h)], v, b); err != nil {
 			return err
 		}
 		a := c.Clock.Now()
@@ -114,12 +90,8 @@
 	}
 	slices.Sort(d)
 	slices.Sort(o)
-	b, err := codec.Marshal(c.config)
-	if err != nil {
-		return err
-	}
 	fmt.Fprintf(c.Out, "%d hosts, %d client accounts, %d bytes, %d changes: in force everywhere p50 %s max %s after the operator's answer, p50 %s max %s after the call\n",
-		len(c.hosts), c.Accounts, len(b), len(d), middle(d), last(d), middle(o), last(o))
+		len(h), len(n.Accounts), z, len(d), middle(d), last(d), middle(o), last(o))
 	return nil
 }
 
@@ -133,103 +105,50 @@
 
 // everywhere waits until each host has a version.
 func (c *Configtrial) everywhere(ctx context.Context, version uint64) error {
-	t := c.Clock.Now()
-	for _, s := range c.hosts {
-		for c.version(ctx, s) < version {
-			if c.Clock.Since(t) > patience || ctx.Err() != nil {
-				return errors.Errorf("version %d is not in force on %s after %s", version, s.Name, patience)
-			}
-			c.Clock.Sleep(look)
+	for _, h := range c.fleet.Hosts() {
+		if err := c.fleet.Await(ctx, h, func() bool { return c.version(ctx, h) >= version }); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (c *Configtrial) version(ctx context.Context, s settings.Settings) uint64 {
+func (c *Configtrial) version(ctx context.Context, host string) uint64 {
 	var a answer.Answer
-	if err := c.call(ctx, http.MethodGet, "http://"+s.CallerAddress+"/lookup", nil, &a); err != nil {
+	b, err := c.call(ctx, http.MethodGet, "http://"+c.fleet.Settings(host).CallerAddress+"/lookup", nil)
+	if err != nil || codec.Unmarshal(b, &a) != nil {
 		return 0
 	}
 	return a.ConfigVersion
 }
 
-func (c *Configtrial) put(ctx context.Context, s settings.Settings, from uint64) error {
-	b, err := codec.Marshal(c.config)
-	if err != nil {
-		return err
-	}
-	var a accepted.Accepted
-	return c.call(ctx, http.MethodPut, "http://"+s.OperatorAddress+"/config?from="+strconv.FormatUint(from, 10), b, &a)
+func (c *Configtrial) put(ctx context.Context, host string, from uint64, b []byte) error {
+	_, err := c.call(ctx, http.MethodPut, "http://"+c.fleet.Settings(host).OperatorAddress+"/config?from="+strconv.FormatUint(from, 10), b)
+	return err
 }
 
-func (c *Configtrial) call(ctx context.Context, method, url string, body []byte, out any) error {
+func (c *Configtrial) call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
 	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	q.Header.Set("Authorization", "Bearer "+c.operator)
+	q.Header.Set("Authorization", "Bearer "+c.fleet.Operator)
 	r, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		return err
+	if err == nil && r.StatusCode != http.StatusOK {
+		err = errors.Errorf("%s %s: %s %s", method, url, r.Status, b)
 	}
-	if r.StatusCode != http.StatusOK {
-		return errors.Errorf("%s %s: %s %s", method, url, r.Status, b)
-	}
-	return codec.Unmarshal(b, out)
+	return b, err
 }
 
-func (c *Configtrial) build(ctx context.Context) error {
-	c.operator = rand.Text()
-	c.describe()
-	l, err := listen(ctx, 0)
-	if err != nil {
-		return err
-	}
-	h := &standin.Standin{Clock: c.Clock, Table: new(table.Table)}
-	c.platform = &platformclient.Platformclient{URL: "http://" + l.Addr().String(), Timeout: patience}
-	c.children = append(c.children, child.Child{Name: "platform", Run: (&httplisten.Httplisten{Listener: l, Handler: h, DrainTimeout: time.Second}).Run})
-	for i := range c.Hosts {
-		if err := c.buildHost(ctx, i); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (c *Configtrial) buildHost(ctx context.Context, i int) error {
-	d := c.config.Domains[i%len(c.config.Domains)]
-	s := settings.Default()
-	s.Name = fmt.Sprintf("%s-%d", d.Name, i/len(c.config.Domains))
-	s.Domain = d.Name
-	s.Region = d.Region
-	s.DrainTimeout = time.Second
-	for _, a := range []*string{&s.CallerAddress, &s.PeerAddress, &s.OperatorAddress} {
-		l, err := listen(ctx, i+1)
-		if err != nil {
-			return err
-		}
-		*a = l.Addr().String()
-		_ = l.Close()
-	}
-	c.hosts = append(c.hosts, s)
-	h := &host.Host{
-		Settings: s, Platform: c.platform.Platform(), Clock: c.Clock, Log: c.Log.With("On", s.Name),
-		Incarnation: mathrand.Uint64(), Counter: &counter.Counter{Prefix: s.Name},
-	}
-	c.children = append(c.children, child.Child{Name: s.Name, Run: h.Run})
-	return nil
-}
-
-// describe makes a configuration with as many accounts as asked for, each with
-// one key.
-func (c *Configtrial) describe() {
-	c.config = config.Config{
-		Preset: "Ordinary", Operators: []credential.Credential{{ID: "operator", Hash: credential.Hash(c.operator)}},
+// describe makes a configuration with as many accounts as asked for.
+func (c *Configtrial) describe() config.Config {
+	n := config.Config{
+		Preset: "Ordinary",
 		Presets: []preset.Preset{{
 			Name: "Ordinary", ShiftCap: 0.1, ShiftInterval: 30 * time.Second, Headroom: 0.2, GrowthCap: 0.5,
 			FloorFraction: 0.5, MaxWait: time.Second, LookupTTL: 30 * time.Second, RetryBudget: 0.1,
@@ -239,22 +158,13 @@
 	}
 	for i := range regions {
 		r := fmt.Sprintf("region-%d", i)
-		c.config.Regions = append(c.config.Regions, region.Region{Name: r})
+		n.Regions = append(n.Regions, region.Region{Name: r})
 		for j := range perRegion {
-			c.config.Domains = append(c.config.Domains, domain.Domain{Name: fmt.Sprintf("%s-%d", r, j), Region: r})
+			n.Domains = append(n.Domains, domain.Domain{Name: fmt.Sprintf("%s-%d", r, j), Region: r})
 		}
 	}
 	for i := range max(1, c.Accounts) {
-		n := fmt.Sprintf("account-%d", i)
-		c.config.Accounts = append(c.config.Accounts, account.Account{Name: n, Rate: 10, Burst: 5})
-		c.config.Keys = append(c.config.Keys, credential.Credential{ID: "key-" + n, Account: n, Hash: credential.Hash(n)})
+		n.Accounts = append(n.Accounts, account.Account{Name: fmt.Sprintf("account-%d", i), Rate: 10, Burst: 5})
 	}
-}
-
-// listen takes a free port of a loopback address of its own: connections that
-// the hosts open come from 127.0.0.1, and none can take a port that a host was
-// told to listen on.
-func listen(ctx context.Context, i int) (net.Listener, error) {
-	var c net.ListenConfig
-	return c.Listen(ctx, "tcp", fmt.Sprintf("127.0.%d.%d:0", 1+i/maxOctet, 1+i%maxOctet))
+	return n
 }
--- a/host/domain.go
+++ b/host/domain.go
@@ -75,9 +75,7 @@
 	x.lanes = &lanes.Lanes{
 		Clock: h.Clock, Domains: x.reach, Snapshot: x.follower.Snapshot,
 		Slots: x.slots, Borrowed: d.loan.Acquire,
-		Drained: func(name, sign string, d time.Duration) {
-			h.Log.Info("backend server drained", "Backend", name, "Sign", sign, "Took", d)
-		},
+		Drained: x.drained,
 	}
 	d.loan.Adopt = x.lanes.Adopt
 	d.loan.Kick = x.lanes.Kick
