--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -17,6 +17,7 @@
 	"celeryreach.example/celeryreach/health"
 	"celeryreach.example/celeryreach/loadreport"
 	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/scripttest"
 	"celeryreach.example/celeryreach/slot"
 )
 
@@ -123,39 +124,39 @@
 		Cmds: map[string]command{
 			"backend": func(s *testscript.TestScript, _ bool, a []string) {
 				r := get(s)
-				b := backend.Backend{Name: a[0], Slots: number(s, a[1]), WarmUp: duration(s, a[2])}
+				b := backend.Backend{Name: a[0], Slots: check(s).Number(a[1]), WarmUp: check(s).Duration(a[2])}
 				r.list = append(append([]backend.Backend(nil), r.list...), b)
 			},
-			"own": func(s *testscript.TestScript, _ bool, a []string) { get(s).own[a[0]] = number(s, a[1]) },
+			"own": func(s *testscript.TestScript, _ bool, a []string) { get(s).own[a[0]] = check(s).Number(a[1]) },
 			"operator": func(s *testscript.TestScript, _ bool, a []string) {
 				get(s).edit(a[0], func(b *backend.Backend) { b.Draining = a[1] == "drains" })
 			},
 			"acquire": func(s *testscript.TestScript, neg bool, a []string) {
-				must.EqOp(fatal{s}, !neg, get(s).acquire(a[0], a[1]))
+				must.EqOp(check(s), !neg, get(s).acquire(a[0], a[1]))
 			},
 			"release": func(s *testscript.TestScript, _ bool, a []string) { get(s).slots[a[0]].Release(results[a[1]]) },
 			"answer":  answerCommand,
 			"repeat": func(s *testscript.TestScript, _ bool, a []string) {
-				for i := range number(s, a[0]) {
-					must.True(fatal{s}, get(s).acquire("repeat", a[1]), must.Sprint(i))
+				for i := range check(s).Number(a[0]) {
+					must.True(check(s), get(s).acquire("repeat", a[1]), must.Sprint(i))
 					get(s).slots["repeat"].Release(results[a[2]])
 					get(s).clock.Advance(minLinger)
 				}
 			},
 			"probe":   probeCommand,
-			"advance": func(s *testscript.TestScript, _ bool, a []string) { get(s).clock.Advance(duration(s, a[0])) },
+			"advance": func(s *testscript.TestScript, _ bool, a []string) { get(s).clock.Advance(check(s).Duration(a[0])) },
 			"free": func(s *testscript.TestScript, _ bool, a []string) {
-				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).free())
+				must.EqOp(check(s), strings.Join(a, " "), get(s).free())
 			},
 			"drained": func(s *testscript.TestScript, _ bool, a []string) {
-				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).drained)
+				must.EqOp(check(s), strings.Join(a, " "), get(s).drained)
 			},
 			"suspects": func(s *testscript.TestScript, _ bool, a []string) {
 				var v []string
 				for _, b := range get(s).balancer.Suspects() {
 					v = append(v, b.Name)
 				}
-				must.EqOp(fatal{s}, strings.Join(a, " "), strings.Join(v, " "))
+				must.EqOp(check(s), strings.Join(a, " "), strings.Join(v, " "))
 			},
 		},
 	})
@@ -170,8 +171,8 @@
 			h.Set(loadreport.LoadHeader, v)
 		}
 	}
-	get(s).slots[a[0]].Answered(number(s, a[1]), h)
-	must.MapEmpty(fatal{s}, h)
+	get(s).slots[a[0]].Answered(check(s).Number(a[1]), h)
+	must.MapEmpty(check(s), h)
 }
 
 func probeCommand(s *testscript.TestScript, _ bool, a []string) {
@@ -184,26 +185,8 @@
 	get(s).balancer.Probed(a[0], h)
 }
 
-type fatal struct{ script *testscript.TestScript }
-
-func (f fatal) Helper() {}
-
-func (f fatal) Fatalf(m string, a ...any) { f.script.Fatalf(m, a...) }
-
 func get(s *testscript.TestScript) *rig { return s.Value("rig").(*rig) }
 
-func number(s *testscript.TestScript, a string) int {
-	n, err := strconv.Atoi(a)
-	s.Check(err)
-	return n
-}
-
-func duration(s *testscript.TestScript, a string) time.Duration {
-	d, err := time.ParseDuration(a)
-	s.Check(err)
-	return d
-}
-
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{12, 40} {
 		for _, f := range []float64{0.5, 1} {
@@ -228,3 +211,5 @@
 		}
 	}
 }
+
+func check(s *testscript.TestScript) scripttest.Scripttest { return scripttest.Scripttest{Script: s} }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/scripttest"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -206,13 +207,13 @@
 			},
 			"result": func(s *testscript.TestScript, _ bool, a []string) {
 				<-get(s).ended
-				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).result)
+				must.EqOp(check(s), strings.Join(a, " "), get(s).result)
 			},
 			"sent": func(s *testscript.TestScript, _ bool, a []string) {
-				must.EqOp(fatal{s}, strings.Join(a, " "), get(s).notes())
+				must.EqOp(check(s), strings.Join(a, " "), get(s).notes())
 			},
 			"bytes": func(s *testscript.TestScript, _ bool, a []string) {
-				must.EqOp(fatal{s}, a[0], strconv.FormatInt(get(s).bytes, 10))
+				must.EqOp(check(s), a[0], strconv.FormatInt(get(s).bytes, 10))
 			},
 		},
 	})
@@ -231,10 +232,6 @@
 	}
 }
 
-type fatal struct{ script *testscript.TestScript }
-
-func (f fatal) Helper() {}
-
-func (f fatal) Fatalf(m string, a ...any) { f.script.Fatalf(m, a...) }
-
 func get(s *testscript.TestScript) *rig { return s.Value("rig").(*rig) }
+
+func check(s *testscript.TestScript) scripttest.Scripttest { return scripttest.Scripttest{Script: s} }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -14,6 +14,7 @@
 
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/scripttest"
 	"celeryreach.example/celeryreach/slot"
 )
 
@@ -95,71 +96,52 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"slots": func(s *testscript.TestScript, _ bool, a []string) {
-				get(s).slots = number(s, a[0])
+				get(s).slots = check(s).Number(a[0])
 				get(s).queue.Kick()
 			},
-			"limit": func(s *testscript.TestScript, _ bool, a []string) { get(s).queue.Limit = number(s, a[0]) },
+			"limit": func(s *testscript.TestScript, _ bool, a []string) { get(s).queue.Limit = check(s).Number(a[0]) },
 			"weight": func(s *testscript.TestScript, _ bool, a []string) {
-				get(s).weights[a[0]] = float64(number(s, a[1]))
+				get(s).weights[a[0]] = float64(check(s).Number(a[1]))
 			},
 			"arrive": func(s *testscript.TestScript, _ bool, a []string) {
-				get(s).arrive(&get(s).queue.urgent, a[0], a[1], duration(s, a[2]))
+				get(s).arrive(&get(s).queue.urgent, a[0], a[1], check(s).Duration(a[2]))
 			},
 			"defer": func(s *testscript.TestScript, _ bool, a []string) {
-				get(s).arrive(&get(s).queue.deferred, a[0], a[1], duration(s, a[2]))
+				get(s).arrive(&get(s).queue.deferred, a[0], a[1], check(s).Duration(a[2]))
 			},
 			"burst": func(s *testscript.TestScript, _ bool, a []string) {
-				for i := range number(s, a[1]) {
-					get(s).arrive(&get(s).queue.urgent, a[0]+strconv.Itoa(i+1), a[2], duration(s, a[3]))
+				for i := range check(s).Number(a[1]) {
+					get(s).arrive(&get(s).queue.urgent, a[0]+strconv.Itoa(i+1), a[2], check(s).Duration(a[3]))
 				}
 			},
 			"serve": func(s *testscript.TestScript, _ bool, a []string) {
-				for range number(s, a[0]) {
-					get(s).serve(duration(s, a[1]))
+				for range check(s).Number(a[0]) {
+					get(s).serve(check(s).Duration(a[1]))
 				}
 			},
 			"vanish": func(s *testscript.TestScript, _ bool, a []string) { get(s).cancels[a[0]]() },
 			"free": func(s *testscript.TestScript, _ bool, a []string) {
 				for _, v := range a {
-					must.EqOp(fatal{s}, "granted", get(s).state(v))
+					must.EqOp(check(s), "granted", get(s).state(v))
 					get(s).seen[v].slot.Release(result.Succeeded)
 				}
 			},
-			"advance": func(s *testscript.TestScript, _ bool, a []string) { get(s).clock.Advance(duration(s, a[0])) },
+			"advance": func(s *testscript.TestScript, _ bool, a []string) { get(s).clock.Advance(check(s).Duration(a[0])) },
 			"sweep":   func(s *testscript.TestScript, _ bool, _ []string) { get(s).queue.Sweep() },
 			"expect": func(s *testscript.TestScript, _ bool, a []string) {
 				for _, v := range a[1:] {
-					must.EqOp(fatal{s}, a[0], get(s).state(v), must.Sprint(v))
+					must.EqOp(check(s), a[0], get(s).state(v), must.Sprint(v))
 				}
 			},
 			"waiting": func(s *testscript.TestScript, _ bool, a []string) {
-				must.EqOp(fatal{s}, number(s, a[0]), get(s).queue.Waiting())
+				must.EqOp(check(s), check(s).Number(a[0]), get(s).queue.Waiting())
 			},
 		},
 	})
 }
 
-// fatal lets must report through a script, with the script's line.
-type fatal struct{ script *testscript.TestScript }
-
-func (f fatal) Helper() {}
-
-func (f fatal) Fatalf(m string, a ...any) { f.script.Fatalf(m, a...) }
-
 func get(s *testscript.TestScript) *rig { return s.Value("rig").(*rig) }
 
-func number(s *testscript.TestScript, a string) int {
-	n, err := strconv.Atoi(a)
-	s.Check(err)
-	return n
-}
-
-func duration(s *testscript.TestScript, a string) time.Duration {
-	d, err := time.ParseDuration(a)
-	s.Check(err)
-	return d
-}
-
 // A caller sees its answer cut short when its request is granted after it was
 // refused, and a deposit runs although the answer said "not run". Arrivals,
 // departures and releases in any order must give each request one decision,
@@ -297,3 +279,5 @@
 		})
 	}
 }
+
+func check(s *testscript.TestScript) scripttest.Scripttest { return scripttest.Scripttest{Script: s} }
--- a/receive/receive_test.go
+++ b/receive/receive_test.go
@@ -20,6 +20,7 @@
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/scripttest"
 	"celeryreach.example/celeryreach/service"
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/wire"
@@ -169,7 +170,7 @@
 				if r.err != nil {
 					r.note("broken")
 				}
-				must.EqOp(fatal{s}, strings.Join(a, " "), strings.Join(r.out, " "))
+				must.EqOp(check(s), strings.Join(a, " "), strings.Join(r.out, " "))
 			},
 		},
 	})
@@ -188,12 +189,6 @@
 	}
 }
 
-type fatal struct{ script *testscript.TestScript }
-
-func (f fatal) Helper() {}
-
-func (f fatal) Fatalf(m string, a ...any) { f.script.Fatalf(m, a...) }
-
 // put sends a frame, unless the stream has ended.
 func put(s *testscript.TestScript, m *wire.Frame) {
 	select {
@@ -203,3 +198,5 @@
 }
 
 func get(s *testscript.TestScript) *rig { return s.Value("rig").(*rig) }
+
+func check(s *testscript.TestScript) scripttest.Scripttest { return scripttest.Scripttest{Script: s} }
