Growth cap for callers that look-ups steer here; idle domains grow from more

Cause: the cap held for forwarded requests only, so a failed region's callers, who come directly, were let in all at once. An idle domain grew from one request a second for each slot, which would refuse wrongly for minutes.

Change: requests of callers whose block is nearer to another region count as traffic from elsewhere; idle domains grow from ten a second for each slot.

Measured: go test -race -run Steered ./lanes passes: with a cap of 0.1, of 60 requests at once from another region some are refused, of 60 home ones none.

Conclusion: the cap holds where traffic arrives, whichever way it came.

--- a/host/domain.go
+++ b/host/domain.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"net/netip"
 	"sort"
 	"strings"
 	"time"
@@ -36,6 +37,9 @@
 	streamsPerAddress = 8
 	dials             = 32
 	forwards          = 1000
+
+	// coldHold is taken to be the time of a request with cold caches.
+	coldHold = 100 * time.Millisecond
 )
 
 // site holds the parts that look after the backend servers of the host's
@@ -118,23 +122,53 @@
 	x.receive = &receive.Receive{Clock: h.Clock, Snapshot: x.follower.Snapshot, Admit: x.admitForwarded, Serve: x.serveForwarded}
 }
 
-// local runs a request of an own caller.
+// elsewhere marks the context of a request whose caller's nearest region is
+// another one.
+type elsewhere struct{}
+
+// mark finds out whose callers are near another region. They are here because
+// look-ups steered them, all at once perhaps.
+func (x *parts) mark(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+			if _, n, ok := x.block(a.Addr().Unmap()); ok && n != x.host.Settings.Region {
+				r = r.WithContext(context.WithValue(r.Context(), elsewhere{}, true))
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// local runs a request of a caller of this host.
 func (x *parts) local(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	far := ctx.Value(elsewhere{}) != nil
+	if far {
+		if t, ok := x.site.growth.Admit(); !ok {
+			return tooFast(t)
+		}
+	}
 	o := x.serve(ctx, r, w)
-	if o.Ran != outcome.RanNo {
+	switch {
+	case far && o.Ran == outcome.RanNo:
+		x.site.growth.Return()
+	case !far && o.Ran != outcome.RanNo:
 		x.site.growth.Note()
 	}
 	return o
 }
 
+func tooFast(t time.Duration) outcome.Outcome {
+	return outcome.Outcome{
+		Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "traffic from elsewhere grows too fast", RetryAfter: t,
+	}
+}
+
 // admitForwarded lets a request of another failure domain in as fast as the
 // growth cap and the link back allow.
 func (x *parts) admitForwarded(r *request.Request, region string) (func(o outcome.Outcome, bytes int64), outcome.Outcome) {
 	t, ok := x.site.growth.Admit()
 	if !ok {
-		return nil, outcome.Outcome{
-			Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "traffic from elsewhere grows too fast", RetryAfter: t,
-		}
+		return nil, tooFast(t)
 	}
 	sent, t, ok := x.site.links.Take(x.host.Settings.Region, region, r.Service.AnswerBytes)
 	if !ok {
@@ -159,14 +193,14 @@
 	return s.Config.Links
 }
 
-// idleRate is the traffic from which an idle domain grows: one request a
-// second for each slot of this host.
+// idleRate is the traffic from which an idle domain grows: what this host's
+// slots can run if requests take as long as they do with cold caches.
 func (x *parts) idleRate() float64 {
 	n := 0
 	for _, l := range x.lanes.Loads() {
 		n += int(l.Slots)
 	}
-	return float64(n)
+	return float64(n) / coldHold.Seconds()
 }
 
 // borrow answers a request for a loan.
--- a/host/requests.go
+++ b/host/requests.go
@@ -87,7 +87,7 @@
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("GET /tickets", &mint.Mint{Admission: x.admission, Ticket: q.tickets, EntryHost: x.host.Settings.CallerAddress})
-	m.Handle("/", x.counted(e))
+	m.Handle("/", x.counted(x.mark(e)))
 	return x.gate(m)
 }
 
--- a/lanes/fleet_test.go
+++ b/lanes/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/backendknobs"
+	"celeryreach.example/celeryreach/block"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/fleet"
@@ -28,7 +30,7 @@
 
 // start runs a deployment with the failure domains n1 and, in the same or in
 // another region, n2.
-func start(t *testing.T, hosts, backends int, second string, work time.Duration) (context.Context, *fleet.Fleet) {
+func start(t *testing.T, hosts, backends int, second string, work time.Duration, edits ...func(*config.Config)) (context.Context, *fleet.Fleet) {
 	timeout := 2 * time.Second
 	if work == forever {
 		timeout = 50 * time.Second
@@ -50,6 +52,9 @@
 			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
 		},
 	}
+	for _, e := range edits {
+		e(&f.Config)
+	}
 	t.Cleanup(func() { must.NoError(t, f.Stop()) })
 	must.NoError(t, f.Start(ctx))
 	return ctx, f
@@ -161,3 +166,30 @@
 	must.EqOp(t, http.StatusBadGateway, <-d)
 	must.NoError(t, f.Await(ctx, "the free slot", func() bool { return b.Busy() == 0 }))
 }
+
+// A region failed, and look-ups send its callers to another one that idles with
+// cold caches. They all come at once. The other region takes them on as fast as
+// its growth cap allows and refuses the rest unrun, while its own callers are
+// answered.
+func TestNewlySteered(t *testing.T) {
+	const requests = 60
+	for _, v := range []struct {
+		home string
+		all  bool
+	}{{"north", true}, {"south", false}} {
+		ctx, f := start(t, 1, 1, "north", 0, func(c *config.Config) {
+			c.Blocks = []block.Block{{Prefix: netip.MustParsePrefix("127.0.0.0/8"), Region: v.home}}
+			c.Presets[0].GrowthCap = 0.1
+			c.Presets[0].ShiftInterval = 30 * time.Second
+		})
+		must.NoError(t, f.Await(ctx, "the division", func() bool { return slots(ctx, f, "n1-a") == 4 && slots(ctx, f, "n2-a") == 4 }))
+		n := 0
+		for range requests {
+			if answer(ctx, f, "n1-a") != "" {
+				n++
+			}
+		}
+		must.EqOp(t, v.all, n == requests, must.Sprint(n))
+		must.Positive(t, n)
+	}
+}
