Queue: one long request does not make a line look slow

Cause: the mean time that requests hold a slot was one for all and took every sample whole. After a 30 s export it rose by 3 s, and everybody in the line was refused although it moved as before. A mean far above callers' timeouts could also refuse all of them for good, since nothing ran that would correct it.

Change: deferrable work is averaged apart, a sample counts four times the mean at most, and at least half of a caller's time is left for waiting.

--- a/queue/class.go
+++ b/queue/class.go
@@ -7,11 +7,11 @@
 // its weight; the account that is furthest behind is served next. An account
 // that sends many requests only waits longer itself.
 type class struct {
-	waiting int
-	busy    int
-	weights float64
-	virtual float64
-	known   map[string]*account
+	waiting  int
+	weights  float64
+	virtual  float64
+	known    map[string]*account
+	estimate estimate
 	// accounts are those with waiting requests.
 	accounts accounts
 }
@@ -65,10 +65,10 @@
 }
 
 // charge adds the slot time that a request will probably take and returns it.
-func (c *class) charge(a *account, hold float64) float64 {
+func (c *class) charge(a *account) float64 {
 	p := a.hold
 	if p == 0 {
-		p = hold
+		p = c.estimate.hold
 	}
 	if p == 0 {
 		p = nominalHold
--- a/queue/estimate.go
+++ b/queue/estimate.go
@@ -10,8 +10,12 @@
 	// nominalHold stands for the time that a request holds a slot while no
 	// request has ended yet.
 	nominalHold = 0.01
-	minRetry    = 50 * time.Millisecond
-	maxRetry    = 30 * time.Second
+	// maxSample bounds a sample in multiples of the mean: one export of 30 s
+	// among requests of 20 ms must not make a line look so slow that everybody
+	// in it is refused. A line that did become slow shows in a few samples.
+	maxSample = 4
+	minRetry  = 50 * time.Millisecond
+	maxRetry  = 30 * time.Second
 )
 
 // estimate knows how fast the line moves. By Little's law that is the number of
@@ -32,7 +36,7 @@
 		e.hold = t
 		return
 	}
-	e.hold += smoothing * (t - e.hold)
+	e.hold += smoothing * (min(t, maxSample*e.hold) - e.hold)
 }
 
 // serve returns the time in which n requests get a slot, zero when nothing is
@@ -50,11 +54,11 @@
 // served, if nobody else arrives: all that is served before it is at most the
 // whole line, and at most the parts that the other accounts have meanwhile.
 func (q *Queue) expect(c *class, a *account, place int, now time.Time) time.Duration {
-	n := min(float64(c.waiting), float64(place)*c.weights/a.weight)
-	if c == &q.deferred {
-		n += float64(q.urgent.waiting)
+	t := c.estimate.serve(min(float64(c.waiting), float64(place)*c.weights/a.weight), now)
+	if c == &q.deferred && q.urgent.waiting > 0 {
+		t += q.urgent.estimate.serve(float64(q.urgent.waiting), now)
 	}
-	return q.estimate.serve(n, now)
+	return t
 }
 
 // late reports whether the request at a place of an account's line cannot be
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -43,7 +43,6 @@
 	mu       sync.Mutex
 	urgent   class
 	deferred class
-	estimate estimate
 }
 
 // Wait returns a slot, or the outcome that says why there is none. It holds a
@@ -139,19 +138,22 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
+	a := c.account(name, q.weight(name))
 	if t, ok := ctx.Deadline(); ok {
-		// A slot that comes later than this comes too late for an answer.
-		d = min(d, t.Sub(n)-seconds(q.estimate.hold/2))
+		// A slot that comes later than this comes too late for an answer. At
+		// least half of the time is for waiting: if what was learned is wrong
+		// by now, only requests that run can correct it.
+		l := t.Sub(n)
+		d = min(d, l-min(seconds(a.hold/2), l/2))
 	}
 	w := &waiter{ctx: ctx, entered: n, deadline: n.Add(d), decision: make(chan decision, 1)}
 	if d <= 0 {
 		w.decision <- decision{outcome: outcome.Outcome{Outcome: outcome.DeadlineExceeded, Ran: outcome.RanNo, Message: "too little time is left"}}
 		return w
 	}
-	if q.urgent.waiting+q.deferred.waiting == 0 {
-		q.estimate.began = n
+	if c.waiting == 0 {
+		c.estimate.began = n
 	}
-	a := c.account(name, q.weight(name))
 	c.push(a, w)
 	a.flow.add(1, n)
 	q.kick()
@@ -242,24 +244,22 @@
 	if q.Slots == nil {
 		return false
 	}
-	return q.deferred.busy >= max(1, q.Slots()/2)
+	return q.deferred.estimate.busy >= max(1, q.Slots()/2)
 }
 
 func (q *Queue) grant(c *class, a *account, w *waiter, s slot.Slot, now time.Time) {
 	f := s.Release
-	p := c.charge(a, q.estimate.hold)
-	c.busy++
-	q.estimate.busy++
+	p := c.charge(a)
+	c.estimate.busy++
 	s.Release = func(r result.Result) {
 		q.mu.Lock()
 		n := q.Clock.Now()
 		t := n.Sub(now).Seconds()
-		c.busy--
-		q.estimate.busy--
+		c.estimate.busy--
 		if r == result.Unused {
 			t = 0
 		} else {
-			q.estimate.add(t, n)
+			c.estimate.add(t, n)
 			a.learn(t)
 		}
 		c.correct(a, t-p)
