--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -85,5 +85,6 @@
 		m.reportCommand(),
 		m.lookupCommand(),
 		m.experimentCommand(),
+		stressCommand(),
 	}
 }
