Metrics: gauges, a table of all metrics and a test that it agrees with the code

Cause: metrics were documented nowhere, and present values were not published. Change: five gauges through go-kit over expvar; docs/metrics.md; the plots of the burn report count wrongful refusals too and leave room for their legends.

--- a/burnpage/burnpage.go
+++ b/burnpage/burnpage.go
@@ -125,6 +125,8 @@
 	}
 	p.Legend.Top = true
 	p.NominalX(n...)
+	p.Y.Max *= 1.6 // room for the legend above the bars
+	p.X.Min, p.X.Max = -1, float64(len(n))
 	return p, nil
 }
 
--- /dev/null
+++ b/host/metrics.go
@@ -0,0 +1,36 @@
+package host
+
+import (
+	"strings"
+
+	"celeryreach.example/celeryreach/metric"
+)
+
+// Names of the gauges; docs/metrics.md describes each.
+const (
+	gaugeConfig  = "ConfigVersion"
+	gaugePeers   = "Peers"
+	gaugeSlots   = "Slots"
+	gaugeBusy    = "SlotsBusy"
+	gaugeWaiting = "RequestsWaiting"
+)
+
+// measure publishes the present values. Several hosts in one process keep
+// their metrics apart by the prefix of their counters.
+func (x *parts) measure() {
+	p := strings.TrimPrefix(x.host.Counter.Prefix, "Requests.")
+	set := func(name string, v float64) { metric.Metric{Name: p + name}.Set(v) }
+	if s := x.follower.Snapshot(); s != nil {
+		set(gaugeConfig, float64(s.Config.Version))
+	}
+	set(gaugePeers, float64(len(x.membership.Alive())))
+	var slots, busy, waiting uint32
+	for _, l := range x.lanes.Loads() {
+		slots += l.Slots
+		busy += l.Busy
+		waiting += l.Waiting
+	}
+	set(gaugeSlots, float64(slots))
+	set(gaugeBusy, float64(busy))
+	set(gaugeWaiting, float64(waiting))
+}
--- /dev/null
+++ b/host/metrics_test.go
@@ -0,0 +1,61 @@
+package host
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// The table of docs/metrics.md names exactly the metrics that the code
+// publishes: a counter for each outcome, and the gauges of this package.
+func TestMetricsAreDocumented(t *testing.T) {
+	b, err := os.ReadFile("../docs/metrics.md")
+	must.NoError(t, err)
+	var told []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([A-Za-z.]+)` \\|").FindAllStringSubmatch(string(b), -1) {
+		told = append(told, m[1])
+	}
+	sort.Strings(told)
+	var used []string
+	for n, v := range constants(t, "../outcome/outcome.go") {
+		if !strings.HasPrefix(n, "Ran") {
+			used = append(used, "Requests."+v)
+		}
+	}
+	for n, v := range constants(t, "metrics.go") {
+		if strings.HasPrefix(n, "gauge") {
+			used = append(used, v)
+		}
+	}
+	sort.Strings(used)
+	must.Eq(t, used, told)
+}
+
+// constants returns the string constants of a file by name.
+func constants(t *testing.T, file string) map[string]string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	must.NoError(t, err)
+	r := make(map[string]string)
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 {
+			return true
+		}
+		if l, ok := v.Values[0].(*ast.BasicLit); ok && l.Kind == token.STRING {
+			s, err := strconv.Unquote(l.Value)
+			must.NoError(t, err)
+			r[v.Names[0].Name] = s
+		}
+		return true
+	})
+	return r
+}
--- a/host/product.go
+++ b/host/product.go
@@ -89,6 +89,7 @@
 		if s := x.follower.Snapshot(); s != nil {
 			x.history.Add(s.Config)
 		}
+		x.measure()
 		select {
 		case <-ctx.Done():
 		case <-x.host.Clock.After(historyEvery):
--- a/report/measures.go
+++ b/report/measures.go
@@ -122,13 +122,31 @@
 			m[v.Minute].Add(v)
 		}
 	}
+	w := b.wrongfulByMinute(o.Service)
 	var r []point
 	for k, t := range m {
 		x, n := parts(Latency, *t, 0)
-		y, w := parts(Whole, *t, 0)
-		f := max(burn(x, n, 1-o.LatencyFraction), burn(y, w, 1-o.WholeFraction))
+		y, z := parts(Whole, *t, w[k])
+		f := max(burn(x, n, 1-o.LatencyFraction), burn(y, z, 1-o.WholeFraction))
 		r = append(r, point{Minute: k, Service: o.Service, Burn: f})
 	}
 	sort.Slice(r, func(i, j int) bool { return r[i].Minute < r[j].Minute })
 	return r
 }
+
+// wrongfulByMinute deals the wrongful refusals out to a service like wrong.
+func (b *builder) wrongfulByMinute(service string) map[int64]float64 {
+	r := make(map[int64]float64)
+	d := Windows[len(Windows)-1]
+	for _, a := range b.config.Accounts {
+		all := b.sum(scope{account: a.Name}, d).OverRate
+		if all == 0 {
+			continue
+		}
+		f := float64(b.sum(scope{account: a.Name, service: service}, d).OverRate) / float64(all)
+		for s, n := range b.wrongful[a.Name] {
+			r[s/60] += f * float64(n)
+		}
+	}
+	return r
+}
