--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -84,6 +84,6 @@
 		m.statusCommand(),
 		m.reportCommand(),
 		m.lookupCommand(),
-		experimentCommand(),
+		m.experimentCommand(),
 	}
 }
