--- a/burn/burn.go
+++ b/burn/burn.go
@@ -50,6 +50,7 @@
 	drains    []drained.Drained
 	latencies map[string]*hdrhistogram.WindowedHistogram
 	rotated   time.Time
+	expired   int64
 }
 
 type cell struct {
@@ -104,6 +105,12 @@
 
 func (b *Burn) expire() {
 	n := b.Clock.Now()
+	// Once a minute: a look at every count in each second would hold up
+	// requests for a millisecond at today's sizes.
+	if b.expired == minute(n) {
+		return
+	}
+	b.expired = minute(n)
 	o := minute(n.Add(-keepTallies))
 	for k := range b.tallies {
 		if k.minute < o {
--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,93 @@
+package burn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/burn"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/tally"
+	"celeryreach.example/celeryreach/wire"
+)
+
+func newBurn(c clockwork.Clock) *burn.Burn {
+	return &burn.Burn{
+		Clock: c, Self: member.Member{Name: "h", Region: "north"},
+		Latency: func(string) time.Duration { return 100 * time.Millisecond },
+		Loads:   func() []*wire.Load { return []*wire.Load{{Service: "s", Slots: 4, Busy: 1}} },
+	}
+}
+
+// Each request is in one count; only one that spent a token and was not given
+// it back counts as admitted against the rate.
+func TestCounts(t *testing.T) {
+	c := clockwork.NewFakeClockAt(time.Unix(6000, 0))
+	b := newBurn(c)
+	for _, r := range []struct {
+		outcome, ran string
+		took         time.Duration
+	}{
+		{outcome.Answered, outcome.RanYes, time.Millisecond},
+		{outcome.Answered, outcome.RanYes, time.Second},
+		{outcome.Left, outcome.RanUnknown, 0},
+		{outcome.BackendFailed, outcome.RanUnknown, 0},
+		{outcome.Broken, outcome.RanUnknown, 0},
+		{outcome.NoCapacity, outcome.RanNo, 0},
+		{outcome.StoreUnavailable, outcome.RanNo, 0},
+		{outcome.OverRate, outcome.RanNo, 0},
+		{outcome.Conflict, outcome.RanNo, 0},
+	} {
+		b.Record("a", "s", outcome.Outcome{Outcome: r.outcome, Ran: r.ran}, r.took)
+	}
+	b.Record("", "", outcome.Outcome{Outcome: outcome.KeyUnknown, Ran: outcome.RanNo}, 0)
+	s := b.Sums()
+	must.Eq(t, []tally.Tally{{
+		Minute: 100, Account: "a", Service: "s", Answered: 2, Timely: 1, Left: 1, Failed: 2, Inside: 2, OverRate: 1, Mistaken: 1,
+	}}, s.Tallies)
+	must.Len(t, 1, s.Seconds)
+	must.Eq(t, 5, s.Seconds[0].Admitted)
+	must.Eq(t, 1, s.Seconds[0].Refused)
+}
+
+// BenchmarkRecord is the cost of the counting on the path of a request.
+func BenchmarkRecord(b *testing.B) {
+	x := newBurn(clockwork.NewRealClock())
+	o := outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+	for b.Loop() {
+		x.Record("a", "s", o, time.Millisecond)
+	}
+}
+
+// BenchmarkSums is the size and cost of one host's answer to the report, with
+// every account and service busy in each second of the longest window.
+func BenchmarkSums(b *testing.B) {
+	for _, n := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("Accounts%d", n), func(b *testing.B) {
+			c := clockwork.NewFakeClockAt(time.Unix(600_000, 0))
+			x := newBurn(c)
+			o := outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+			for i := range 6 * 3600 {
+				for a := range n {
+					// An hour of seconds, six hours of minutes.
+					if i >= 5*3600 || i%60 == 0 {
+						x.Record(fmt.Sprintf("account-%02d", a), fmt.Sprintf("service-%d", i%4), o, time.Millisecond)
+					}
+				}
+				c.Advance(time.Second)
+			}
+			l := 0
+			for b.Loop() {
+				t, err := codec.Marshal(x.Sums())
+				must.NoError(b, err)
+				l = len(t)
+			}
+			b.ReportMetric(float64(l), "bytes")
+		})
+	}
+}
--- a/cmd/lookup.go
+++ b/cmd/lookup.go
@@ -12,6 +12,7 @@
 
 	"celeryreach.example/celeryreach/answer"
 	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/outcome"
 )
 
 func (m *Cmd) lookupCommand() *cli.Command {
@@ -78,7 +79,11 @@
 		return a, errors.Wrap(err, "look-up")
 	}
 	if p.StatusCode != http.StatusOK {
-		return a, errors.Errorf("look-up: %s", p.Status)
+		var o outcome.Outcome
+		if err := codec.Unmarshal(b, &o); err != nil || o.Outcome == "" {
+			return a, errors.Errorf("look-up: %s", p.Status)
+		}
+		return a, errors.Errorf("look-up: %s: %s (retry after %s; entry hosts %v)", o.Outcome, o.Message, o.RetryAfter, o.EntryHosts)
 	}
 	return a, errors.Wrap(codec.Unmarshal(b, &a), "look-up")
 }
