status why, parts of rates and plan in status; TLS over a whole deployment

Cause: an operator could not see who holds what of a rate, what the plan changed, or why a caller goes where it goes; the wiring of TLS had no test. Change: /why and status why explain a look-up by its steps; status shows the parts of the rates by host and the plan; a fleet whose three addresses use TLS is tested, with strangers in plain text and with a forged certificate. Conclusion: strangers get no answer and appear in nobody's peers.

--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -2,15 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -23,61 +16,21 @@
 
 	"celeryreach.example/celeryreach/certificate"
 	"celeryreach.example/celeryreach/certs"
+	"celeryreach.example/celeryreach/testcerts"
 )
 
-// authority is a certificate authority made in the test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-var serial int64
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	c, k := issue(t, nil, &x509.Certificate{
-		Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	})
-	return &authority{certificate: c, key: k}
-}
-
-func issue(t *testing.T, by *authority, c *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+func newAuthority(t *testing.T) *testcerts.Testcerts {
 	t.Helper()
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a, err := testcerts.New()
 	must.NoError(t, err)
-	serial++
-	c.SerialNumber = big.NewInt(serial)
-	c.NotBefore = time.Unix(0, 0)
-	c.NotAfter = time.Unix(1<<33, 0)
-	p, s := c, k
-	if by != nil {
-		p, s = by.certificate, by.key
-	}
-	b, err := x509.CreateCertificate(rand.Reader, c, p, &k.PublicKey, s)
-	must.NoError(t, err)
-	r, err := x509.ParseCertificate(b)
-	must.NoError(t, err)
-	return r, k
+	return a
 }
 
-// write issues a host's certificate into dir and returns its names.
-func (a *authority) write(t *testing.T, dir string) certificate.Certificate {
+func write(t *testing.T, a *testcerts.Testcerts, dir string) certificate.Certificate {
 	t.Helper()
-	c, k := issue(t, a, &x509.Certificate{
-		Subject: pkix.Name{CommonName: "host"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	})
-	b, err := x509.MarshalECPrivateKey(k)
+	f, err := a.Write(dir)
 	must.NoError(t, err)
-	save := func(name, kind string, b []byte) string {
-		f := filepath.Join(dir, name)
-		must.NoError(t, os.WriteFile(f, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600))
-		return f
-	}
-	return certificate.Certificate{
-		File: save("host.pem", "CERTIFICATE", c.Raw), KeyFile: save("key.pem", "EC PRIVATE KEY", b),
-		AuthorityFile: save("authority.pem", "CERTIFICATE", a.certificate.Raw),
-	}
+	return f
 }
 
 func load(t *testing.T, c clockwork.Clock, f certificate.Certificate) *certs.Certs {
@@ -130,8 +83,8 @@
 func TestStrangerGetsNothing(t *testing.T) {
 	c := clockwork.NewFakeClock()
 	a, b := newAuthority(t), newAuthority(t)
-	h := load(t, c, a.write(t, t.TempDir()))
-	s := load(t, c, b.write(t, t.TempDir()))
+	h := load(t, c, write(t, a, t.TempDir()))
+	s := load(t, c, write(t, b, t.TempDir()))
 	_, e, f := meet(t, h.Mutual(), h.Client("127.0.0.1"))
 	must.NoError(t, e)
 	must.NoError(t, f)
@@ -158,10 +111,10 @@
 	c := clockwork.NewFakeClock()
 	a := newAuthority(t)
 	d := t.TempDir()
-	h := load(t, c, a.write(t, d))
+	h := load(t, c, write(t, a, d))
 	one, _, err := meet(t, h.Server(), h.Client("127.0.0.1"))
 	must.NoError(t, err)
-	other := a.write(t, t.TempDir())
+	other := write(t, a, t.TempDir())
 	copyFile(t, other.File, filepath.Join(d, "host.pem"))
 	c.Advance(time.Minute)
 	two, _, err := meet(t, h.Server(), h.Client("127.0.0.1"))
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -23,7 +23,9 @@
 }
 
 func (m *Cmd) statusCommand() *cli.Command {
-	return m.leaf("status", "print hosts, versions in force, preset, loads and drains", "", m.runStatus)
+	c := m.leaf("status", "print hosts, versions in force, preset, loads, parts of rates, drains and plan", "", m.runStatus)
+	c.Commands = []*cli.Command{m.statusWhy()}
+	return c
 }
 
 func (m *Cmd) runStatus(ctx context.Context, c *cli.Command) error {
@@ -69,9 +71,45 @@
 		})
 	}
 	m.table(r)
+	m.shares(o)
 	for _, d := range o.Drains {
 		m.printf("draining: %s\n", d)
 	}
+	p := status.Status{}
+	for _, t := range o.Hosts {
+		if t.PlanVersion > p.PlanVersion {
+			p = t
+		}
+	}
+	if p.PlanVersion > 0 {
+		m.printf("plan %d: %s\n", p.PlanVersion, p.PlanReason)
+	}
+}
+
+// shares prints the hosts' parts of the rates, in requests a second.
+func (m *Cmd) shares(o overview) {
+	r := [][]string{{"ACCOUNT"}}
+	a := make(map[string]int)
+	for _, t := range o.Hosts {
+		for _, s := range t.Shares {
+			if a[s.Account] == 0 {
+				a[s.Account] = len(r)
+				r = append(r, []string{s.Account})
+			}
+		}
+	}
+	for _, t := range o.Hosts {
+		r[0] = append(r[0], t.Host.Name)
+		for i := 1; i < len(r); i++ {
+			r[i] = append(r[i], "0")
+		}
+		for _, s := range t.Shares {
+			w := r[a[s.Account]]
+			w[len(w)-1] = fmt.Sprintf("%.4g (%.0f%% floor)", s.Rate, 100*s.Floor/(s.Floor+s.Leased))
+		}
+	}
+	m.printf("\nparts of the rates, requests a second\n")
+	m.table(r)
 }
 
 func loads(t status.Status) string {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,6 +57,10 @@
 	// Adjust changes the settings of a host before it starts; it may be nil.
 	Adjust func(s *settings.Settings)
 
+	// Roots are the certificate authorities that Status and Send trust, when
+	// Adjust makes hosts use TLS.
+	Roots *x509.CertPool
+
 	// Platform is the platform stand-in.
 	Platform *standin.Standin
 	// PlatformURL is the base URL of the platform stand-in.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,16 +15,21 @@
 	"go.uber.org/goleak"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/certs"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/staleness"
+	"celeryreach.example/celeryreach/testcerts"
+	"celeryreach.example/celeryreach/wire"
 )
 
-func newFleet(t *testing.T) (context.Context, *fleet.Fleet) {
+func newFleet(t *testing.T, set ...func(f *fleet.Fleet)) (context.Context, *fleet.Fleet) {
 	t.Helper()
 	// The leak check is registered first, so it runs after Stop.
 	t.Cleanup(func() { goleak.VerifyNone(t) })
@@ -40,6 +47,9 @@
 			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
 		},
 	}
+	for _, s := range set {
+		s(f)
+	}
 	t.Cleanup(func() { must.NoError(t, f.Stop()) })
 	must.NoError(t, f.Start(ctx))
 	return ctx, f
@@ -83,3 +93,47 @@
 	must.NoError(t, f.Ready(ctx))
 	must.NoError(t, f.Await(ctx, "an answer of the replacement", answered(ctx, f, "n1-a")))
 }
+
+// All three addresses use TLS. Callers and operators are served, the hosts hear
+// each other, and a stranger who says in plain text or with a certificate of
+// its own that it is a host gets no answer and appears in nobody's peers.
+func TestTLS(t *testing.T) {
+	a, err := testcerts.New()
+	must.NoError(t, err)
+	c, err := a.Write(t.TempDir())
+	must.NoError(t, err)
+	own := c
+	own.AuthorityFile = ""
+	ctx, f := newFleet(t, func(f *fleet.Fleet) {
+		f.Roots = a.Pool()
+		f.Adjust = func(s *settings.Settings) {
+			s.CallerTLS, s.OperatorTLS, s.PeerTLS = &own, &own, &c
+		}
+	})
+	must.NoError(t, f.Await(ctx, "an answer", answered(ctx, f, "n1-a")))
+	b, err := testcerts.New()
+	must.NoError(t, err)
+	d, err := b.Write(t.TempDir())
+	must.NoError(t, err)
+	forged := &certs.Certs{Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Certificate: d}
+	must.NoError(t, forged.Load())
+	for _, dial := range []func(context.Context, string) (net.Conn, error){
+		func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		},
+		func(ctx context.Context, address string) (net.Conn, error) {
+			g := forged.Client("127.0.0.1")
+			g.RootCAs = a.Pool()
+			return (&tls.Dialer{Config: g}).DialContext(ctx, "tcp", address)
+		},
+	} {
+		p := &peerclient.Peerclient{Dial: dial}
+		_, err := p.Beat(ctx, f.Settings("n1-a").PeerAddress, &wire.Heartbeat{Protocol: 1, From: &wire.Host{Name: "stranger"}})
+		must.Error(t, err)
+		p.Close()
+	}
+	s, err := f.Status(ctx, "n1-a")
+	must.NoError(t, err)
+	must.Len(t, 1, s.Peers)
+	must.Eq(t, "s1-a", s.Peers[0].Name)
+}
--- a/fleet/hosts.go
+++ b/fleet/hosts.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/certificate"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/status"
@@ -87,12 +89,12 @@
 // Status asks a host for its state.
 func (f *Fleet) Status(ctx context.Context, name string) (status.Status, error) {
 	var s status.Status
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Settings(name).OperatorAddress+"/status", nil)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme(f.Settings(name).OperatorTLS)+f.Settings(name).OperatorAddress+"/status", nil)
 	if err != nil {
 		return s, err
 	}
 	q.Header.Set("Authorization", "Bearer "+f.Operator)
-	c, b, err := do(q)
+	c, b, err := f.do(q)
 	if err != nil {
 		return s, err
 	}
@@ -114,7 +116,7 @@
 	if id != "" {
 		b = strings.NewReader("id=" + id)
 	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+f.Settings(host).CallerAddress+path, b)
+	q, err := http.NewRequestWithContext(ctx, method, scheme(f.Settings(host).CallerTLS)+f.Settings(host).CallerAddress+path, b)
 	if err != nil {
 		return 0, "", err
 	}
@@ -122,14 +124,14 @@
 	if id != "" {
 		q.Header.Set("Idempotency-Key", id)
 	}
-	code, a, err := do(q)
+	code, a, err := f.do(q)
 	return code, string(a), err
 }
 
 // do uses a connection of its own, so that a request never meets a connection
 // that an earlier host of the same address left behind.
-func do(q *http.Request) (code int, body []byte, err error) {
-	t := &http.Transport{DisableKeepAlives: true}
+func (f *Fleet) do(q *http.Request) (code int, body []byte, err error) {
+	t := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: f.Roots, MinVersion: tls.VersionTLS13}}
 	r, err := t.RoundTrip(q)
 	if err != nil {
 		return 0, nil, err
@@ -139,6 +141,13 @@
 	return r.StatusCode, b, err
 }
 
+func scheme(c *certificate.Certificate) string {
+	if c == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 func (f *Fleet) gone(h *site) {
 	h.running = false
 	for _, l := range h.listeners {
--- a/host/product.go
+++ b/host/product.go
@@ -40,7 +40,7 @@
 func (x *parts) operators() http.Handler {
 	return &operator.Operator{
 		Log: x.host.Log, Snapshot: x.follower.Snapshot, History: &x.history,
-		Change: x.newChange(), Check: validate.Config, Status: x.status, Sums: x.burn.Sums, Kept: x.kept,
+		Change: x.newChange(), Check: validate.Config, Status: x.status, Sums: x.burn.Sums, Kept: x.kept, Why: x.why,
 	}
 }
 
@@ -109,6 +109,18 @@
 	for _, l := range x.lanes.Loads() {
 		s.Loads = append(s.Loads, load.Load{Service: l.Service, Slots: int(l.Slots), Busy: int(l.Busy), Waiting: int(l.Waiting)})
 	}
+	s.Shares = x.shares()
+	s.DivisionEpoch = x.limits.holding.Epoch()
+	if p := x.steering.plans.Plan(); p != nil {
+		s.PlanVersion = p.Version
+		s.PlanReason = p.Reason
+	}
+	x.list(ctx, &s)
+	return s
+}
+
+// list adds what the platform's list tells.
+func (x *parts) list(ctx context.Context, s *status.Status) {
 	l, f := context.WithTimeout(ctx, listTimeout)
 	defer f()
 	m, err := x.host.Platform.Hosts(l)
@@ -120,5 +132,4 @@
 			s.Missing = append(s.Missing, v)
 		}
 	}
-	return s
 }
--- /dev/null
+++ b/host/why.go
@@ -0,0 +1,68 @@
+package host
+
+import (
+	"net/netip"
+
+	"celeryreach.example/celeryreach/route"
+	"celeryreach.example/celeryreach/share"
+	"celeryreach.example/celeryreach/why"
+)
+
+// why explains the answer to a look-up by the steps that made it.
+func (x *parts) why(account, service, region string, a netip.Addr) why.Why {
+	w := why.Why{Home: region}
+	w.Answer, w.Refusal = x.lookup.Find(account, service, region, a)
+	p, h, ok := x.block(a)
+	if ok {
+		w.Block = p.String()
+	}
+	if w.Home == "" {
+		w.Home = h
+	}
+	if w.Home == "" {
+		w.Home = x.host.Settings.Region
+	}
+	w.Point = route.Point(service, w.Block)
+	m := x.steering.plans.Plan()
+	w.Route = m.Route(service, w.Home).Segments
+	if m != nil {
+		w.Weights = m.Domains
+		w.PlanReason = m.Reason
+	}
+	if s := x.follower.Snapshot(); s != nil {
+		for _, r := range s.Config.Regions {
+			if x.lost(r.Name) {
+				w.Lost = append(w.Lost, r.Name)
+			}
+		}
+	}
+	for _, v := range x.hosts() {
+		if v.Leaving {
+			w.Leaving = append(w.Leaving, v.Name)
+		}
+	}
+	return w
+}
+
+// shares are the host's parts of the rates. An account of which it may use
+// nothing is left out.
+func (x *parts) shares() []share.Share {
+	s := x.follower.Snapshot()
+	if s == nil {
+		return nil
+	}
+	n := x.host.Clock.Now()
+	var r []share.Share
+	for _, a := range s.Config.Accounts {
+		g := x.grant(a.Name)
+		f := g
+		f.Leased = 0
+		v := share.Share{Account: a.Name, Floor: f.Part(n)}
+		v.Leased = g.Part(n) - v.Floor
+		v.Rate = g.Part(n) * a.Rate
+		if v.Rate > 0 {
+			r = append(r, v)
+		}
+	}
+	return r
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,7 @@
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/status"
 	"celeryreach.example/celeryreach/sums"
+	"celeryreach.example/celeryreach/why"
 )
 
 const (
@@ -45,6 +47,8 @@
 	Sums func() sums.Sums
 	// Kept returns the counts of processes that no longer run.
 	Kept func(ctx context.Context) ([]sums.Sums, error)
+	// Why explains the answer to a look-up.
+	Why func(account, service, region string, a netip.Addr) why.Why
 }
 
 // ServeHTTP serves one call.
@@ -65,6 +69,8 @@
 		o.put(w, r)
 	case "GET /status":
 		reply(w, http.StatusOK, o.Status(r.Context()))
+	case "GET /why":
+		o.why(w, r)
 	case "GET /burn":
 		reply(w, http.StatusOK, o.Sums())
 	case "GET /burn/kept":
@@ -137,6 +143,20 @@
 	}
 }
 
+func (o *Operator) why(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	var a netip.Addr
+	if v := q.Get("address"); v != "" {
+		p, err := netip.ParseAddr(v)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, problem.BadRequest, "address: "+err.Error())
+			return
+		}
+		a = p
+	}
+	reply(w, http.StatusOK, o.Why(q.Get("account"), q.Get("service"), q.Get("region"), a))
+}
+
 func (o *Operator) kept(w http.ResponseWriter, r *http.Request) {
 	k, err := o.Kept(r.Context())
 	if err != nil {
--- a/status/status.go
+++ b/status/status.go
@@ -5,6 +5,7 @@
 	"celeryreach.example/celeryreach/inforce"
 	"celeryreach.example/celeryreach/load"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/share"
 )
 
 // Status is the answer to an operator's question for the state.
@@ -19,6 +20,14 @@
 	Preset string
 	// Loads are its loads by service.
 	Loads []load.Load
+	// Shares are its parts of the client accounts' limits.
+	Shares []share.Share
+	// DivisionEpoch is the division that it knows.
+	DivisionEpoch uint64
+	// PlanVersion is the plan in force on it.
+	PlanVersion uint64
+	// PlanReason says what that plan changed.
+	PlanReason string `json:",omitzero"`
 	// Peers are the hosts it has heard lately.
 	Peers []member.Member
 	// Missing are hosts on the platform's list that it has not heard lately.
