--- a/cmd/preset.go
+++ b/cmd/preset.go
@@ -1,12 +1,9 @@
 package cmd
 
 import (
-	"context"
-
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/preset"
 )
@@ -15,36 +12,6 @@
 	return group("preset", "sets of policy, of which exactly one is in force", m.presetList(), m.presetUse(), m.presetShow())
 }
 
-func (m *Cmd) presetShow() *cli.Command {
-	return m.leaf("show", "print a preset", "PRESET", m.runPresetShow)
-}
-
-func (m *Cmd) runPresetShow(ctx context.Context, c *cli.Command) error {
-	a, err := arguments(c, "PRESET")
-	if err != nil {
-		return err
-	}
-	n, err := m.connect(c)
-	if err != nil {
-		return err
-	}
-	defer n.close()
-	v, err := n.load(ctx)
-	if err != nil {
-		return err
-	}
-	p, err := find(v, a[0])
-	if err != nil {
-		return err
-	}
-	b, err := codec.MarshalIndent(p)
-	if err != nil {
-		return errors.Wrap(err, "preset")
-	}
-	m.printf("%s\n", b)
-	return nil
-}
-
 func find(v *config.Config, name string) (preset.Preset, error) {
 	for _, p := range v.Presets {
 		if p.Name == name {
--- a/report/builder.go
+++ b/report/builder.go
@@ -19,6 +19,10 @@
 	all      []sums.Sums
 	now      time.Time
 	wrongful map[string]map[int64]uint64
+	// cells hold the counts by window, service, account and region. The many
+	// sums of a report are made from these few, not from every minute of every
+	// host.
+	cells map[time.Duration]map[scope]*tally.Tally
 }
 
 // scope picks counts; an empty field means all.
@@ -27,7 +31,7 @@
 }
 
 func newBuilder(c *config.Config, all []sums.Sums, now time.Time) *builder {
-	b := &builder{config: c, all: all, now: now, wrongful: make(map[string]map[int64]uint64)}
+	b := &builder{config: c, all: all, now: now, wrongful: make(map[string]map[int64]uint64), cells: make(map[time.Duration]map[scope]*tally.Tally)}
 	var s []second.Second
 	for _, v := range all {
 		s = append(s, v.Seconds...)
@@ -35,21 +39,36 @@
 	for _, a := range c.Accounts {
 		b.wrongful[a.Name] = replay.Wrongful(a, s)
 	}
+	for _, w := range Windows {
+		b.cells[w] = b.cut(w)
+	}
 	return b
 }
 
-// sum adds up the counts of a scope in a window.
-func (b *builder) sum(s scope, window time.Duration) tally.Tally {
-	var t tally.Tally
+func (b *builder) cut(window time.Duration) map[scope]*tally.Tally {
+	r := make(map[scope]*tally.Tally)
 	m := b.now.Add(-window).Unix() / 60
 	for _, h := range b.all {
-		if s.region != "" && s.region != h.Region {
-			continue
-		}
 		for _, v := range h.Tallies {
-			if v.Minute > m && (s.service == "" || s.service == v.Service) && (s.account == "" || s.account == v.Account) {
-				t.Add(v)
+			if v.Minute <= m {
+				continue
+			}
+			k := scope{service: v.Service, account: v.Account, region: h.Region}
+			if r[k] == nil {
+				r[k] = new(tally.Tally)
 			}
+			r[k].Add(v)
+		}
+	}
+	return r
+}
+
+// sum adds up the counts of a scope in a window.
+func (b *builder) sum(s scope, window time.Duration) tally.Tally {
+	var t tally.Tally
+	for k, v := range b.cells[window] {
+		if (s.service == "" || s.service == k.service) && (s.account == "" || s.account == k.account) && (s.region == "" || s.region == k.region) {
+			t.Add(*v)
 		}
 	}
 	return t
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -13,10 +13,13 @@
 	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/burnpage"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/document"
 	"celeryreach.example/celeryreach/drained"
+	"celeryreach.example/celeryreach/objective"
+	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/report"
 	"celeryreach.example/celeryreach/second"
 	"celeryreach.example/celeryreach/sums"
@@ -105,3 +108,34 @@
 	}
 	return r
 }
+
+// BenchmarkBuild makes the report of 11 hosts with 8 accounts and 4 services
+// that were busy for six hours.
+func BenchmarkBuild(b *testing.B) {
+	c := config.Config{Regions: []region.Region{{Name: "north"}, {Name: "south"}, {Name: "west"}}}
+	all := make([]sums.Sums, 11)
+	for i := range all {
+		all[i] = sums.Sums{Host: fmt.Sprint("h", i), Region: c.Regions[i%3].Name}
+	}
+	for v := range 4 {
+		s := fmt.Sprint("service-", v)
+		c.Objectives = append(c.Objectives, objective.Objective{Service: s, Latency: time.Second, LatencyFraction: 0.99, WholeFraction: 0.999, WrongfulFraction: 0.001, WorstShare: 0.8, Headroom: 0.2})
+	}
+	for a := range 8 {
+		n := fmt.Sprint("account-", a)
+		c.Accounts = append(c.Accounts, account.Account{Name: n, Rate: 10, Burst: 10})
+		for i := range all {
+			for m := range int64(360) {
+				for _, o := range c.Objectives {
+					all[i].Tallies = append(all[i].Tallies, tally.Tally{Minute: now.Unix()/60 - m, Account: n, Service: o.Service, Answered: 10, Timely: 9, OverRate: 2})
+				}
+			}
+			for t := range int64(3600) {
+				all[i].Seconds = append(all[i].Seconds, second.Second{Second: now.Unix() - t, Account: n, Admitted: 1, Refused: 1})
+			}
+		}
+	}
+	for b.Loop() {
+		report.Build(&c, all, now)
+	}
+}
