Supervisor tree: a branch each for limits, domain, configuration, counts, peers, steering, serving

Cause: all parts of a host hung under one supervisor, and what depends on what showed only in the order of a long list. Change: nested supervisors; the stop order is the same. Measured: go test -race ./... passes in all packages. Conclusion: a reader sees the layers of a host at once.

--- a/host/host.go
+++ b/host/host.go
@@ -13,19 +13,14 @@
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/certs"
-	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/counter"
-	"celeryreach.example/celeryreach/httplisten"
 	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/settings"
-	"celeryreach.example/celeryreach/supervisor"
 )
 
 const (
-	restartBackoff = time.Second
-	maxBackoff     = 30 * time.Second
-	announceEvery  = 3 * time.Second
-	dialTimeout    = time.Second
+	announceEvery = 3 * time.Second
+	dialTimeout   = time.Second
 )
 
 // Host is one entry host.
@@ -89,38 +84,6 @@
 	return err
 }
 
-func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
-	x := h.parts()
-	x.peerserver.Listener = p
-	r := &supervisor.Supervisor{
-		Clock:      h.Clock,
-		Log:        h.Log,
-		Backoff:    restartBackoff,
-		MaxBackoff: maxBackoff,
-		Children: []child.Child{
-			{Name: "connections", Run: x.connections},
-			{Name: "announce", Run: x.announce},
-			{Name: "follower", Run: x.follower.Run},
-			{Name: "history", Run: x.remember},
-			{Name: "kept counts", Run: x.keep.Run},
-			{Name: "burn", Run: x.burn.Run},
-			{Name: "peerserver", Run: x.peerserver.Run},
-			{Name: "membership", Run: x.membership.Run},
-			{Name: "relay", Run: x.steering.relay.Run},
-			{Name: "plan", Run: x.steering.plans.Replica().Run},
-			{Name: "lease", Run: x.campaign},
-			{Name: "planner", Run: x.steering.planner.Run},
-			{Name: "steering", Run: x.look},
-			{Name: "readiness", Run: x.becomeReady},
-			{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: time.Second}).Run},
-			{Name: "records", Run: x.requests.idempotency.Run},
-			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
-		},
-	}
-	r.Children = append(append(x.limits.children(x), x.site.children(x)...), r.Children...)
-	return r
-}
-
 func listen(ctx context.Context, a string) (net.Listener, error) {
 	var c net.ListenConfig
 	return c.Listen(ctx, "tcp", a)
