Client blocks at scale: chunks under their hashes, relayed like the configuration

Cause: millions of client blocks had no way to the hosts but the configuration. A delta skips what both contents begin and end with.

--- /dev/null
+++ b/blockfollower/blockfollower.go
@@ -0,0 +1,235 @@
+// Package blockfollower keeps a host on the newest client blocks, of which it
+// fetches only the chunks that changed.
+package blockfollower
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/blockchunk"
+	"celeryreach.example/celeryreach/blocktable"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/replica"
+)
+
+// Kind names the list of chunks in messages, ChunkKind a single chunk.
+const (
+	Kind      = "Blocks"
+	ChunkKind = "BlockChunk"
+)
+
+// workers is how many chunks are fetched at a time: a starting host needs all.
+const workers = 16
+
+// Blockfollower applies only higher versions, from the platform or from peers.
+type Blockfollower struct {
+	// Clock paces the polling.
+	Clock clockwork.Clock
+	// Log receives one line for each applied version.
+	Log *log.Logger
+	// Platform holds the row and the chunks.
+	Platform platform.Platform
+	// Poll returns the time until the next read of the row.
+	Poll func() time.Duration
+	// Changed is called after a version was applied; nil calls nothing.
+	Changed func()
+	// Fetch asks peers for a chunk; nil when there are none.
+	Fetch func(ctx context.Context, hash string) ([]byte, error)
+	// Timeout bounds the fetching of one version's chunks.
+	Timeout time.Duration
+
+	once    sync.Once
+	replica *replica.Replica
+	table   blocktable.Blocktable
+
+	mu     sync.Mutex
+	hashes []string
+	chunks map[string][]byte
+}
+
+// Find returns the client block of an address and its nearest region.
+func (f *Blockfollower) Find(a netip.Addr) (netip.Prefix, string, bool) {
+	return f.table.Find(a)
+}
+
+// Len returns the number of client blocks.
+func (f *Blockfollower) Len() int {
+	return f.table.Len()
+}
+
+// Chunk returns a chunk that this host has, for its peers.
+func (f *Blockfollower) Chunk(hash string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chunks[hash]
+}
+
+// Replica returns what peers exchange.
+func (f *Blockfollower) Replica() *replica.Replica {
+	f.once.Do(func() {
+		f.replica = &replica.Replica{
+			Kind: Kind, Key: accepted.BlocksKey, Log: f.Log, Platform: f.Platform, Apply: f.apply, Changed: f.Changed,
+			Clock: f.Clock, Every: f.Poll,
+		}
+	})
+	return f.replica
+}
+
+// apply fetches the chunks that changed and changes the table by what differs
+// in them. A version whose chunks cannot all be had is refused whole and tried
+// again with the next read or digest; look-ups go on with the one before.
+func (f *Blockfollower) apply(_ uint64, _ string, content []byte) error {
+	h, err := blockchunk.Hashes(content)
+	if err != nil {
+		return err
+	}
+	o := f.old()
+	var l []int
+	for i := range h {
+		if h[i] != o[i] {
+			l = append(l, i)
+		}
+	}
+	c, err := f.fetchAll(h, l)
+	if err != nil {
+		return err
+	}
+	var put []block.Block
+	var remove []netip.Prefix
+	for _, i := range l {
+		p, r, err := difference(f.Chunk(o[i]), c[h[i]])
+		if err != nil {
+			return errors.Wrapf(err, "chunk %d", i)
+		}
+		put = append(put, p...)
+		remove = append(remove, r...)
+	}
+	if err := f.table.Change(put, remove); err != nil {
+		return err
+	}
+	f.keep(h, c)
+	return nil
+}
+
+// old returns the hashes of the chunks in force.
+func (f *Blockfollower) old() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hashes == nil {
+		f.hashes = make([]string, blockchunk.Count)
+		for i := range f.hashes {
+			f.hashes[i] = blockchunk.Empty
+		}
+	}
+	return f.hashes
+}
+
+// fetchAll returns the chunks of the given places.
+func (f *Blockfollower) fetchAll(h []string, places []int) (map[string][]byte, error) {
+	x, stop := clockwork.WithTimeout(context.Background(), f.Clock, f.Timeout)
+	defer stop()
+	q := make(chan string, len(places))
+	for _, i := range places {
+		if h[i] != blockchunk.Empty {
+			q <- h[i]
+		}
+	}
+	close(q)
+	c := make(map[string][]byte, len(q))
+	var mu sync.Mutex
+	n := min(workers, len(q))
+	d := make(chan error, n)
+	for range n {
+		go func() { d <- f.work(x, q, &mu, c) }()
+	}
+	var r error
+	for range n {
+		if err := <-d; err != nil {
+			r = err
+		}
+	}
+	return c, r
+}
+
+func (f *Blockfollower) work(ctx context.Context, q <-chan string, mu *sync.Mutex, c map[string][]byte) error {
+	for n := range q {
+		b, err := f.get(ctx, n)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		c[n] = b
+		mu.Unlock()
+	}
+	return nil
+}
+
+// get asks the peers first: thousands of hosts that start would else read
+// thousands of chunks each from the platform.
+func (f *Blockfollower) get(ctx context.Context, hash string) ([]byte, error) {
+	if f.Fetch != nil {
+		if b, err := f.Fetch(ctx, hash); err == nil && accepted.Hash(b) == hash {
+			return b, nil
+		}
+	}
+	b, err := f.Platform.GetObject(ctx, accepted.ObjectName(accepted.BlocksKey, hash))
+	if err != nil {
+		return nil, err
+	}
+	if accepted.Hash(b) != hash {
+		return nil, errors.Errorf("chunk does not have hash %s", hash)
+	}
+	return b, nil
+}
+
+// keep remembers the chunks in force and forgets the others.
+func (f *Blockfollower) keep(h []string, c map[string][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.chunks == nil {
+		f.chunks = make(map[string][]byte, len(h))
+	}
+	for k, b := range c {
+		f.chunks[k] = b
+	}
+	for i, o := range f.hashes {
+		if o != h[i] {
+			delete(f.chunks, o)
+		}
+	}
+	f.hashes = h
+}
+
+// difference returns what leads from one chunk to another.
+func difference(a, b []byte) (put []block.Block, remove []netip.Prefix, err error) {
+	x, err := blockchunk.Parse(a)
+	if err != nil {
+		return nil, nil, err
+	}
+	y, err := blockchunk.Parse(b)
+	if err != nil {
+		return nil, nil, err
+	}
+	m := make(map[netip.Prefix]string, len(x))
+	for _, v := range x {
+		m[v.Prefix] = v.Region
+	}
+	for _, v := range y {
+		if r, ok := m[v.Prefix]; !ok || r != v.Region {
+			put = append(put, v)
+		}
+		delete(m, v.Prefix)
+	}
+	for p := range m {
+		remove = append(remove, p)
+	}
+	return put, remove, nil
+}
--- a/delta/delta.go
+++ b/delta/delta.go
@@ -15,38 +15,89 @@
 	opInsert = 'i' // length, bytes
 )
 
+// stride is how many bytes are compared at a time.
+const stride = 4096
+
 // Make returns the delta that leads from a to b. It cuts both after each
 // closing brace and line end, so that an inserted record does not shift the
 // records behind it out of sight.
 func Make(a, b []byte) []byte {
+	w := &writer{}
+	h := head(a, b)
+	t := tail(a[h:], b[h:])
+	if h > 0 {
+		w.copy(0, h)
+	}
+	w.middle(a, b[h:len(b)-t], h, len(a)-t)
+	if t > 0 {
+		w.copy(len(a)-t, t)
+	}
+	w.flush()
+	return w.out
+}
+
+// middle writes b, which stands where a has the bytes from one offset to
+// another, by the records that both have there. Most changes leave all but a
+// few records alone, and only those few are indexed.
+func (w *writer) middle(a, b []byte, from, to int) {
 	o := make(map[uint64]int)
-	for i := 0; i < len(a); {
-		n := record(a[i:])
+	for i := from; i < to; {
+		n := record(a[i:to])
 		o[xxhash.Sum64(a[i:i+n])] = i
 		i += n
 	}
-	w := &writer{}
-	c := 0 // where b stands in a if nothing was inserted or removed since
+	c := from // where b stands in a if nothing was inserted or removed since
 	for i := 0; i < len(b); {
 		n := record(b[i:])
 		r := b[i : i+n]
 		p, ok := o[xxhash.Sum64(r)]
 		// Equal records stand in many places; going on where b stands keeps
 		// one run one operation.
-		if bytes.HasPrefix(a[c:], r) {
+		if bytes.HasPrefix(a[c:to], r) {
 			p, ok = c, true
 		}
-		if ok && bytes.HasPrefix(a[p:], r) {
+		if ok && bytes.HasPrefix(a[p:to], r) {
 			w.copy(p, n)
 			c = p + n
 		} else {
 			w.insert(r)
-			c += record(a[c:])
+			c += record(a[c:to])
 		}
 		i += n
 	}
-	w.flush()
-	return w.out
+}
+
+// head returns the length of the whole records that a and b begin with.
+func head(a, b []byte) int {
+	n := 0
+	for n+stride <= min(len(a), len(b)) && bytes.Equal(a[n:n+stride], b[n:n+stride]) {
+		n += stride
+	}
+	for n < min(len(a), len(b)) && a[n] == b[n] {
+		n++
+	}
+	for n > 0 && !ends(a[n-1]) {
+		n--
+	}
+	return n
+}
+
+// tail returns the length of the whole records that a and b end with.
+func tail(a, b []byte) int {
+	n := 0
+	for n+stride <= min(len(a), len(b)) && bytes.Equal(a[len(a)-n-stride:len(a)-n], b[len(b)-n-stride:len(b)-n]) {
+		n += stride
+	}
+	for n < min(len(a), len(b)) && a[len(a)-n-1] == b[len(b)-n-1] {
+		n++
+	}
+	// The first record of what is equal may begin before it.
+	return n - record(a[len(a)-n:])
+}
+
+// ends reports whether a byte ends a record.
+func ends(c byte) bool {
+	return c == '}' || c == '\n'
 }
 
 // Apply returns what d makes of a. The result is only to be trusted after its
@@ -94,7 +145,7 @@
 // record returns the length of the first record of b.
 func record(b []byte) int {
 	for i, c := range b {
-		if c == '}' || c == '\n' {
+		if ends(c) {
 			return i + 1
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -107,6 +107,7 @@
 			{Name: "slot loans", Run: x.slotloan.Run},
 			{Name: "relay", Run: x.steering.relay.Run},
 			{Name: "plan", Run: x.steering.plans.Replica().Run},
+			{Name: "blocks", Run: x.steering.blocks.Replica().Run},
 			{Name: "lease", Run: x.campaign},
 			{Name: "planner", Run: x.steering.planner.Run},
 			{Name: "steering", Run: x.look},
--- a/host/plans.go
+++ b/host/plans.go
@@ -276,12 +276,21 @@
 	return r
 }
 
+// block finds a client block in the table of its own and among those that the
+// configuration lists; the longer prefix decides.
 func (x *parts) block(a netip.Addr) (netip.Prefix, string, bool) {
+	p, r, ok := x.steering.blocks.Find(a)
 	s := x.follower.Snapshot()
 	if s == nil {
-		return netip.Prefix{}, "", false
+		return p, r, ok
 	}
-	return s.Block(a)
+	if !s.HasRegion(r) {
+		ok = false // the region was removed; the block waits for its change
+	}
+	if q, n, k := s.Block(a); k && (!ok || q.Bits() > p.Bits()) {
+		return q, n, k
+	}
+	return p, r, ok
 }
 
 // roster returns the hosts that look-ups choose from. It is compared once a
--- a/host/steering.go
+++ b/host/steering.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/blockfollower"
 	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/failover"
 	"celeryreach.example/celeryreach/follower"
@@ -38,6 +39,8 @@
 	rememberFor  = 10 * time.Minute
 	readyPoll    = 50 * time.Millisecond
 	readyHolds   = 3
+	// chunksTimeout bounds the fetching of all chunks by a host that starts.
+	chunksTimeout = time.Minute
 )
 
 // steering holds the parts that follow the configuration and the plan.
@@ -52,6 +55,7 @@
 	newest uint64
 
 	plans    *planfollower.Planfollower
+	blocks   *blockfollower.Blockfollower
 	planner  *planner.Planner
 	lease    *lease.Lease
 	meter    *meter.Meter
@@ -91,6 +95,18 @@
 			s.failover.Planned()
 		},
 	}
+	s.blocks = &blockfollower.Blockfollower{
+		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: s.relay.Wake, Timeout: chunksTimeout,
+		Fetch: func(ctx context.Context, hash string) ([]byte, error) {
+			return s.relay.Ask(ctx, s.blocks.Replica(), blockfollower.ChunkKind, hash)
+		},
+	}
+	s.relay.Object = func(kind, hash string) []byte {
+		if kind != blockfollower.ChunkKind {
+			return nil
+		}
+		return s.blocks.Chunk(hash)
+	}
 	s.failover = &failover.Failover{Clock: h.Clock, Preset: x.preset, Share: x.share, Room: x.room}
 	s.lease = x.newLease()
 	s.planner = x.newPlanner(s)
@@ -122,7 +138,7 @@
 }
 
 func (x *parts) replicas() []*replica.Replica {
-	return []*replica.Replica{x.follower.Replica(), x.steering.plans.Replica()}
+	return []*replica.Replica{x.follower.Replica(), x.steering.plans.Replica(), x.steering.blocks.Replica()}
 }
 
 // pollEvery returns the time to the next read of the platform. The first two
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/rendezvous"
@@ -18,6 +19,9 @@
 	"celeryreach.example/celeryreach/wire"
 )
 
+// askPeers is how many peers are asked for a part before the platform is.
+const askPeers = 3
+
 // Relay compares the versions that peers tell of with the own ones, fetches
 // what is newer, and tells peers that are behind.
 type Relay struct {
@@ -31,6 +35,9 @@
 	Peers func() []member.Member
 	// Replicas are the contents that are relayed.
 	Replicas []*replica.Replica
+	// Object returns a part of a content by its hash, nil if this host does not
+	// have it; nil when no content has parts.
+	Object func(kind, hash string) []byte
 	// Fetch asks a peer for newer content.
 	Fetch func(ctx context.Context, address string, f *wire.FetchRequest) (*wire.FetchResponse, error)
 	// Notify tells a peer of new versions and returns the peer's.
@@ -88,9 +95,27 @@
 			return p.Answer(f)
 		}
 	}
+	if r.Object != nil && f.Hash != "" {
+		return &wire.FetchResponse{Hash: f.Hash, Content: r.Object(f.Kind, f.Hash)}
+	}
 	return &wire.FetchResponse{}
 }
 
+// Ask returns a part of a content from a peer that has a higher version of it.
+// The caller checks the hash.
+func (r *Relay) Ask(ctx context.Context, p *replica.Replica, kind, hash string) ([]byte, error) {
+	a := r.ahead(p)
+	for _, m := range a[:min(len(a), askPeers)] {
+		x, f := context.WithTimeout(ctx, r.Timeout)
+		b, err := r.Fetch(x, m.PeerAddress, &wire.FetchRequest{Kind: kind, Hash: hash})
+		f()
+		if err == nil && len(b.Content) > 0 {
+			return b.Content, nil
+		}
+	}
+	return nil, errors.New("no peer has it")
+}
+
 // Wake makes Run look for work at once.
 func (r *Relay) Wake() {
 	f, t := r.signals()
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -39,6 +39,7 @@
 		c := large(n)
 		o, err := codec.Marshal(c)
 		must.NoError(b, err)
+		c.Version++
 		c.Accounts[n/2].Rate = 11
 		v, err := codec.Marshal(c)
 		must.NoError(b, err)
