--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -183,6 +183,8 @@
 	case r == result.Shed:
 		// It had less room than was counted: what it did before has not ended.
 		s.linger = min(max(2*s.linger, minLinger), maxLinger)
+		s.sheds++
+		s.away = now.Add(shedFor << min(s.sheds-1, maxShedDoublings))
 	case r == result.Refused:
 		s.drain("Refused", now)
 		s.refusals++
@@ -195,6 +197,7 @@
 	b.outliers.Succeed(s.backend.Name)
 	s.succeeded = now
 	s.refusals = 0
+	s.sheds = 0
 	s.linger = max(s.linger-s.linger/lingerDecay, minLinger)
 	average(&s.hold, took)
 	average(&b.mean, took)
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -82,7 +82,8 @@
 		m.presetCommand(),
 		m.drainCommand(),
 		m.statusCommand(),
+		m.reportCommand(),
 		m.lookupCommand(),
-		experimentCommand(),
+		m.experimentCommand(),
 	}
 }
--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -8,14 +8,16 @@
 	"celeryreach.example/celeryreach/experiment"
 )
 
-func experimentCommand() *cli.Command {
+func (m *Cmd) experimentCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "experiment",
 		Usage: "measure decisions by simulation, without sockets and with a fake clock",
 		Commands: []*cli.Command{
 			experimentQuotaCommand(),
 			experimentQueueCommand(),
+			experimentBackendCommand(),
 			experimentConfigCommand(),
+			m.experimentCapacityCommand(),
 		},
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -23,6 +23,7 @@
 
 const (
 	restartBackoff = time.Second
+	maxBackoff     = 30 * time.Second
 	announceEvery  = 3 * time.Second
 	dialTimeout    = time.Second
 )
@@ -92,19 +93,19 @@
 	x := h.parts()
 	x.peerserver.Listener = p
 	r := &supervisor.Supervisor{
-		Clock:   h.Clock,
-		Log:     h.Log,
-		Backoff: restartBackoff,
+		Clock:      h.Clock,
+		Log:        h.Log,
+		Backoff:    restartBackoff,
+		MaxBackoff: maxBackoff,
 		Children: []child.Child{
 			{Name: "connections", Run: x.connections},
 			{Name: "announce", Run: x.announce},
 			{Name: "follower", Run: x.follower.Run},
 			{Name: "history", Run: x.remember},
-			{Name: "lanes", Run: x.lanes.Run},
-			{Name: "probe", Run: x.probe.Run},
+			{Name: "kept counts", Run: x.keep.Run},
+			{Name: "burn", Run: x.burn.Run},
 			{Name: "peerserver", Run: x.peerserver.Run},
 			{Name: "membership", Run: x.membership.Run},
-			{Name: "slot loans", Run: x.slotloan.Run},
 			{Name: "relay", Run: x.steering.relay.Run},
 			{Name: "plan", Run: x.steering.plans.Replica().Run},
 			{Name: "blocks", Run: x.steering.blocks.Replica().Run},
@@ -117,7 +118,7 @@
 			{Name: "callers", Run: (&httplisten.Httplisten{Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: time.Second}).Run},
 		},
 	}
-	r.Children = append(x.limits.children(x), r.Children...)
+	r.Children = append(append(x.limits.children(x), x.site.children(x)...), r.Children...)
 	return r
 }
 
