Command: block apply

Cause: operators could not put client blocks on the platform. Change: celeryreach block apply -platform URL FILE; unknown regions are refused. Conclusion: blocks at scale have a way in.

--- /dev/null
+++ b/cmd/block.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"net/netip"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/blockchunk"
+	"celeryreach.example/celeryreach/blockpublish"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/platformclient"
+)
+
+// removed stands in the place of the region of a client block to remove.
+const removed = "-"
+
+func (m *Cmd) blockCommand() *cli.Command {
+	return group("block", "client blocks, when there are too many for the configuration", &cli.Command{
+		Name: "apply", Usage: "put client blocks on the platform, and remove some", ArgsUsage: "FILE",
+		Description: `Each line of the file is an address range and its nearest region, or a range
+and "-" to remove it. Blocks that the file does not name stay as they are.`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "platform", Usage: "`URL` of the platform", Required: true},
+			&cli.BoolFlag{Name: "json", Usage: "write JSON"},
+		},
+		Action: m.runBlockApply, OnUsageError: usageError,
+	})
+}
+
+func (m *Cmd) runBlockApply(ctx context.Context, c *cli.Command) error {
+	a, err := arguments(c, "FILE")
+	if err != nil {
+		return err
+	}
+	b, err := os.ReadFile(a[0])
+	if err != nil {
+		return errors.Wrap(err, "client blocks")
+	}
+	l, err := blockchunk.Parse(b)
+	if err != nil {
+		return &failure{code: exitMistakes, text: err.Error()}
+	}
+	p := (&platformclient.Platformclient{URL: c.String("platform"), Timeout: callTimeout}).Platform()
+	n, err := load(ctx, p)
+	if err != nil {
+		return err
+	}
+	put, remove, err := split(n, l)
+	if err != nil {
+		return err
+	}
+	v, err := (&blockpublish.Blockpublish{Clock: clockwork.NewRealClock(), Platform: p}).Change(ctx, put, remove)
+	if err != nil {
+		return err
+	}
+	return m.write(c, v, func() {
+		m.printf("accepted as version %d: %d put, %d removed\n", v.Version, len(put), len(remove))
+	})
+}
+
+// split tells the blocks to put from those to remove. A region that does not
+// exist is refused: its callers would wait for ever for hosts of it.
+func split(c *config.Config, l []block.Block) (put []block.Block, remove []netip.Prefix, err error) {
+	h := make(map[string]bool)
+	for _, r := range c.Regions {
+		h[r.Name] = true
+	}
+	for _, v := range l {
+		switch {
+		case v.Region == removed:
+			remove = append(remove, v.Prefix)
+		case !h[v.Region]:
+			return nil, nil, &failure{code: exitMistakes, text: v.Prefix.String() + ": there is no region " + v.Region}
+		default:
+			put = append(put, v)
+		}
+	}
+	return put, remove, nil
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -84,6 +84,7 @@
 		m.statusCommand(),
 		m.reportCommand(),
 		m.lookupCommand(),
+		m.blockCommand(),
 		m.experimentCommand(),
 	}
 }
