--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -86,5 +86,6 @@
 		m.lookupCommand(),
 		m.blockCommand(),
 		m.experimentCommand(),
+		stressCommand(),
 	}
 }
