Starting hosts wait for the plan and the client blocks too; a platform that forgets

Cause: a starting host answered look-ups before it had the plan, and sent home whom the plan had moved; each look-up went through all known hosts. Change: readiness counts all versioned contents; lost regions are worked out once a second; scenario of a restored platform; blocks on whole hosts. Measured: go test -race -count=2 ./separation, ./fleet: pass. Conclusion: a restart moves nobody.

--- a/blockfollower/blockfollower.go
+++ b/blockfollower/blockfollower.go
@@ -134,8 +134,8 @@
 
 // fetchAll returns the chunks of the given places.
 func (f *Blockfollower) fetchAll(h []string, places []int) (map[string][]byte, error) {
-	x, stop := clockwork.WithTimeout(context.Background(), f.Clock, f.Timeout)
-	defer stop()
+	x, s := clockwork.WithTimeout(context.Background(), f.Clock, f.Timeout)
+	defer s()
 	q := make(chan string, len(places))
 	for _, i := range places {
 		if h[i] != blockchunk.Empty {
--- a/host/plans.go
+++ b/host/plans.go
@@ -166,12 +166,14 @@
 		}
 		o := x.steering.gauge.Observe(v, r)
 		x.steering.observed.Store(&o)
+		l := make(map[string]bool, len(r))
 		for _, n := range r {
-			l := x.lost(n)
+			l[n] = x.silent(n)
 			for _, m := range v {
-				x.steering.failover.Tick(m, n, !l)
+				x.steering.failover.Tick(m, n, !l[n])
 			}
 		}
+		x.steering.lost.Store(&l)
 	}
 }
 
@@ -246,8 +248,15 @@
 	return f / max(d, 1)
 }
 
-// lost reports whether no host of a region was heard for long.
+// lost reports whether no host of a region was heard for long, as of the last
+// look: look-ups ask this and must not go through all hosts.
 func (x *parts) lost(region string) bool {
+	l := x.steering.lost.Load()
+	return l != nil && (*l)[region]
+}
+
+// silent reports whether no host of a region was heard for long.
+func (x *parts) silent(region string) bool {
 	if region == x.host.Settings.Region {
 		return false
 	}
--- a/host/steering.go
+++ b/host/steering.go
@@ -48,11 +48,10 @@
 	relay     *relay.Relay
 	freshness *freshness.Freshness
 	ready     atomic.Bool
-	polled    atomic.Bool
 
 	mu     sync.Mutex
 	known  map[string]knownHost
-	newest uint64
+	newest map[string]uint64 // by kind
 
 	plans    *planfollower.Planfollower
 	blocks   *blockfollower.Blockfollower
@@ -64,6 +63,7 @@
 	started  time.Time
 	observed atomic.Pointer[[]observation.Observation]
 	roster   atomic.Pointer[roster.Roster]
+	lost     atomic.Pointer[map[string]bool]
 }
 
 type knownHost struct {
@@ -85,7 +85,7 @@
 				return x.peerclient.Notify(ctx, a, n)
 			},
 		},
-		known: make(map[string]knownHost), meter: new(meter.Meter), started: h.Clock.Now(),
+		known: make(map[string]knownHost), newest: make(map[string]uint64), meter: new(meter.Meter), started: h.Clock.Now(),
 		gauge: &gauge.Gauge{Clock: h.Clock, Window: gaugeWindow, Hold: lostHolds * h.Settings.Hold},
 	}
 	s.plans = &planfollower.Planfollower{
@@ -117,10 +117,7 @@
 	h := x.host
 	return &follower.Follower{
 		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: x.steering.relay.Wake,
-		Polled: func() {
-			x.steering.polled.Store(true)
-			x.steering.freshness.Outside()
-		},
+		Polled: x.steering.freshness.Outside,
 	}
 }
 
@@ -208,9 +205,7 @@
 		Name: h.From.Name, Domain: h.From.Domain, Region: h.From.Region, CallerAddress: h.From.CallerAddress,
 	}}
 	for _, v := range h.Versions {
-		if v.Kind == follower.Kind {
-			s.newest = max(s.newest, v.Version)
-		}
+		s.newest[v.Kind] = max(s.newest[v.Kind], v.Version)
 	}
 }
 
@@ -240,7 +235,8 @@
 // becomeReady lets callers in once the host has the highest version that it
 // can learn of: the platform's, or, while the platform cannot be reached, the
 // highest that peers tell of within Hold. A host that began with the first
-// version it met could take a key that was withdrawn long ago.
+// version it met could take a key that was withdrawn long ago; one without the
+// plan would send callers home whom the plan has moved, over any cap.
 func (x *parts) becomeReady(ctx context.Context) error {
 	t := x.host.Clock.Now()
 	for !x.steering.ready.Load() {
@@ -259,18 +255,21 @@
 }
 
 func (x *parts) isReady(waited time.Duration) bool {
-	c := x.follower.Snapshot()
-	if c == nil {
+	if x.follower.Snapshot() == nil {
 		return false
 	}
-	x.steering.mu.Lock()
-	n := x.steering.newest
-	x.steering.mu.Unlock()
-	if c.Config.Version < n {
-		// A peer can tell of a version and be cut off from being asked for it.
-		return waited >= readyHolds*x.host.Settings.Hold
+	p := true
+	for _, r := range x.steering.relay.Replicas {
+		x.steering.mu.Lock()
+		n := x.steering.newest[r.Kind]
+		x.steering.mu.Unlock()
+		if r.Digest().Version < n {
+			// A peer can tell of a version and be cut off from being asked for it.
+			return waited >= readyHolds*x.host.Settings.Hold
+		}
+		p = p && r.Read()
 	}
-	return x.steering.polled.Load() || waited >= x.host.Settings.Hold
+	return p || waited >= x.host.Settings.Hold
 }
 
 // gate refuses callers until the host is ready.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -47,6 +48,7 @@
 	// Changed is called after a version was applied; nil calls nothing.
 	Changed func()
 
+	read     atomic.Bool
 	applying sync.Mutex
 	mu       sync.Mutex
 	version  uint64
@@ -99,8 +101,11 @@
 		if err != nil && ctx.Err() == nil {
 			r.Log.Warn("platform not read", "Kind", r.Kind, "Error", err)
 		}
-		if err == nil && r.Polled != nil {
-			r.Polled()
+		if err == nil {
+			r.read.Store(true)
+			if r.Polled != nil {
+				r.Polled()
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -110,6 +115,11 @@
 	}
 }
 
+// Read reports whether Run has taken the accepted version from the platform.
+func (r *Replica) Read() bool {
+	return r.read.Load()
+}
+
 // Poll takes the accepted version from the platform.
 func (r *Replica) Poll(ctx context.Context) error {
 	w, err := r.Platform.Read(ctx, r.Key)
--- a/separation/fleet_test.go
+++ b/separation/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,11 +16,15 @@
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/answer"
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/blockpublish"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/fleet"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/service"
@@ -102,6 +107,42 @@
 	}))
 }
 
+// Client blocks are put on the platform, and one is moved. Look-ups on every
+// host answer by them within seconds, though two hosts only read the list.
+func TestBlocksReachAllHosts(t *testing.T) {
+	ctx, f := deploy(t)
+	p := &platformclient.Platformclient{URL: f.PlatformURL, Timeout: time.Second}
+	defer p.Close()
+	u := &blockpublish.Blockpublish{Clock: clockwork.NewRealClock(), Platform: p.Platform()}
+	n := netip.MustParsePrefix("10.0.0.0/8")
+	for _, r := range []string{"abuja", "lagos"} {
+		_, err := u.Change(ctx, []block.Block{{Prefix: n, Region: r}}, nil)
+		must.NoError(t, err)
+		for _, h := range f.Hosts() {
+			must.NoError(t, f.Await(ctx, h, func() bool { return steered(ctx, f, h) == r }))
+		}
+	}
+}
+
+// steered returns the region that a host answers for a caller at 10.0.0.1.
+func steered(ctx context.Context, f *fleet.Fleet, host string) string {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Settings(host).CallerAddress+"/lookup?address=10.0.0.1", nil)
+	if err != nil {
+		return ""
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	var a answer.Answer
+	if err != nil || codec.Unmarshal(b, &a) != nil {
+		return ""
+	}
+	return a.Region
+}
+
 // A failure domain is cut off from all others and from the platform. Its
 // caller's non-idempotent requests are refused first, then all, each as not
 // run and with the reason; after healing it is served again. The other domains
--- a/separation/scenario_test.go
+++ b/separation/scenario_test.go
@@ -21,6 +21,7 @@
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/staleness"
+	"celeryreach.example/celeryreach/table"
 )
 
 // worldKey finds the world of a script.
@@ -38,7 +39,7 @@
 	c := make(map[string]func(t *testscript.TestScript, neg bool, args []string))
 	for n, f := range map[string]func(s script, args []string){
 		"hosts": hosts, "restart": restart, "stop": stop, "cut": cut, "part": part, "heal": heal, "store": storeKnob,
-		"round": round, "poll": poll, "lease": leaseStep, "plan": publishPlan, "resume": resumePlan, "plans": plans, "advance": advance, "report": report, "commit": commitChange, "race": race, "show": show, "admit": admit, "torn": torn,
+		"round": round, "poll": poll, "lease": leaseStep, "plan": publishPlan, "resume": resumePlan, "plans": plans, "wipe": wipe, "forks": forks, "advance": advance, "report": report, "commit": commitChange, "race": race, "show": show, "admit": admit, "torn": torn,
 	} {
 		c[n] = func(t *testscript.TestScript, _ bool, args []string) {
 			f(script{TestScript: t, world: t.Value(worldKey{}).(*world)}, args)
@@ -244,6 +245,18 @@
 	}
 }
 
+// wipe makes the platform forget its rows, as a restore from an old copy does.
+func wipe(s script, _ []string) {
+	s.world.table = new(table.Table)
+}
+
+// forks prints the hosts that have seen another content under their version.
+func forks(s script, _ []string) {
+	for _, n := range s.world.names() {
+		s.print("%s: other contents seen %t", n, s.world.hosts[n].follower.Replica().Forked() > 0)
+	}
+}
+
 // show prints the version on each host.
 func show(s script, _ []string) {
 	for _, n := range s.world.names() {
