Whole hosts: a preset and a lower rate are in force everywhere

Cause: the switch and the lower rate were not played on whole hosts. Conclusion: one change, on all hosts.

--- a/separation/fleet_test.go
+++ b/separation/fleet_test.go
@@ -107,6 +107,27 @@
 	}))
 }
 
+// An operator switches the preset and lowers an account's rate to one request a
+// second in one change, while callers send. Every host names the new preset and
+// refuses the account's next requests as over its rate.
+func TestPresetAndRateChangeEverywhere(t *testing.T) {
+	ctx, f := deploy(t)
+	n := f.Config
+	p := n.Presets[0]
+	p.Name = "Peak"
+	n.Presets = append([]preset.Preset{p}, n.Presets...)
+	n.Preset = "Peak"
+	n.Accounts = []account.Account{{Name: "unity", Rate: 1, Burst: 1}}
+	apply(ctx, t, f, "lagos-2-a", 1, &n)
+	for _, h := range f.Hosts() {
+		must.NoError(t, f.Await(ctx, h, func() bool {
+			s, err := f.Status(ctx, h)
+			c, _, e := f.Send(ctx, h, "unity", http.MethodGet, "/pages/1", "")
+			return err == nil && e == nil && s.Preset == "Peak" && c == http.StatusTooManyRequests
+		}))
+	}
+}
+
 // Client blocks are put on the platform, and one is moved. Look-ups on every
 // host answer by them within seconds, though two hosts only read the list.
 func TestBlocksReachAllHosts(t *testing.T) {
