author: two hosts read the table, the others when they need it

Cause: every host read the row each second, 22 readings a second of 11 hosts, 1,000 at 1,000 hosts of the table's 2,000. Change: the first two alive read; others when too few vouch, after a pause, for an unknown epoch, or at every tenth step.

--- a/author/author.go
+++ b/author/author.go
@@ -25,6 +25,13 @@
 // grow.
 const earlierMost = 8
 
+const (
+	// readers is how many hosts read the table at each step.
+	readers = 2
+	// seldom is how many steps the other hosts let pass between readings.
+	seldom = 10
+)
+
 // minorityHolds is how long, in multiples of Hold, a host that hears few others
 // leaves a division alone that others may still write.
 const minorityHolds = 10
@@ -58,6 +65,7 @@
 	Least time.Duration
 
 	began   time.Time
+	asked   time.Time
 	changed time.Time // when the epoch last changed, as seen here
 	epoch   uint64
 	needed  time.Time // since when a new epoch is due
@@ -80,9 +88,13 @@
 
 // Step reads the row once and writes the next epoch if one is due.
 func (a *Author) Step(ctx context.Context) {
+	t := a.Clock.Now()
+	if !a.reads(t) {
+		return
+	}
+	a.asked = t
 	x, f := clockwork.WithTimeout(ctx, a.Clock, a.Every)
 	defer f()
-	t := a.Clock.Now()
 	if a.began.IsZero() {
 		a.began = t
 	}
@@ -110,6 +122,13 @@
 	a.write(x, r, n)
 }
 
+// reads reports whether this host reads the table now. Two hosts always do, so
+// that one of them writes; the others learn of epochs by heartbeats and read
+// only when those don't suffice, since the table serves all hosts.
+func (a *Author) reads(now time.Time) bool {
+	return a.rank(a.Alive()) < readers || a.Holding.NeedsTable() || now.Sub(a.asked) >= seldom*a.Every
+}
+
 // next returns the epoch to write after d, if one is due by this host.
 func (a *Author) next(d division.Division) (division.Division, bool) {
 	n := a.Clock.Now()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,6 +59,8 @@
 	Grant  func(g grant.Grant) grant.Grant
 	Report func(reported, own uint64) uint64
 	Lent   func(q *quota.Quota, name string, units uint64)
+	// LateReads adds readings of the table whose answers come late.
+	LateReads bool
 	// Fixed gives the grants in the place of divisions; then hosts exchange
 	// nothing. It is for what the divisions are compared with.
 	Fixed func(host int, account string) grant.Grant
@@ -191,9 +193,12 @@
 	}
 }
 
-// read returns the division in the table, if the host gets an answer.
-func (f *Fleet) read(host int) (division.Division, bool) {
+// late returns the division in the table for an answer that comes late.
+func (f *Fleet) late(host int) (division.Division, bool) {
 	var d division.Division
+	if !f.LateReads {
+		return d, false
+	}
 	r, a := f.Store(host)
 	if !r || !a {
 		return d, false
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -53,6 +53,7 @@
 	m.Fleet = &fleet.Fleet{
 		Hold: hold, StoreHold: 20 * time.Second, Heartbeat: 200 * time.Millisecond, Poll: time.Second, Least: 2 * time.Second,
 		Config: newConfig(0.5, domains), Table: new(table.Table), Random: r, Delay: m.delay, Store: m.store,
+		LateReads: true,
 	}
 	for i := range rapid.IntRange(2, 6).Draw(t, "hosts") {
 		m.add(fmt.Sprintf("host-%d", i), i%domains)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -203,7 +203,7 @@
 	n.do(func() {
 		f := n.fleet
 		t := n.clock.Now()
-		if d, ok := f.read(n.number); ok {
+		if d, ok := f.late(n.number); ok {
 			if e, ok := f.Delay(n.number, n.number); ok {
 				f.at(e, func() { n.do(func() { n.holding.Learn(d, t) }) })
 			}
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -188,6 +188,19 @@
 	return h.steadyFor(h.Clock.Now())
 }
 
+// NeedsTable reports whether this host should read the table soon: it has no
+// division or an old one, was paused, or too few others vouch for what it has.
+func (h *Holding) NeedsTable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := h.Clock.Now()
+	if len(h.chain) == 0 || h.known.last() > h.epoch() || !h.steadyFor(n) {
+		return true
+	}
+	d := h.chain[len(h.chain)-1]
+	return d.Leases(h.Self) && n.Sub(h.vouched(d, n)) > h.Hold/2
+}
+
 // Grant returns this host's use of a limit.
 func (h *Holding) Grant(limit string) grant.Grant {
 	v := h.view.Load()
--- a/holding/view.go
+++ b/holding/view.go
@@ -133,18 +133,9 @@
 	if !d.Leases(h.Self) || h.store.IsZero() {
 		return time.Time{}
 	}
-	var s []time.Time
-	for _, v := range d.Holders {
-		if v == h.Self {
-			s = append(s, now)
-		} else if p := h.peers[v.Name]; p != nil && p.incarnation == v.Incarnation {
-			s = append(s, p.sent)
-		}
-	}
-	sort.Slice(s, func(i, j int) bool { return s[i].After(s[j]) })
 	t := h.read
-	if q := d.UseQuorum(); len(s) >= q && s[q-1].After(t) {
-		t = s[q-1]
+	if v := h.vouched(d, now); v.After(t) {
+		t = v
 	}
 	u := h.store.Add(h.before(h.StoreHold))
 	if t.IsZero() {
@@ -156,6 +147,24 @@
 	return u
 }
 
+// vouched returns the moment until which enough holders of d have vouched for
+// it, zero if too few ever did.
+func (h *Holding) vouched(d *division.Division, now time.Time) time.Time {
+	var s []time.Time
+	for _, v := range d.Holders {
+		if v == h.Self {
+			s = append(s, now)
+		} else if p := h.peers[v.Name]; p != nil && p.incarnation == v.Incarnation {
+			s = append(s, p.sent)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool { return s[i].After(s[j]) })
+	if q := d.UseQuorum(); len(s) >= q {
+		return s[q-1]
+	}
+	return time.Time{}
+}
+
 // floorUntil returns when the floor ends unless the process shows life.
 func (h *Holding) floorUntil(now time.Time) time.Time {
 	e := h.epoch()
