--- a/author/plan.go
+++ b/author/plan.go
@@ -55,9 +55,13 @@
 	for _, h := range p.alive {
 		d[h.Domain] = true
 	}
+	// A failure domain that left the configuration uses its floor until it is
+	// heard, so its processes stay named too.
 	f := make(map[string]bool)
-	for _, v := range p.old.Floors {
-		f[v] = true
+	for _, s := range [][]string{p.old.Floors, p.old.PriorFloors} {
+		for _, v := range s {
+			f[v] = true
+		}
 	}
 	var r []holder.Holder
 	for _, s := range [][]holder.Holder{p.old.Silent, p.old.Holders} {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -59,7 +59,7 @@
 // Run takes and renews the lease until ctx ends.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		l.step(ctx)
+		l.Step(ctx)
 		select {
 		case <-ctx.Done():
 		case <-l.Clock.After(l.Term / renewals):
@@ -93,9 +93,9 @@
 	return c
 }
 
-// step reads the row and renews or takes the lease when it may. A failed call
+// Step reads the row and renews or takes the lease when it may. A failed call
 // changes nothing: the lease then lapses by itself.
-func (l *Lease) step(ctx context.Context) {
+func (l *Lease) Step(ctx context.Context) {
 	x, f := clockwork.WithTimeout(ctx, l.Clock, l.Term/renewals)
 	defer f()
 	r, err := l.Platform.Read(x, l.Name)
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,146 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/lease"
+	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/table"
+)
+
+const term = 8 * time.Second
+
+var errLost = errors.New("lost")
+
+// rivals are processes that want one lease. Each has a clock of its own.
+type rivals struct {
+	table  table.Table
+	leases map[string]*rival
+	out    bool
+	lose   bool
+	fenced map[string]commit.Commit
+}
+
+type rival struct {
+	*lease.Lease
+	clock *clockwork.FakeClock
+	speed float64
+	run   bool
+}
+
+// Each file of testdata is one scenario. Its first lines tell who believes
+// what, what happens in what order, and why.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Values["rivals"] = &rivals{leases: make(map[string]*rival), fenced: make(map[string]commit.Commit)}
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, a []string){
+			"process": process, "step": step, "pause": pause, "held": held, "fence": fence, "write": write, "store": store,
+		},
+	})
+}
+
+func on(ts *testscript.TestScript) *rivals {
+	return ts.Value("rivals").(*rivals)
+}
+
+// process NAME [fast|slow] starts a process.
+func process(ts *testscript.TestScript, _ bool, a []string) {
+	r := on(ts)
+	v := &rival{clock: clockwork.NewFakeClock(), speed: 1, run: true}
+	if len(a) > 1 {
+		v.speed = map[string]float64{"fast": 1.01, "slow": 0.99}[a[1]]
+	}
+	v.Lease = &lease.Lease{Clock: v.clock, Name: "planner", Holder: a[0], Term: term, Platform: platform.Platform{Read: r.read, Commit: r.commit}}
+	r.leases[a[0]] = v
+}
+
+func (r *rivals) read(_ context.Context, key string) (row.Row, error) {
+	if r.out {
+		return row.Row{}, errLost
+	}
+	return r.table.Read(key), nil
+}
+
+func (r *rivals) commit(_ context.Context, c commit.Commit) (bool, error) {
+	if r.out {
+		return false, errLost
+	}
+	ok := r.table.Commit(c)
+	if r.lose {
+		return false, errLost
+	}
+	return ok, nil
+}
+
+// step DURATION NAME... lets time pass for all; the named processes work every
+// two seconds of it.
+func step(ts *testscript.TestScript, _ bool, a []string) {
+	d, err := time.ParseDuration(a[0])
+	ts.Check(err)
+	r := on(ts)
+	for t := time.Duration(0); t < d; t += term / 4 {
+		for _, n := range a[1:] {
+			if v := r.leases[n]; v.run {
+				v.Step(context.Background())
+			}
+		}
+		for _, v := range r.leases {
+			v.clock.Advance(time.Duration(float64(min(term/4, d-t)) * v.speed))
+		}
+	}
+}
+
+// pause NAME stops a process or lets it go on; its clock always goes on.
+func pause(ts *testscript.TestScript, _ bool, a []string) {
+	v := on(ts).leases[a[0]]
+	v.run = !v.run
+}
+
+// held NAME EPOCH checks that a process holds the lease.
+func held(ts *testscript.TestScript, neg bool, a []string) {
+	e, ok := on(ts).leases[a[0]].Held()
+	if (ok && string(rune('0'+e)) == a[1]) == neg {
+		ts.Fatalf("%s: epoch %d, held %v", a[0], e, ok)
+	}
+}
+
+// fence NAME prepares a write of that process, and write NAME sends it.
+func fence(ts *testscript.TestScript, _ bool, a []string) {
+	r := on(ts)
+	r.fenced[a[0]] = r.leases[a[0]].Fence(commit.Commit{Put: []row.Row{{Key: "plan", Value: []byte(a[0])}}})
+}
+
+func write(ts *testscript.TestScript, neg bool, a []string) {
+	r := on(ts)
+	if r.table.Commit(r.fenced[a[0]]) == neg {
+		ts.Fatalf("the write of %s: refused %v", a[0], !neg)
+	}
+}
+
+// store out|in|lose|answer sets what happens to calls of the table.
+func store(ts *testscript.TestScript, _ bool, a []string) {
+	r := on(ts)
+	r.out = a[0] == "out"
+	r.lose = a[0] == "lose"
+}
+
+// A process that never held the lease must not pass its fence: an absent row
+// has version zero, which a commit could expect by mistake.
+func TestFenceWithoutLease(t *testing.T) {
+	l := &lease.Lease{Clock: clockwork.NewFakeClock(), Name: "planner", Term: term}
+	var b table.Table
+	must.False(t, b.Commit(l.Fence(commit.Commit{Put: []row.Row{{Key: "plan"}}})))
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,216 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/admission"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/grant"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/holding"
+	"celeryreach.example/celeryreach/quota"
+	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/span"
+)
+
+// bench is a quota whose grant the test sets.
+type bench struct {
+	*quota.Quota
+	clock *clockwork.FakeClock
+	grant grant.Grant
+	asked []uint64
+}
+
+// newBench has one account "a" with 10 requests per second and a burst of 4,
+// and all of it for the next hour.
+func newBench() *bench {
+	c := clockwork.NewFakeClock()
+	n := c.Now()
+	b := &bench{clock: c, grant: grant.Grant{Leased: 1, LeasedSince: n, LeasedUntil: n.Add(time.Hour), Unused: true}}
+	b.Quota = &quota.Quota{
+		Clock: c, Hold: 3 * time.Second,
+		Account: func(n string) (account.Account, bool) { return account.Account{Name: n, Rate: 10, Burst: 4}, n == "a" },
+		Grant:   func(string) grant.Grant { return b.grant },
+	}
+	return b
+}
+
+func (b *bench) drain() int {
+	n := 0
+	for b.Take("a") {
+		n++
+	}
+	return n
+}
+
+// A part lapses and comes back five seconds later. Nobody sent a request in
+// between, so the bucket sees only now that time has passed. The tokens of the
+// lapse belong to whoever had the part then.
+func TestNoRefillWhileLapsed(t *testing.T) {
+	b := newBench()
+	must.Eq(t, 4, b.drain())
+	b.grant.LeasedUntil = b.clock.Now().Add(101 * time.Millisecond)
+	b.clock.Advance(5 * time.Second)
+	b.Sync()
+	n := b.clock.Now()
+	b.grant = grant.Grant{Leased: 1, LeasedSince: n, LeasedUntil: n.Add(time.Hour)}
+	must.Eq(t, 0, b.drain())
+}
+
+// A request waits for a token that comes within its time, and is refused at
+// once with the time to come back when it cannot.
+func TestAdmitWaits(t *testing.T) {
+	b := newBench()
+	b.drain()
+	_, r, ok := b.Admit(context.Background(), "a", 50*time.Millisecond)
+	must.False(t, ok)
+	must.Between(t, 100*time.Millisecond, r, 101*time.Millisecond)
+	d := make(chan bool)
+	go func() {
+		_, _, ok := b.Admit(context.Background(), "a", time.Second)
+		d <- ok
+	}()
+	must.NoError(t, b.clock.BlockUntilContext(t.Context(), 1))
+	b.clock.Advance(102 * time.Millisecond)
+	must.True(t, <-d)
+}
+
+// A caller leaves while its request waits; its turn goes to nobody.
+func TestAdmitLeaves(t *testing.T) {
+	b := newBench()
+	b.drain()
+	x, f := context.WithCancel(context.Background())
+	d := make(chan bool)
+	go func() {
+		_, _, ok := b.Admit(x, "a", time.Second)
+		d <- ok
+	}()
+	must.NoError(t, b.clock.BlockUntilContext(t.Context(), 1))
+	f()
+	must.False(t, <-d)
+	b.clock.Advance(time.Second)
+	must.Eq(t, 4, b.drain())
+}
+
+// A process is paused between taking a token and sending the request. After
+// Hold others may use its part, so the token no longer counts.
+func TestConfirmAfterPause(t *testing.T) {
+	b := newBench()
+	must.True(t, b.Take("a"))
+	n := b.clock.Now()
+	must.True(t, b.Confirm("a", n))
+	b.clock.Advance(10 * time.Second)
+	b.grant = grant.Grant{}
+	must.False(t, b.Confirm("a", n))
+}
+
+// A request that ended "not run" gives its token back, but never beyond what
+// the part may hold.
+func TestReturn(t *testing.T) {
+	b := newBench()
+	must.Eq(t, 4, b.drain())
+	b.Return("a")
+	must.Eq(t, 1, b.drain())
+	for range 9 {
+		b.Return("a")
+	}
+	must.Eq(t, 4, b.drain())
+}
+
+// Lent tokens are gone at once, and their place stays closed until the loan
+// has ended: else the lender would refill what the borrower still has.
+func TestLend(t *testing.T) {
+	b := newBench()
+	must.True(t, b.Take("a"))
+	must.Eq(t, 2, b.Lend("a", 2, time.Second))
+	b.clock.Advance(900 * time.Millisecond)
+	must.Eq(t, 2, b.drain())
+	b.clock.Advance(time.Second)
+	must.Eq(t, 4, b.drain())
+}
+
+// Borrowed tokens serve requests that wait, once, until their deadline. What
+// nobody waits for is lost, and what comes too late too.
+func TestBorrowed(t *testing.T) {
+	b := newBench()
+	b.grant = grant.Grant{}
+	b.Borrow = func(_ string, u uint64) { b.asked = append(b.asked, u) }
+	must.True(t, b.Join("a", time.Second))
+	must.Eq(t, []uint64{1}, b.asked)
+	b.Receive("a", 1, 5, b.clock.Now().Add(time.Second))
+	_, ok := b.Try("a", true)
+	must.True(t, ok)
+	_, ok = b.Try("a", true)
+	must.False(t, ok)
+	b.Receive("a", 1, 1, b.clock.Now().Add(-time.Millisecond))
+	_, ok = b.Try("a", true)
+	must.False(t, ok)
+}
+
+// BenchmarkAdmission measures from the key in a request to the decision.
+func BenchmarkAdmission(b *testing.B) {
+	for _, n := range []int{8, 1_000, 100_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			c := &config.Config{}
+			r := make([]*http.Request, n)
+			for i := range n {
+				a, k := fmt.Sprintf("account-%d", i), fmt.Sprintf("key-%d", i)
+				c.Accounts = append(c.Accounts, account.Account{Name: a, Rate: 1e6, Burst: 1e6})
+				c.Keys = append(c.Keys, credential.Credential{ID: k, Account: a, Hash: credential.Hash(k)})
+				r[i] = &http.Request{Header: http.Header{"Authorization": {"Bearer " + k}}}
+			}
+			s := snapshot.New(c, "")
+			a := &admission.Admission{Snapshot: func() *snapshot.Snapshot { return s }}
+			x := newBench()
+			x.Account = s.Account
+			x.Clock = clockwork.NewRealClock()
+			x.Grant = newHolding(x.Clock).Rate
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				v, ok := a.Identify(r[i])
+				if !ok || !x.Take(v.Account) {
+					b.Fatal("refused")
+				}
+				i = (i + 1) % n
+			}
+		})
+	}
+}
+
+// newHolding returns the holding of a host that has the first epoch alone.
+func newHolding(c clockwork.Clock) *holding.Holding {
+	s := holder.Holder{Name: "h", Domain: "d"}
+	h := &holding.Holding{Clock: c, Self: s, Hold: time.Hour, StoreHold: time.Hour}
+	h.Tick()
+	h.Learn(division.Division{Epoch: 1, Holders: []holder.Holder{s}, LeasedSpans: []span.Span{{To: span.Whole}}}, c.Now())
+	return h
+}
+
+// BenchmarkSync measures what a new epoch costs the request path: all buckets
+// are brought up to now under the lock.
+func BenchmarkSync(b *testing.B) {
+	for _, n := range []int{8, 1_000, 100_000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			x := newBench()
+			x.Account = func(n string) (account.Account, bool) { return account.Account{Name: n, Rate: 10, Burst: 4}, true }
+			x.Grant = newHolding(x.clock).Rate
+			for i := range n {
+				x.Take(fmt.Sprintf("account-%d", i))
+			}
+			for b.Loop() {
+				x.Sync()
+			}
+		})
+	}
+}
