--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -51,11 +51,11 @@
 		d.perRegion = [3]int{n - 2*(n/3), n / 3, n / 3}
 		d.heartbeat = time.Second
 		p := newPlay(e.Seed, d, ways[0])
-		p.fleet.Run(slopeWarm)
-		m, s := p.fleet.Messages, p.operations()
-		p.fleet.Run(slopeTime)
+		p.simulation.Run(slopeWarm)
+		m, s := p.simulation.Messages, p.operations()
+		p.simulation.Run(slopeTime)
 		t := slopeTime.Seconds()
-		v := float64(p.fleet.Messages-m) / t
+		v := float64(p.simulation.Messages-m) / t
 		fmt.Fprintf(w, "%d\t%.0f\t%.1f\t%.1f\t%d\t\n", n, v, v/float64(n), float64(p.operations()-s)/t, p.rowBytes())
 	}
 	return w.Flush()
@@ -67,17 +67,17 @@
 	if e.Short {
 		x = min(x, shortTime)
 	}
-	p.fleet.Run(warm)
+	p.simulation.Run(warm)
 	p.begin(s.factor)
-	m, o := p.fleet.Messages, p.operations()
-	p.fleet.Run(x / 8)
-	p.event = p.fleet.Now()
+	m, o := p.simulation.Messages, p.operations()
+	p.simulation.Run(x / 8)
+	p.event = p.simulation.Now()
 	s.fault(p)
-	p.fleet.Run(x * 5 / 8)
+	p.simulation.Run(x * 5 / 8)
 	s.mend(p)
-	p.fleet.Run(x / 4)
+	p.simulation.Run(x / 4)
 	p.end()
-	p.result.messages = float64(p.fleet.Messages-m) / x.Seconds()
+	p.result.messages = float64(p.simulation.Messages-m) / x.Seconds()
 	p.result.store = float64(p.operations()-o) / x.Seconds()
 	return p.result
 }
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -39,7 +39,7 @@
 // that is above one.
 func (p *play) begin(factor float64) {
 	for _, o := range p.offers {
-		o.at, o.judgedAt = p.fleet.Now(), p.fleet.Now()
+		o.at, o.judgedAt = p.simulation.Now(), p.simulation.Now()
 		f := load
 		if o.index == 0 && factor > 1 {
 			f = factor
@@ -51,7 +51,7 @@
 // next schedules an account's next request.
 func (p *play) next(o *offer, rate float64) {
 	d := time.Duration(p.random.ExpFloat64() / rate * float64(time.Second))
-	p.fleet.At(d, func() {
+	p.simulation.At(d, func() {
 		if p.ended {
 			return
 		}
@@ -82,7 +82,7 @@
 // arrive plays one request: callers whose entry host is gone use another.
 func (p *play) arrive(o *offer) {
 	p.result.offered++
-	n := p.fleet.Now()
+	n := p.simulation.Now()
 	b := int64(o.account.Burst) * int64(time.Second)
 	o.tokens = min(b, o.tokens+int64(o.account.Rate*float64(n.Sub(o.at))))
 	o.at = n
@@ -95,7 +95,7 @@
 	if !ok {
 		return
 	}
-	q := p.fleet.Quota(h)
+	q := p.simulation.Quota(h)
 	if _, ok := q.Try(o.account.Name, false); ok {
 		p.admit(o, w)
 		return
@@ -106,23 +106,23 @@
 }
 
 func (p *play) wait(o *offer, w *span, host int, until time.Time) {
-	q := p.fleet.Quota(host)
+	q := p.simulation.Quota(host)
 	d, ok := q.Try(o.account.Name, true)
 	if ok {
 		p.admit(o, w)
 		q.Leave(o.account.Name)
 		return
 	}
-	if p.fleet.Now().Add(d).After(until) || !p.fleet.Runs(host) {
+	if p.simulation.Now().Add(d).After(until) || !p.simulation.Runs(host) {
 		q.Leave(o.account.Name)
 		return
 	}
-	p.fleet.At(d, func() { p.wait(o, w, host, until) })
+	p.simulation.At(d, func() { p.wait(o, w, host, until) })
 }
 
 // admit counts an admission and judges it by exact arithmetic.
 func (p *play) admit(o *offer, w *span) {
-	n := p.fleet.Now()
+	n := p.simulation.Now()
 	b := int64(o.account.Burst) * int64(time.Second)
 	o.judged = min(b, o.judged+int64(o.account.Rate*float64(n.Sub(o.judgedAt))))
 	o.judgedAt = n
@@ -138,13 +138,13 @@
 	w := p.weights[account]
 	s := 0.0
 	for i, v := range w {
-		if p.fleet.Runs(p.current[i]) {
+		if p.simulation.Runs(p.current[i]) {
 			s += v
 		}
 	}
 	s *= p.random.Float64()
 	for i, v := range w {
-		if !p.fleet.Runs(p.current[i]) {
+		if !p.simulation.Runs(p.current[i]) {
 			continue
 		}
 		s -= v
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -9,8 +9,8 @@
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/division"
 	"celeryreach.example/celeryreach/domain"
-	"celeryreach.example/celeryreach/fleet"
 	"celeryreach.example/celeryreach/preset"
+	"celeryreach.example/celeryreach/simulation"
 	"celeryreach.example/celeryreach/table"
 )
 
@@ -27,33 +27,33 @@
 
 // play is one run.
 type play struct {
-	fleet   *fleet.Fleet
-	config  *config.Config
-	size    deployment
-	way     way
-	random  *rand.Rand
-	region  []int // by process
-	names   []string
-	current []int       // process by place
-	weights [][]float64 // by account, then place
-	offers  []*offer
-	fixed   *fixed
-	out     bool
-	cut     bool
-	ended   bool
-	event   time.Time
-	result  result
+	simulation *simulation.Simulation
+	config     *config.Config
+	size       deployment
+	way        way
+	random     *rand.Rand
+	region     []int // by process
+	names      []string
+	current    []int       // process by place
+	weights    [][]float64 // by account, then place
+	offers     []*offer
+	fixed      *fixed
+	out        bool
+	cut        bool
+	ended      bool
+	event      time.Time
+	result     result
 }
 
 func newPlay(seed uint64, d deployment, w way) *play {
 	p := &play{size: d, way: w, random: random(seed, 1)}
 	p.config = newConfig(d)
-	p.fleet = &fleet.Fleet{
+	p.simulation = &simulation.Simulation{
 		Hold: 3 * time.Second, StoreHold: time.Hour, Heartbeat: d.heartbeat, Poll: time.Second, Least: 5 * time.Second,
 		Config: p.config, Table: new(table.Table), Random: random(seed, 2), Delay: p.delay, Store: p.store,
 	}
 	p.fixed = &fixed{play: p}
-	p.fleet.Fixed = w.grants(p.fixed)
+	p.simulation.Fixed = w.grants(p.fixed)
 	for r, n := range d.perRegion {
 		for i := range n {
 			p.add(fmt.Sprintf("%s-%d", d.regions[r], i), r, i%2)
@@ -84,7 +84,7 @@
 
 func (p *play) add(name string, region, domain int) int {
 	r := p.size.regions[region]
-	n := p.fleet.Add(name, fmt.Sprintf("%s-%d", r, domain), r, 1+(p.random.Float64()-0.5)/1000)
+	n := p.simulation.Add(name, fmt.Sprintf("%s-%d", r, domain), r, 1+(p.random.Float64()-0.5)/1000)
 	p.region = append(p.region, region)
 	p.names = append(p.names, name)
 	p.current = append(p.current, n)
@@ -129,16 +129,16 @@
 }
 
 func (p *play) operations() uint64 {
-	r, w := p.fleet.Table.Operations()
+	r, w := p.simulation.Table.Operations()
 	return r + w + p.fixed.operations
 }
 
 func (p *play) rowBytes() int {
-	return len(p.fleet.Table.Read(division.RowKey).Value)
+	return len(p.simulation.Table.Read(division.RowKey).Value)
 }
 
 func (p *play) kill(place int) {
-	p.fleet.Kill(p.current[place])
+	p.simulation.Kill(p.current[place])
 }
 
 func (p *play) killRegion(r int) {
--- a/experiment/way.go
+++ b/experiment/way.go
@@ -41,7 +41,7 @@
 
 // equal gives each configured host the same part for good.
 func (f *fixed) equal(int, string) grant.Grant {
-	n := f.play.fleet.Now()
+	n := f.play.simulation.Now()
 	t := 0
 	for _, v := range f.play.size.perRegion {
 		t += v
@@ -64,19 +64,19 @@
 	if f.leases == nil {
 		f.leases = make(map[int]*lease)
 	}
-	n := p.fleet.Now()
+	n := p.simulation.Now()
 	// Twice: what some release in the first round others take in the second.
 	for range 2 {
 		for i, h := range p.current {
 			r, _ := p.store(h)
-			if !p.fleet.Runs(h) || !r {
+			if !p.simulation.Runs(h) || !r {
 				continue
 			}
 			f.operations += 2
 			f.take(i, h, n)
 		}
 	}
-	p.fleet.At(term/renewals, f.renew)
+	p.simulation.At(term/renewals, f.renew)
 }
 
 // take gives a host the part that its weight asks for, as far as the rows of
@@ -88,7 +88,7 @@
 		l = &lease{parts: make(map[string]float64), since: make(map[string]time.Time)}
 		f.leases[host] = l
 	}
-	f.play.fleet.Quota(host).Sync()
+	f.play.simulation.Quota(host).Sync()
 	l.at = now
 	for i, a := range f.play.config.Accounts {
 		s, w := 0.0, 0.0
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,262 +1,206 @@
-// Package fleet plays many hosts' limits in one goroutine, with clocks,
-// messages and a table of its own, for the experiment and for property tests.
-// The decisions are those of the packages that hosts run.
+// Package fleet runs a whole deployment in one process on loopback: the
+// platform stand-in, hosts, and backend stand-ins, with links that can be cut
+// and hosts that can be stopped. The demo and the scenarios of whole
+// deployments are built on it.
 package fleet
 
 import (
-	"container/heap"
 	"context"
-	"io"
-	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
-	"celeryreach.example/celeryreach/account"
-	"celeryreach.example/celeryreach/codec"
-	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/backendstandin"
+	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/config"
-	"celeryreach.example/celeryreach/division"
-	"celeryreach.example/celeryreach/grant"
-	"celeryreach.example/celeryreach/holder"
-	"celeryreach.example/celeryreach/platform"
-	"celeryreach.example/celeryreach/quota"
-	"celeryreach.example/celeryreach/row"
-	"celeryreach.example/celeryreach/table"
+	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/settings"
+	"celeryreach.example/celeryreach/standin"
 )
 
-// listLag is how long the list of hosts names a dead process.
-const listLag = 10 * time.Second
+// PlatformPlace is the name of the platform's place for Cut.
+const PlatformPlace = "platform"
 
-var errOutage = errors.New("the platform does not answer")
+const (
+	platformTimeout = 2 * time.Second
+	startTimeout    = 20 * time.Second
+	pollEvery       = 10 * time.Millisecond
+	drainTimeout    = 5 * time.Second
+)
 
-// Fleet is a number of hosts and the faults between them. Calls must come from
-// one goroutine.
+// Fleet is a deployment on loopback. The exported fields are set before Start,
+// but for Platform, Keys and Operator, which Start sets.
 type Fleet struct {
-	// Hold, StoreHold, Heartbeat and Poll are set in every host.
-	Hold      time.Duration
-	StoreHold time.Duration
-	Heartbeat time.Duration
-	Poll      time.Duration
-	// Least is the least time between epochs that follow the demand.
-	Least time.Duration
-	// Config is the configuration in force everywhere.
-	Config *config.Config
-	// Table is the platform's table.
-	Table *table.Table
-	// Random draws delays.
-	Random *rand.Rand
-	// Delay returns how long a message takes, and whether it arrives.
-	Delay func(from, to int) (time.Duration, bool)
-	// Store reports whether a host's call reaches the table now, and whether
-	// the answer comes back.
-	Store func(host int) (reached, answered bool)
-	// Grant, Report and Lent are seams at which tests break the rule on
-	// purpose: the grant that a quota sees, the epoch that a peer reports, and
-	// what a lender does after a loan. Nil leaves the rule whole.
-	Grant  func(g grant.Grant) grant.Grant
-	Report func(reported, own uint64) uint64
-	Lent   func(q *quota.Quota, name string, units uint64)
-	// LateReads adds readings of the table whose answers come late.
-	LateReads bool
-	// Fixed gives the grants in the place of divisions; then hosts exchange
-	// nothing. It is for what the divisions are compared with.
-	Fixed func(host int, account string) grant.Grant
-	// Messages counts heartbeats and loans, answers not counted.
-	Messages int
-
-	now    time.Time
-	events events
-	serial int
-	nodes  []*node
-	logger *log.Logger
-	// The accounts of the configuration that was indexed last.
-	indexed *config.Config
-	index   map[string]account.Account
-	// The newest row that was decoded.
-	version  uint64
-	division division.Division
-}
-
-// Add starts a process and returns its number. Speed is how fast its clock
-// runs; a process of a name that was used before replaces nobody: Kill does.
-func (f *Fleet) Add(name, domain, region string, speed float64) int {
-	if f.now.IsZero() {
-		f.now = time.Unix(1_000_000, 0)
-		f.logger = log.New(io.Discard)
+	// Clock is the clock of all parts. Sockets are real, so it has to run.
+	Clock clockwork.Clock
+	// Log receives the events of all parts.
+	Log *log.Logger
+	// Config is the first configuration. Start adds backend servers, keys and
+	// an operator.
+	Config config.Config
+	// Unconfigured leaves the platform without a configuration.
+	Unconfigured bool
+	// HostsPerDomain is the number of hosts in each failure domain.
+	HostsPerDomain int
+	// BackendsPerService is the number of backend servers of each service in
+	// each failure domain.
+	BackendsPerService int
+	// Slots is how many requests a backend server runs at once.
+	Slots int
+	// Work is how long a request takes on a warm backend server.
+	Work time.Duration
+	// Cold is how long after its first request a backend server is cold.
+	Cold time.Duration
+	// Adjust changes the settings of a host before it starts; it may be nil.
+	Adjust func(s *settings.Settings)
+
+	// Platform is the platform stand-in.
+	Platform *standin.Standin
+	// PlatformURL is the base URL of the platform stand-in.
+	PlatformURL string
+	// Keys holds a key of each client account.
+	Keys map[string]string
+	// Operator is an operator's key.
+	Operator string
+
+	network  network
+	platform *platformclient.Platformclient
+	hosts    []*site
+	backends []*server
+	parts    []*part
+}
+
+// Start starts all parts and returns when every host has the configuration and
+// hears every other host. What was started runs until Stop, also after an
+// error.
+func (f *Fleet) Start(ctx context.Context) error {
+	x, c := context.WithTimeout(ctx, startTimeout)
+	defer c()
+	if err := f.startPlatform(x); err != nil {
+		return err
 	}
-	n := newNode(f, len(f.nodes), name, domain, region, speed)
-	f.nodes = append(f.nodes, n)
-	if f.Fixed != nil {
-		return n.number
+	if err := f.startBackends(x); err != nil {
+		return err
 	}
-	f.at(time.Duration(f.Random.Int64N(int64(f.Heartbeat))), n.beat)
-	f.at(time.Duration(f.Random.Int64N(int64(f.Poll))), n.poll)
-	return n.number
-}
-
-// accounts returns the configuration's accounts by name.
-func (f *Fleet) accounts() map[string]account.Account {
-	if f.indexed != f.Config {
-		f.indexed = f.Config
-		f.index = make(map[string]account.Account)
-		for _, a := range f.Config.Accounts {
-			f.index[a.Name] = a
+	f.credentials()
+	for _, d := range f.Config.Domains {
+		for i := range f.HostsPerDomain {
+			if err := f.addHost(x, d.Name, i); err != nil {
+				return err
+			}
 		}
 	}
-	return f.index
-}
-
-// Kill ends a process without a word.
-func (f *Fleet) Kill(host int) {
-	f.nodes[host].dead = true
-	f.nodes[host].died = f.now
-}
-
-// listed plays the platform's list of hosts, which lags.
-func (f *Fleet) listed(h holder.Holder) bool {
-	n := f.nodes[h.Incarnation-1]
-	return !n.dead || f.now.Sub(n.died) < listLag
-}
-
-// Pause stops a process; its clock goes on.
-func (f *Fleet) Pause(host int, paused bool) {
-	n := f.nodes[host]
-	n.paused = paused
-	if !paused {
-		w := n.late
-		n.late = nil
-		for _, g := range w {
-			f.at(0, g)
+	if !f.Unconfigured {
+		if err := f.accept(x); err != nil {
+			return err
 		}
 	}
-}
-
-// Runs reports whether a process is neither dead nor paused.
-func (f *Fleet) Runs(host int) bool {
-	return !f.nodes[host].dead && !f.nodes[host].paused
-}
-
-// Len returns the number of processes that were ever added.
-func (f *Fleet) Len() int {
-	return len(f.nodes)
-}
-
-// Now returns the time by a clock that is exact.
-func (f *Fleet) Now() time.Time {
-	return f.now
-}
-
-// Run plays the events of the next d.
-func (f *Fleet) Run(d time.Duration) {
-	t := f.now.Add(d)
-	for len(f.events) > 0 && !f.events[0].at.After(t) {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
-		e.run()
+	for _, h := range f.hosts {
+		f.startHost(h)
 	}
-	f.now = t
-}
-
-// At plays g after d.
-func (f *Fleet) At(d time.Duration, g func()) {
-	f.at(d, g)
-}
-
-func (f *Fleet) at(d time.Duration, g func()) {
-	f.serial++
-	heap.Push(&f.events, event{at: f.now.Add(d), serial: f.serial, run: g})
-}
-
-// platform returns the table as one host reaches it.
-func (f *Fleet) platform(host int) platform.Platform {
-	return platform.Platform{
-		Read: func(_ context.Context, key string) (row.Row, error) {
-			if r, a := f.Store(host); !r || !a {
-				return row.Row{}, errOutage
-			}
-			return f.Table.Read(key), nil
-		},
-		Commit: func(_ context.Context, c commit.Commit) (bool, error) {
-			r, a := f.Store(host)
-			if !r {
-				return false, errOutage
-			}
-			ok := f.Table.Commit(c)
-			if !a {
-				return false, errOutage
-			}
-			return ok, nil
-		},
+	if f.Unconfigured {
+		return nil
 	}
+	return f.Ready(x)
 }
 
-// late returns the division in the table for an answer that comes late.
-func (f *Fleet) late(host int) (division.Division, bool) {
-	var d division.Division
-	if !f.LateReads {
-		return d, false
+// Stop ends all parts, the hosts first, and returns when they have ended.
+func (f *Fleet) Stop() error {
+	var r error
+	for _, h := range f.hosts {
+		h.part.cancel()
 	}
-	r, a := f.Store(host)
-	if !r || !a {
-		return d, false
+	for _, h := range f.hosts {
+		r = first(r, h.part.wait())
 	}
-	v := f.Table.Read(division.RowKey)
-	if v.Version != f.version {
-		d = division.Division{}
-		if codec.Unmarshal(v.Value, &d) != nil {
-			return d, false
+	for i := len(f.parts) - 1; i >= 0; i-- {
+		f.parts[i].cancel()
+		r = first(r, f.parts[i].wait())
+	}
+	f.platform.Close()
+	f.network.close()
+	return r
+}
+
+// Await polls until the condition holds or ctx ends. Sockets give no event to
+// wait for, and a fixed sleep would be too short on a busy machine.
+func (f *Fleet) Await(ctx context.Context, what string, condition func() bool) error {
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "waiting for %s", what)
+		case <-f.Clock.After(pollEvery):
 		}
-		f.version, f.division = v.Version, d
 	}
-	return f.division, v.Version != 0
+	return nil
+}
+
+// Ready waits until every running host has a configuration and hears every
+// other running host.
+func (f *Fleet) Ready(ctx context.Context) error {
+	return f.Await(ctx, "all hosts to hear each other", func() bool {
+		n := f.Running()
+		for _, h := range n {
+			s, err := f.Status(ctx, h)
+			if err != nil || s.ConfigVersion == 0 || len(s.Peers) != len(n)-1 {
+				return false
+			}
+		}
+		return true
+	})
 }
 
-type event struct {
-	at     time.Time
-	serial int
-	run    func()
+// Cut separates two places: a host, a failure domain, a region, the platform,
+// or "*" for all. Open connections go silent for good, and new ones fail until
+// Heal.
+func (f *Fleet) Cut(a, b string) {
+	f.network.cut(a, b)
 }
 
-// events is a queue by time, then by the order of scheduling.
-type events []event
-
-func (e events) Len() int { return len(e) }
+// Heal ends the cut of the same two places. New connections work again.
+func (f *Fleet) Heal(a, b string) {
+	f.network.heal(a, b)
+}
 
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].serial < e[j].serial
+// Runs returns how often each id was run, over all backend servers.
+func (f *Fleet) Runs() map[string]int {
+	r := make(map[string]int)
+	for _, b := range f.backends {
+		for k, v := range b.handler.Runs() {
+			r[k] += v
+		}
 	}
-	return e[i].at.Before(e[j].at)
+	return r
 }
 
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is for package heap.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop is for package heap.
-func (e *events) Pop() any {
-	o := *e
-	n := len(o) - 1
-	x := o[n]
-	*e = o[:n]
-	return x
+// Backend returns a backend stand-in by name, nil if there is none.
+func (f *Fleet) Backend(name string) *backendstandin.Backendstandin {
+	for _, b := range f.backends {
+		if b.handler.Name == name {
+			return b.handler
+		}
+	}
+	return nil
 }
 
-// clock is one host's clock: a fake one that is set to the fleet's time times
-// the host's speed whenever the host does something.
-type clock struct {
-	*clockwork.FakeClock
-	began time.Time
-	speed float64
+// accept makes the configuration the accepted one.
+func (f *Fleet) accept(ctx context.Context) error {
+	c := &change.Change{Platform: f.platform.Platform()}
+	_, ok, err := c.Commit(ctx, 0, f.Config)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return errors.New("the platform stand-in already has a configuration")
+	}
+	return nil
 }
 
-func (c *clock) set(now time.Time) {
-	t := c.began.Add(time.Duration(float64(now.Sub(c.began)) * c.speed))
-	if d := t.Sub(c.Now()); d > 0 {
-		c.Advance(d)
+func first(a, b error) error {
+	if a != nil {
+		return a
 	}
+	return b
 }
--- /dev/null
+++ b/operatorclient/operatorclient.go
@@ -0,0 +1,102 @@
+// Package operatorclient calls the operators' interface of a host.
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/problem"
+	"celeryreach.example/celeryreach/status"
+)
+
+// Operatorclient calls one host.
+type Operatorclient struct {
+	// URL is the base URL of the host's operators' interface.
+	URL string
+	// Key is the operator's key.
+	Key string
+	// Timeout bounds each call.
+	Timeout time.Duration
+	// Transport carries the calls.
+	Transport http.RoundTripper
+}
+
+// Config returns the configuration in force on the host.
+func (o *Operatorclient) Config(ctx context.Context) (*config.Config, error) {
+	c := new(config.Config)
+	return c, o.call(ctx, http.MethodGet, "/config", nil, c)
+}
+
+// Former returns a former version, as long as the host remembers it.
+func (o *Operatorclient) Former(ctx context.Context, version uint64) (*config.Config, error) {
+	c := new(config.Config)
+	return c, o.call(ctx, http.MethodGet, "/config?version="+strconv.FormatUint(version, 10), nil, c)
+}
+
+// Change makes c the successor of version from. A conflict or a mistake is a
+// *problem.Problem.
+func (o *Operatorclient) Change(ctx context.Context, from uint64, c *config.Config) (accepted.Accepted, error) {
+	var a accepted.Accepted
+	err := o.call(ctx, http.MethodPut, "/config?from="+strconv.FormatUint(from, 10), c, &a)
+	return a, err
+}
+
+// Status returns what the host knows.
+func (o *Operatorclient) Status(ctx context.Context) (status.Status, error) {
+	var s status.Status
+	err := o.call(ctx, http.MethodGet, "/status", nil, &s)
+	return s, err
+}
+
+// Get reads any other document of the interface.
+func (o *Operatorclient) Get(ctx context.Context, path string, out any) error {
+	return o.call(ctx, http.MethodGet, path, nil, out)
+}
+
+func (o *Operatorclient) call(ctx context.Context, method, path string, in, out any) error {
+	x, f := context.WithTimeout(ctx, o.Timeout)
+	defer f()
+	var r io.Reader
+	if in != nil {
+		b, err := codec.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "request")
+		}
+		r = bytes.NewReader(b)
+	}
+	q, err := http.NewRequestWithContext(x, method, o.URL+path, r)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	q.Header.Set("Authorization", "Bearer "+o.Key)
+	p, err := o.Transport.RoundTrip(q)
+	if err != nil {
+		return errors.Wrap(err, "host")
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	if p.StatusCode != http.StatusOK {
+		return refused(p, b)
+	}
+	return errors.Wrap(codec.Unmarshal(b, out), "answer")
+}
+
+func refused(p *http.Response, b []byte) error {
+	e := new(problem.Problem)
+	if err := codec.Unmarshal(b, e); err != nil || e.Problem == "" {
+		return errors.Errorf("host: %s", p.Status)
+	}
+	return e
+}
--- a/fleet/node.go
+++ b/simulation/node.go
@@ -1,4 +1,4 @@
-package fleet
+package simulation
 
 import (
 	"context"
@@ -24,19 +24,19 @@
 
 // node is one process.
 type node struct {
-	fleet   *Fleet
-	number  int
-	self    holder.Holder
-	clock   *clock
-	dead    bool
-	died    time.Time
-	paused  bool
-	late    []func()
-	holding *holding.Holding
-	author  *author.Author
-	quota   *quota.Quota
-	demand  *demand.Demand
-	told    time.Time
+	simulation *Simulation
+	number     int
+	self       holder.Holder
+	clock      *clock
+	dead       bool
+	died       time.Time
+	paused     bool
+	late       []func()
+	holding    *holding.Holding
+	author     *author.Author
+	quota      *quota.Quota
+	demand     *demand.Demand
+	told       time.Time
 	// known is what the last heartbeat told of others.
 	known []holder.Holder
 	heard map[string]contact
@@ -58,10 +58,10 @@
 	demand map[string]float64
 }
 
-func newNode(f *Fleet, number int, name, domain, region string, speed float64) *node {
+func newNode(f *Simulation, number int, name, domain, region string, speed float64) *node {
 	c := &clock{FakeClock: clockwork.NewFakeClockAt(f.now), began: f.now, speed: speed}
 	n := &node{
-		fleet: f, number: number, clock: c, heard: make(map[string]contact),
+		simulation: f, number: number, clock: c, heard: make(map[string]contact),
 		self: holder.Holder{Name: name, Incarnation: uint64(number + 1), Domain: domain, Region: region},
 	}
 	n.quota = &quota.Quota{Clock: c, Account: n.account, Grant: n.grant, Hold: f.Hold, Borrow: n.borrow}
@@ -77,31 +77,31 @@
 }
 
 // Holding returns a process's holding, with its clock set.
-func (f *Fleet) Holding(host int) *holding.Holding {
+func (f *Simulation) Holding(host int) *holding.Holding {
 	n := f.nodes[host]
 	n.clock.set(f.now)
 	return n.holding
 }
 
 // Quota returns a process's quota, with its clock set.
-func (f *Fleet) Quota(host int) *quota.Quota {
+func (f *Simulation) Quota(host int) *quota.Quota {
 	n := f.nodes[host]
 	n.clock.set(f.now)
 	return n.quota
 }
 
 func (n *node) account(name string) (account.Account, bool) {
-	a, ok := n.fleet.accounts()[name]
+	a, ok := n.simulation.accounts()[name]
 	return a, ok
 }
 
 func (n *node) grant(name string) grant.Grant {
-	if n.fleet.Fixed != nil {
-		return n.fleet.Fixed(n.number, name)
+	if n.simulation.Fixed != nil {
+		return n.simulation.Fixed(n.number, name)
 	}
 	g := n.holding.Rate(name)
-	if n.fleet.Grant != nil {
-		g = n.fleet.Grant(g)
+	if n.simulation.Grant != nil {
+		g = n.simulation.Grant(g)
 	}
 	return g
 }
@@ -115,7 +115,7 @@
 		n.late = append(n.late, func() { n.do(g) })
 		return
 	}
-	n.clock.set(n.fleet.now)
+	n.clock.set(n.simulation.now)
 	g()
 }
 
@@ -125,13 +125,13 @@
 		n.holding.Tick()
 		n.known = n.near()
 		n.report()
-		for _, p := range n.fleet.nodes {
+		for _, p := range n.simulation.nodes {
 			if p != n && !p.dead {
 				n.exchange(p)
 			}
 		}
 		n.fetch()
-		n.fleet.at(n.fleet.Heartbeat, n.beat)
+		n.simulation.at(n.simulation.Heartbeat, n.beat)
 	})
 }
 
@@ -144,7 +144,7 @@
 }
 
 func (n *node) exchange(p *node) {
-	f := n.fleet
+	f := n.simulation
 	f.Messages++
 	t, m := n.clock.Now(), n.message()
 	d, ok := f.Delay(n.number, p.number)
@@ -172,8 +172,8 @@
 	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known}
 	n.demand.Note(m.from.self.Name, m.demand)
 	e := m.epoch
-	if n.fleet.Report != nil {
-		e = n.fleet.Report(e, n.holding.Epoch())
+	if n.simulation.Report != nil {
+		e = n.simulation.Report(e, n.holding.Epoch())
 	}
 	n.holding.Heard(m.from.self.Name, m.from.self.Incarnation, e, sent)
 	n.fetch()
@@ -185,11 +185,11 @@
 	if n.holding.Wanted() <= n.holding.Epoch() {
 		return
 	}
-	for _, p := range n.fleet.nodes {
+	for _, p := range n.simulation.nodes {
 		if p == n || p.dead || p.paused || p.holding.Epoch() <= n.holding.Epoch() {
 			continue
 		}
-		if _, ok := n.fleet.Delay(n.number, p.number); !ok {
+		if _, ok := n.simulation.Delay(n.number, p.number); !ok {
 			continue
 		}
 		if d, ok := p.holding.Current(); ok {
@@ -201,7 +201,7 @@
 // poll reads the table. The answer can come late.
 func (n *node) poll() {
 	n.do(func() {
-		f := n.fleet
+		f := n.simulation
 		t := n.clock.Now()
 		if d, ok := f.late(n.number); ok {
 			if e, ok := f.Delay(n.number, n.number); ok {
@@ -217,7 +217,7 @@
 func (n *node) near() []holder.Holder {
 	r := []holder.Holder{n.self}
 	for _, c := range n.heard {
-		if n.clock.Since(c.at) <= n.fleet.Hold {
+		if n.clock.Since(c.at) <= n.simulation.Hold {
 			r = append(r, c.holder)
 		}
 	}
@@ -229,7 +229,7 @@
 func (n *node) alive() []holder.Holder {
 	m := map[string]holder.Holder{}
 	for _, c := range n.heard {
-		if n.clock.Since(c.at) > n.fleet.Hold {
+		if n.clock.Since(c.at) > n.simulation.Hold {
 			continue
 		}
 		for _, h := range c.known {
@@ -253,7 +253,7 @@
 
 // borrow asks other hosts in turn, as package loan does with sockets.
 func (n *node) borrow(name string, units uint64) {
-	n.fleet.at(0, func() {
+	n.simulation.at(0, func() {
 		n.do(func() { n.ask(name, units, n.lenders(name)) })
 	})
 }
@@ -263,7 +263,7 @@
 		n.quota.Receive(name, units, 0, time.Time{})
 		return
 	}
-	f, p, t := n.fleet, l[0], n.clock.Now()
+	f, p, t := n.simulation, l[0], n.clock.Now()
 	f.Messages++
 	// Without an answer the next one is asked when the loan would have ended.
 	answered := false
@@ -300,7 +300,7 @@
 func (n *node) lenders(name string) []*node {
 	var l []holder.Holder
 	for _, h := range n.near() {
-		if c, ok := n.heard[h.Name]; ok && n.clock.Since(c.at) <= n.fleet.Heartbeat*3 {
+		if c, ok := n.heard[h.Name]; ok && n.clock.Since(c.at) <= n.simulation.Heartbeat*3 {
 			l = append(l, h)
 		}
 	}
@@ -309,7 +309,7 @@
 	var p []*node
 	for _, h := range loan.Lenders(n.self, l, d, r, n.demand.Fractions()[r]) {
 		if len(p) < loan.Tries {
-			p = append(p, n.fleet.nodes[n.heard[h.Name].number])
+			p = append(p, n.simulation.nodes[n.heard[h.Name].number])
 		}
 	}
 	return p
--- a/fleet/script_test.go
+++ b/simulation/script_test.go
@@ -1,4 +1,4 @@
-package fleet_test
+package simulation_test
 
 import (
 	"math/rand/v2"
@@ -8,15 +8,15 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/simulation"
 	"celeryreach.example/celeryreach/table"
 )
 
-// stage is the fleet of one script: three failure domains, d0 and d1 in region
+// stage is the simulation of one script: three failure domains, d0 and d1 in region
 // r0, d2 in r1, account "a" with 40 requests per second and a burst of 20, and
 // floors of half of each limit.
 type stage struct {
-	*fleet.Fleet
+	*simulation.Simulation
 	numbers map[string]int
 	domains []string
 	cut     map[string]bool
@@ -26,7 +26,7 @@
 
 func newStage() *stage {
 	s := &stage{numbers: make(map[string]int), cut: make(map[string]bool), out: make(map[string]bool)}
-	s.Fleet = &fleet.Fleet{
+	s.Simulation = &simulation.Simulation{
 		Hold: hold, StoreHold: time.Hour, Heartbeat: 200 * time.Millisecond, Poll: time.Second, Least: 2 * time.Second,
 		Config: newConfig(0.5, domains), Table: new(table.Table), Random: rand.New(rand.NewPCG(1, 1)), Delay: s.delay, Store: s.store,
 	}
