limits: a starting host waits and borrows instead of refusing

Change: the first epoch comes after Hold/6 with readings four times as often, a host that is not steady may add holders but drops none, and up to 100 requests wait for a first part.

--- a/author/author.go
+++ b/author/author.go
@@ -30,6 +30,11 @@
 	readers = 2
 	// seldom is how many steps the other hosts let pass between readings.
 	seldom = 10
+	// starts is how many times more often a host reads that has no division.
+	starts = 4
+	// found is the part of Hold in which starting hosts find each other before
+	// the first epoch. Who is late joins with the second.
+	found = 6
 )
 
 // minorityHolds is how long, in multiples of Hold, a host that hears few others
@@ -80,12 +85,20 @@
 		a.Step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-a.Clock.After(a.Every):
+		case <-a.Clock.After(a.pause()):
 		}
 	}
 	return nil
 }
 
+// pause is short while this host has no division: its callers wait for it.
+func (a *Author) pause() time.Duration {
+	if a.Holding.Epoch() == 0 {
+		return a.Every / starts
+	}
+	return a.Every
+}
+
 // Step reads the row once and writes the next epoch if one is due.
 func (a *Author) Step(ctx context.Context) {
 	t := a.Clock.Now()
@@ -138,15 +151,21 @@
 		a.needed = time.Time{}
 	}
 	c := a.Config()
-	if c == nil || !a.settled(d, n) {
+	if c == nil || d.Epoch == 0 && n.Sub(a.began) < a.Holding.Hold/found {
 		return d, false
 	}
+	l := a.Alive()
+	if !a.Holding.Steady() {
+		// Who has just started or was paused has not heard the others yet,
+		// and would drop them all.
+		l = both(l, d.Holders)
+	}
 	o, ok := a.Holding.Current()
 	if ok && (o.Epoch != d.Epoch || len(o.Earlier) >= earlierMost) {
 		return d, false
 	}
 	p := &plan{
-		old: o, config: c, alive: a.Alive(), released: a.released,
+		old: o, config: c, alive: l, released: a.released,
 		demand: a.Demand(), follow: n.Sub(a.changed) >= a.Least,
 	}
 	if a.minority(d, p.alive, n) {
@@ -164,14 +183,21 @@
 	return v, n.Sub(a.needed) >= time.Duration(a.rank(p.alive))*2*a.Every
 }
 
-// settled reports whether this host has heard the others by now. Who has just
-// started or was paused would drop them all. The very first epoch drops
-// nobody, so it comes sooner.
-func (a *Author) settled(d division.Division, now time.Time) bool {
-	if d.Epoch == 0 {
-		return now.Sub(a.began) >= a.Holding.Hold/2
+// both returns the processes of a, and those of b whose name is not in a, in the
+// order of names.
+func both(a, b []holder.Holder) []holder.Holder {
+	r := append([]holder.Holder(nil), a...)
+	m := make(map[string]bool, len(a))
+	for _, h := range a {
+		m[h.Name] = true
+	}
+	for _, h := range b {
+		if !m[h.Name] {
+			r = append(r, h)
+		}
 	}
-	return a.Holding.Steady()
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
+	return r
 }
 
 // minority reports whether this host hears less than half of the holders, while
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -19,6 +19,9 @@
 	LeasedSince time.Time
 	// LeasedUntil is when it stops unless it is renewed.
 	LeasedUntil time.Time
+	// Unknown tells that no division names this process yet, so that requests
+	// rather wait a little than be refused.
+	Unknown bool
 	// Unused tells that nobody ever used the limit before this grant, so that
 	// its bucket may start full.
 	Unused bool
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -205,7 +205,7 @@
 func (h *Holding) Grant(limit string) grant.Grant {
 	v := h.view.Load()
 	if v == nil {
-		return grant.Grant{}
+		return grant.Grant{Unknown: true}
 	}
 	return v.grant(v.uses.limit(limit))
 }
@@ -214,7 +214,7 @@
 func (h *Holding) Rate(account string) grant.Grant {
 	v := h.view.Load()
 	if v == nil {
-		return grant.Grant{}
+		return grant.Grant{Unknown: true}
 	}
 	return v.grant(v.uses.rate(account))
 }
--- a/holding/view.go
+++ b/holding/view.go
@@ -22,6 +22,7 @@
 	leasedSince time.Time
 	leasedUntil time.Time
 	unused      bool
+	unnamed     bool
 }
 
 // uses computes this host's use of limits as they are asked for: of most
@@ -87,7 +88,7 @@
 	}
 	v := &view{
 		epoch: h.epoch(), settled: h.settled, floor: h.floorSettled, unused: h.epoch() == 1,
-		floorSince: now, floorUntil: h.floorUntil(now), leasedSince: now, leasedUntil: h.leasedUntil(now),
+		unnamed: !h.chain[len(h.chain)-1].Names(h.Self), floorSince: now, floorUntil: h.floorUntil(now), leasedSince: now, leasedUntil: h.leasedUntil(now),
 	}
 	g := false
 	if o.uses != nil && v.epoch == o.epoch && v.settled == o.settled && v.floor == o.floor {
@@ -109,7 +110,7 @@
 func (v *view) grant(u *use) grant.Grant {
 	return grant.Grant{
 		Floor: u.floor, FloorSince: v.floorSince, FloorUntil: v.floorUntil,
-		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused,
+		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused, Unknown: v.unnamed,
 	}
 }
 
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -12,6 +12,13 @@
 // never is a wait that no request can afford.
 const never = time.Minute
 
+// unknownPoll is how often requests look for a part at a host that starts, and
+// unknownMost how many may wait for it.
+const (
+	unknownPoll = 50 * time.Millisecond
+	unknownMost = 100
+)
+
 // entry is this host's state of one account.
 type entry struct {
 	bucket  bucket.Bucket
@@ -19,6 +26,8 @@
 	rate    float64 // the account's rate when last refilled
 	refills float64 // tokens per second that this host gets now
 	waiting int
+	// unknown tells that this host has no part yet, but may have one soon.
+	unknown bool
 	// offered counts requests, admitted or not, since the last Demands.
 	offered uint64
 	demand  float64
@@ -46,6 +55,7 @@
 	e.bucket.Limit(max(a.Burst*g.Part(now)-e.closed(now), 0))
 	e.bucket.Gain(r*g.Floor, overlap(e.last, now, g.FloorSince, g.FloorUntil))
 	e.bucket.Gain(r*g.Leased, overlap(e.last, now, g.LeasedSince, g.LeasedUntil))
+	e.unknown = g.Unknown
 	e.refills = r * g.Part(now)
 	e.rate = a.Rate
 	if now.After(e.last) {
@@ -73,6 +83,9 @@
 
 // answer returns when a request that waits looks again for borrowed tokens.
 func (e *entry) answer(now time.Time) time.Duration {
+	if e.unknown {
+		return unknownPoll
+	}
 	if e.coming(now) > 0 || !now.Before(e.dry) {
 		return borrowPoll
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -118,7 +118,7 @@
 		return false
 	}
 	q.borrow(name, e, e.waiting+1, n)
-	if e.ready(float64(e.waiting+1-e.coming(n))) > wait {
+	if e.ready(float64(e.waiting+1-e.coming(n))) > wait && (!e.unknown || e.waiting >= unknownMost) {
 		return false
 	}
 	e.waiting++
