--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -29,6 +29,8 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "repeat a run"},
 			&cli.BoolFlag{Name: "short", Usage: "at most 80 s of simulated time a run"},
+			&cli.StringSliceFlag{Name: "way", Usage: "run only this: divisions, equal-parts, table-leases"},
+			&cli.StringSliceFlag{Name: "scenario", Usage: "run only this, such as host-lost"},
 			&cli.IntSliceFlag{Name: "holders", Value: []int{10, 100}, Usage: "numbers of hosts whose cost is measured"},
 		},
 		Action: runQuota,
@@ -36,6 +38,9 @@
 }
 
 func runQuota(_ context.Context, c *cli.Command) error {
-	e := &experiment.Experiment{Out: c.Root().Writer, Seed: c.Uint64("seed"), Short: c.Bool("short"), Holders: c.IntSlice("holders")}
+	e := &experiment.Experiment{
+		Out: c.Root().Writer, Seed: c.Uint64("seed"), Short: c.Bool("short"), Holders: c.IntSlice("holders"),
+		Ways: c.StringSlice("way"), Scenarios: c.StringSlice("scenario"),
+	}
 	return e.Run()
 }
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"text/tabwriter"
 	"time"
 )
@@ -19,6 +20,9 @@
 	Seed uint64
 	// Short runs a tenth of the time, for tests.
 	Short bool
+	// Ways and Scenarios name what to run; empty means all.
+	Ways      []string
+	Scenarios []string
 	// Holders are the numbers of hosts whose cost is measured.
 	Holders []int
 }
@@ -30,18 +34,25 @@
 	for _, d := range deployments {
 		for _, s := range scenarios {
 			for _, v := range ways {
+				if !chosen(e.Scenarios, s.name) || !chosen(e.Ways, v.name) {
+					continue
+				}
 				r := e.run(d, s, v)
 				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f%%\t%.3f%%\t%.1f%%\t%d\t%.1f\t%.1f\t\n",
 					d.name, s.name, v.name, r.offered, r.wrongful(), r.after(), r.worst(), r.over, r.messages, r.store)
 			}
 		}
 	}
-	if err := w.Flush(); err != nil {
+	if err := w.Flush(); err != nil || len(e.Holders) == 0 {
 		return err
 	}
 	return e.slope()
 }
 
+func chosen(l []string, name string) bool {
+	return len(l) == 0 || slices.Contains(l, name)
+}
+
 // slope prints what control costs by the number of hosts.
 func (e *Experiment) slope() error {
 	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
--- a/experiment/way.go
+++ b/experiment/way.go
@@ -92,8 +92,8 @@
 	l.at = now
 	for i, a := range f.play.config.Accounts {
 		s, w := 0.0, 0.0
-		for k, v := range f.leases {
-			if k != host && now.Sub(v.at) < term {
+		for k := range f.play.simulation.Len() {
+			if v := f.leases[k]; v != nil && k != host && now.Sub(v.at) < term {
 				s += v.parts[a.Name]
 			}
 		}
