--- a/quota/entry.go
+++ b/quota/entry.go
@@ -21,6 +21,7 @@
 
 // entry is this host's state of one account.
 type entry struct {
+	name    string
 	bucket  bucket.Bucket
 	last    time.Time
 	rate    float64 // the account's rate when last refilled
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,6 +18,9 @@
 // together. Time services steer clocks by 0.05% at most.
 const drift = 1000
 
+// syncBatch is how many buckets are brought up to now while requests wait.
+const syncBatch = 256
+
 // retryMost is the longest time that a refused caller is told to wait: a host
 // whose part lapsed may have it back any second.
 const retryMost = 2 * time.Second
@@ -39,6 +42,7 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	order   []*entry
 }
 
 // Take admits one request of an account at once and reports whether it may go
@@ -155,14 +159,23 @@
 
 // Sync brings every bucket up to now under the grants in force. It is called
 // right before they change, so that no bucket refills by a grant for a time in
-// which it did not hold.
+// which it did not hold. Requests go on between two batches; they too use the
+// grants that are still in force.
 func (q *Quota) Sync() {
+	for i := 0; q.syncFrom(i); i += syncBatch {
+	}
+}
+
+// syncFrom syncs one batch and reports whether there may be another.
+func (q *Quota) syncFrom(i int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
-	for k := range q.entries {
-		q.touch(k, n)
+	l := q.order[min(i, len(q.order)):min(i+syncBatch, len(q.order))]
+	for _, e := range l {
+		q.touch(e.name, n)
 	}
+	return len(l) == syncBatch
 }
 
 // touch returns an account's entry with its bucket refilled.
@@ -177,8 +190,9 @@
 		if q.entries == nil {
 			q.entries = make(map[string]*entry)
 		}
-		e = &entry{last: now, rate: a.Rate}
+		e = &entry{name: name, last: now, rate: a.Rate}
 		q.entries[name] = e
+		q.order = append(q.order, e)
 		e.bucket.Limit(a.Burst * g.Part(now))
 		if g.Unused {
 			e.bucket.Fill()
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -30,6 +30,7 @@
 	clock      *clock
 	dead       bool
 	died       time.Time
+	leaving    bool
 	paused     bool
 	late       []func()
 	holding    *holding.Holding
@@ -48,12 +49,14 @@
 	number int
 	at     time.Time
 	known  []holder.Holder
+	leaves bool
 }
 
 // message is a heartbeat or its answer.
 type message struct {
 	from   *node
 	epoch  uint64
+	leaves bool
 	known  []holder.Holder
 	demand map[string]float64
 }
@@ -164,12 +167,12 @@
 
 func (n *node) message() message {
 	return message{
-		from: n, epoch: n.holding.Epoch(), known: n.known, demand: n.demand.Of(n.self.Name),
+		from: n, epoch: n.holding.Epoch(), leaves: n.leaving, known: n.known, demand: n.demand.Of(n.self.Name),
 	}
 }
 
 func (n *node) note(m message, sent time.Time) {
-	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known}
+	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known, leaves: m.leaves}
 	n.demand.Note(m.from.self.Name, m.demand)
 	e := m.epoch
 	if n.simulation.Report != nil {
@@ -213,11 +216,15 @@
 	})
 }
 
-// near returns the processes that this one heard itself within Hold.
+// near returns the processes that this one heard itself within Hold, and that
+// do not leave.
 func (n *node) near() []holder.Holder {
-	r := []holder.Holder{n.self}
+	var r []holder.Holder
+	if !n.leaving {
+		r = append(r, n.self)
+	}
 	for _, c := range n.heard {
-		if n.clock.Since(c.at) <= n.simulation.Hold {
+		if !c.leaves && n.clock.Since(c.at) <= n.simulation.Hold {
 			r = append(r, c.holder)
 		}
 	}
@@ -233,6 +240,9 @@
 			continue
 		}
 		for _, h := range c.known {
+			if c := n.heard[h.Name]; c.leaves && c.holder == h {
+				continue
+			}
 			if h.Incarnation > m[h.Name].Incarnation {
 				m[h.Name] = h
 			}
--- a/simulation/script_test.go
+++ b/simulation/script_test.go
@@ -59,7 +59,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"host": host, "run": run, "end": end, "pause": pause, "resume": pause, "cut": cut, "heal": heal,
+			"host": host, "run": run, "end": end, "pause": pause, "resume": pause, "leave": leave, "cut": cut, "heal": heal,
 			"store": store, "part": partIs, "epoch": epoch, "slots": slotsAre, "admit": admit, "floors": floors,
 		},
 	})
@@ -91,6 +91,11 @@
 	on(ts).Kill(on(ts).host(ts, a[0]))
 }
 
+// leave NAME lets a process tell the others that it shuts down.
+func leave(ts *testscript.TestScript, _ bool, a []string) {
+	on(ts).Leave(on(ts).host(ts, a[0]))
+}
+
 // pause NAME, resume NAME stop a process and let it go on.
 func pause(ts *testscript.TestScript, _ bool, a []string) {
 	s := on(ts)
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -109,6 +109,11 @@
 	return f.index
 }
 
+// Leave lets a process tell the others that it shuts down.
+func (f *Simulation) Leave(host int) {
+	f.nodes[host].leaving = true
+}
+
 // Kill ends a process without a word.
 func (f *Simulation) Kill(host int) {
 	f.nodes[host].dead = true
