holding: an epoch is reported when requests on lost slots have ended

Cause: a host reported an epoch that took a slot from it while its request still ran there, so the next owner started a second one on a full backend server. Change: Report waits for Committed <= slots, for Hold at most; only what was reported counts as a witness.

--- a/holding/holding.go
+++ b/holding/holding.go
@@ -38,6 +38,10 @@
 	StoreHold time.Duration
 	// Every is the time between two ticks; well under a third of Hold.
 	Every time.Duration
+	// Busy reports whether requests still run on slots that this host no
+	// longer has; nil means never. While they do, for Hold at most, the host
+	// doesn't report the epoch that took the slots.
+	Busy func() bool
 	// Changing is called before what this host may use changes, while Grant
 	// still returns the old grants. It must not block.
 	Changing func()
@@ -53,13 +57,15 @@
 	// floorSettled is the same for floors in the own failure domain, zero
 	// before the first.
 	floorSettled uint64
-	own          history
-	known        history
-	peers        map[string]*peer
-	read         time.Time // start of the newest reading of the current epoch
-	store        time.Time // start of the newest reading
-	tick         time.Time
-	steady       time.Time // since when the process runs without a gap
+	// told is since when this host reports an epoch; others rely on no more.
+	told    history
+	known   history
+	peers   map[string]*peer
+	read    time.Time // start of the newest reading of the current epoch
+	store   time.Time // start of the newest reading
+	learned time.Time // when the current epoch was learned
+	tick    time.Time
+	steady  time.Time // since when the process runs without a gap
 }
 
 // Run keeps the process's signs of life and lets waits end, until ctx ends.
@@ -138,6 +144,21 @@
 	return h.epoch()
 }
 
+// Report returns the epoch to tell in a heartbeat. Telling it promises others
+// that this host uses nothing more that the epoch took from it, and that it
+// vouches for no earlier one from now on.
+func (h *Holding) Report() uint64 {
+	b := h.Busy != nil && h.Busy()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n, e := h.Clock.Now(), h.epoch()
+	if b && n.Sub(h.learned) < h.Hold {
+		return h.told.last()
+	}
+	h.told.note(e, n)
+	return e
+}
+
 // Wanted returns the highest epoch that any peer reported.
 func (h *Holding) Wanted() uint64 {
 	h.mu.Lock()
@@ -169,7 +190,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := h.Clock.Now()
-	if of(h.Self.Name) && h.own.span(epoch, n) >= h.after(h.Hold) && h.steadyFor(n) {
+	if of(h.Self.Name) && h.told.span(epoch, n) >= h.after(h.Hold) && h.steadyFor(n) {
 		return true
 	}
 	for k, p := range h.peers {
--- /dev/null
+++ b/holding/holding_test.go
@@ -0,0 +1,55 @@
+package holding_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/division"
+	"celeryreach.example/celeryreach/holder"
+	"celeryreach.example/celeryreach/holding"
+	"celeryreach.example/celeryreach/part"
+	"celeryreach.example/celeryreach/span"
+)
+
+const (
+	hold  = 3 * time.Second
+	limit = "slots/d"
+)
+
+// The next division takes a slot on which a request still runs. If this host
+// reported it at once, the next owner would start a second request there and
+// the backend server would shed. So it reports when the request has ended, or
+// after Hold, since others wait for no longer.
+func TestReportWaitsForRequests(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		c := clockwork.NewFakeClock()
+		s := holder.Holder{Name: "a", Domain: "d"}
+		busy := false
+		h := &holding.Holding{Clock: c, Self: s, Hold: hold, StoreHold: time.Hour, Busy: func() bool { return busy }}
+		h.Tick()
+		h.Learn(divide(1, s, span.Whole), c.Now())
+		must.Eq(t, 1, h.Report())
+		must.Len(t, 4, h.Slots(limit, 4))
+		busy = true
+		h.Learn(divide(2, s, span.Whole/2), c.Now())
+		must.Len(t, 2, h.Slots(limit, 4))
+		must.Eq(t, 1, h.Report())
+		if ends {
+			busy = false
+		} else {
+			c.Advance(hold)
+		}
+		must.Eq(t, 2, h.Report())
+	}
+}
+
+// divide gives the one holder a leased part of some length.
+func divide(epoch uint64, h holder.Holder, length uint32) division.Division {
+	return division.Division{
+		Epoch: epoch, Holders: []holder.Holder{h},
+		Parts: map[string]map[string]part.Part{limit: {h.Name: {Leased: []span.Span{{To: length}}}}},
+	}
+}
--- a/holding/settle.go
+++ b/holding/settle.go
@@ -30,7 +30,7 @@
 	if b == 1 {
 		h.floorSettled = max(h.floorSettled, 1)
 	}
-	h.own.note(d.Epoch, now)
+	h.learned = now
 	h.known.note(d.Epoch, now)
 }
 
@@ -97,7 +97,7 @@
 	for _, v := range d.Holders {
 		s := h.heard(v)
 		if v == h.Self {
-			s = h.own
+			s = h.told
 		}
 		if s.span(k, now) >= h.after(h.Hold) {
 			n++
@@ -114,7 +114,7 @@
 // it, and whoever was paused uses nothing until it has run for Hold.
 func (h *Holding) floorReleased(i int, now time.Time) bool {
 	k := h.chain[i].Epoch
-	if h.own.span(k, now) >= h.after(h.Hold) && h.steadyFor(now) {
+	if h.told.span(k, now) >= h.after(h.Hold) && h.steadyFor(now) {
 		return true
 	}
 	if h.floorSettled == 0 || h.chain[0].Epoch > h.floorSettled {
--- a/host/limits.go
+++ b/host/limits.go
@@ -63,7 +63,8 @@
 	x.quota = &quota.Quota{Clock: h.Clock, Account: x.account, Grant: x.grant, Hold: h.Settings.Hold}
 	l := &limits{fetches: make(chan uint64, 1)}
 	l.holding = &holding.Holding{
-		Clock: h.Clock, Self: s, Hold: h.Settings.Hold, StoreHold: storeHold, Every: h.Settings.Heartbeat, Changing: x.quota.Sync,
+		Clock: h.Clock, Self: s, Hold: h.Settings.Hold, StoreHold: storeHold, Every: h.Settings.Heartbeat,
+		Changing: x.quota.Sync, Busy: x.overcommitted,
 	}
 	l.demand = &demand.Demand{Clock: h.Clock, Hold: h.Settings.Hold, Account: x.account}
 	l.loan = loan.New(h.Clock, loanFor)
@@ -105,6 +106,21 @@
 	return r.Admitted.IsZero() || x.quota.Confirm(r.Credential.Account, r.Admitted)
 }
 
+// overcommitted reports whether requests run on more slots of a backend server
+// than this host has.
+func (x *parts) overcommitted() bool {
+	s := x.follower.Snapshot()
+	if s == nil {
+		return false
+	}
+	for _, b := range s.Config.Backends {
+		if n := x.lanes.Committed(b); n > 0 && n > x.slots(b) {
+			return true
+		}
+	}
+	return false
+}
+
 // holders returns the processes that this host or a peer of it has heard
 // lately, and that do not leave.
 func (x *parts) holders() []holder.Holder {
@@ -138,7 +154,7 @@
 
 // composeLimits adds to a heartbeat what the other hosts' limits need.
 func (x *parts) composeLimits(h *wire.Heartbeat) {
-	h.Versions = append(h.Versions, &wire.Version{Kind: divisionKind, Version: x.limits.holding.Epoch()})
+	h.Versions = append(h.Versions, &wire.Version{Kind: divisionKind, Version: x.limits.holding.Report()})
 	for n, v := range x.limits.demand.Of(x.host.Settings.Name) {
 		h.Demands = append(h.Demands, &wire.Demand{Account: n, Rate: v})
 	}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -167,7 +167,7 @@
 
 func (n *node) message() message {
 	return message{
-		from: n, epoch: n.holding.Epoch(), leaves: n.leaving, known: n.known, demand: n.demand.Of(n.self.Name),
+		from: n, epoch: n.holding.Report(), leaves: n.leaving, known: n.known, demand: n.demand.Of(n.self.Name),
 	}
 }
 
