limits: loans end before the part they come from, and before an epoch is reported

Change: a loan is no longer than the grant lasts, and a host reports an epoch 275 ms after it learned it at the earliest.

--- a/holding/holding.go
+++ b/holding/holding.go
@@ -42,6 +42,9 @@
 	// longer has; nil means never. While they do, for Hold at most, the host
 	// doesn't report the epoch that took the slots.
 	Busy func() bool
+	// Owed is how long what this host gave away for a time, such as loans, may
+	// be used after it stopped giving. It reports no epoch sooner.
+	Owed time.Duration
 	// Changing is called before what this host may use changes, while Grant
 	// still returns the old grants. It must not block.
 	Changing func()
@@ -152,7 +155,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n, e := h.Clock.Now(), h.epoch()
-	if b && n.Sub(h.learned) < h.Hold {
+	if d := n.Sub(h.learned); b && d < h.Hold || e > 1 && d < h.Owed {
 		return h.told.last()
 	}
 	h.told.note(e, n)
--- a/host/limits.go
+++ b/host/limits.go
@@ -64,7 +64,7 @@
 	l := &limits{fetches: make(chan uint64, 1)}
 	l.holding = &holding.Holding{
 		Clock: h.Clock, Self: s, Hold: h.Settings.Hold, StoreHold: storeHold, Every: h.Settings.Heartbeat,
-		Changing: x.quota.Sync, Busy: x.overcommitted,
+		Changing: x.quota.Sync, Busy: x.overcommitted, Owed: loanFor + loanFor/10,
 	}
 	l.demand = &demand.Demand{Clock: h.Clock, Hold: h.Settings.Hold, Account: x.account}
 	l.loan = loan.New(h.Clock, loanFor)
@@ -272,5 +272,6 @@
 	if !ok || d <= 0 {
 		return &wire.BorrowResponse{}
 	}
-	return &wire.BorrowResponse{Units: x.quota.Lend(n, b.Units, d), Lender: x.host.Settings.Name, ForNanoseconds: int64(d)}
+	u, d := x.quota.Lend(n, b.Units, d)
+	return &wire.BorrowResponse{Units: u, Lender: x.host.Settings.Name, ForNanoseconds: int64(d)}
 }
--- a/quota/loans.go
+++ b/quota/loans.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"celeryreach.example/celeryreach/grant"
+)
 
 const (
 	// borrowAfter is the wait that is worth a round trip to another host.
@@ -20,27 +24,41 @@
 	loanMargin = 50
 )
 
-// Lend gives tokens to another host for a time and returns how many. They are
-// gone from here before the answer is sent, and until the loan has ended their
-// place in the bucket stays closed: else lent and refilled tokens together
-// would exceed the burst.
-func (q *Quota) Lend(name string, units uint64, d time.Duration) uint64 {
+// Lend gives tokens to another host and returns how many and for how long. They
+// are gone from here before the answer is sent, and until the loan has ended
+// their place in the bucket stays closed: else lent and refilled tokens together
+// would exceed the burst. A loan ends before the part that it comes from may.
+func (q *Quota) Lend(name string, units uint64, d time.Duration) (uint64, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
 	e, ok := q.touch(name, n)
 	if !ok || e.waiting > 0 {
-		return 0
+		return 0, 0
 	}
 	a, _ := q.Account(name)
-	s := e.bucket.Tokens() - min(lendKeep*a.Burst*q.Grant(name).Part(n), lendKeepFor*e.demand)
-	if s < 1 {
-		return 0
+	g := q.Grant(name)
+	d = min(d, lasts(g, n))
+	s := e.bucket.Tokens() - min(lendKeep*a.Burst*g.Part(n), lendKeepFor*e.demand)
+	if s < 1 || d <= 0 {
+		return 0, 0
 	}
 	u := min(units, uint64(s))
 	e.bucket.TakeMany(int64(u))
 	e.lent = append(e.lent, debt{units: u, until: n.Add(d + d/loanMargin)})
-	return u
+	return u, d
+}
+
+// lasts returns for how long all of a grant is sure to last.
+func lasts(g grant.Grant, now time.Time) time.Duration {
+	d := never
+	if g.Floor > 0 && now.Before(g.FloorUntil) {
+		d = min(d, g.FloorUntil.Sub(now))
+	}
+	if g.Leased > 0 && now.Before(g.LeasedUntil) {
+		d = min(d, g.LeasedUntil.Sub(now))
+	}
+	return d - d/loanMargin
 }
 
 // borrow asks for what n requests need beyond what is here and coming.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -132,13 +132,25 @@
 func TestLend(t *testing.T) {
 	b := newBench()
 	must.True(t, b.Take("a"))
-	must.Eq(t, 2, b.Lend("a", 2, time.Second))
+	u, d := b.Lend("a", 2, time.Second)
+	must.Eq(t, 2, u)
+	must.Eq(t, time.Second, d)
 	b.clock.Advance(900 * time.Millisecond)
 	must.Eq(t, 2, b.drain())
 	b.clock.Advance(time.Second)
 	must.Eq(t, 4, b.drain())
 }
 
+// The lender's part may end before the loan would. The borrower must not spend
+// its tokens after that, when the part has another holder.
+func TestLoanEndsWithPart(t *testing.T) {
+	b := newBench()
+	b.grant.LeasedUntil = b.clock.Now().Add(100 * time.Millisecond)
+	u, d := b.Lend("a", 2, time.Second)
+	must.Eq(t, 2, u)
+	must.Eq(t, 98*time.Millisecond, d)
+}
+
 // Borrowed tokens serve requests that wait, once, until their deadline. What
 // nobody waits for is lost, and what comes too late too.
 func TestBorrowed(t *testing.T) {
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -70,6 +70,7 @@
 	n.quota = &quota.Quota{Clock: c, Account: n.account, Grant: n.grant, Hold: f.Hold, Borrow: n.borrow}
 	n.holding = &holding.Holding{
 		Clock: c, Self: n.self, Hold: f.Hold, StoreHold: f.StoreHold, Every: f.Heartbeat, Changing: n.quota.Sync,
+		Owed: loanFor + loanFor/10,
 	}
 	n.demand = &demand.Demand{Clock: c, Hold: f.Hold, Account: n.account}
 	n.author = &author.Author{
@@ -277,7 +278,7 @@
 	f.Messages++
 	// Without an answer the next one is asked when the loan would have ended.
 	answered := false
-	end := func(u uint64) {
+	end := func(u uint64, d time.Duration) {
 		if answered {
 			return
 		}
@@ -286,21 +287,21 @@
 			n.ask(name, units, l[1:])
 			return
 		}
-		n.quota.Receive(name, units, u, t.Add(loanFor-loanFor/50))
+		n.quota.Receive(name, units, u, t.Add(d-d/50))
 	}
-	f.at(loanFor, func() { n.do(func() { end(0) }) })
+	f.at(loanFor, func() { n.do(func() { end(0, 0) }) })
 	d, ok := f.Delay(n.number, p.number)
 	if !ok {
 		return
 	}
 	f.at(d, func() {
 		p.do(func() {
-			u := p.quota.Lend(name, units, loanFor)
+			u, x := p.quota.Lend(name, units, loanFor)
 			if f.Lent != nil {
 				f.Lent(p.quota, name, u)
 			}
 			if e, ok := f.Delay(p.number, n.number); ok {
-				f.at(e, func() { n.do(func() { end(u) }) })
+				f.at(e, func() { n.do(func() { end(u, x) }) })
 			}
 		})
 	})
