--- a/author/author.go
+++ b/author/author.go
@@ -25,6 +25,18 @@
 // grow.
 const earlierMost = 8
 
+const (
+	// readers is how many hosts read the table at each step.
+	readers = 2
+	// seldom is how many steps the other hosts let pass between readings.
+	seldom = 10
+	// starts is how many times more often a host reads that has no division.
+	starts = 4
+	// found is the part of Hold in which starting hosts find each other before
+	// the first epoch. Who is late joins with the second.
+	found = 6
+)
+
 // minorityHolds is how long, in multiples of Hold, a host that hears few others
 // leaves a division alone that others may still write.
 const minorityHolds = 10
@@ -58,6 +70,7 @@
 	Least time.Duration
 
 	began   time.Time
+	asked   time.Time
 	changed time.Time // when the epoch last changed, as seen here
 	epoch   uint64
 	needed  time.Time // since when a new epoch is due
@@ -72,17 +85,29 @@
 		a.Step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-a.Clock.After(a.Every):
+		case <-a.Clock.After(a.pause()):
 		}
 	}
 	return nil
 }
 
+// pause is short while this host has no division: its callers wait for it.
+func (a *Author) pause() time.Duration {
+	if a.Holding.Epoch() == 0 {
+		return a.Every / starts
+	}
+	return a.Every
+}
+
 // Step reads the row once and writes the next epoch if one is due.
 func (a *Author) Step(ctx context.Context) {
+	t := a.Clock.Now()
+	if !a.reads(t) {
+		return
+	}
+	a.asked = t
 	x, f := clockwork.WithTimeout(ctx, a.Clock, a.Every)
 	defer f()
-	t := a.Clock.Now()
 	if a.began.IsZero() {
 		a.began = t
 	}
@@ -110,6 +135,13 @@
 	a.write(x, r, n)
 }
 
+// reads reports whether this host reads the table now. Two hosts always do, so
+// that one of them writes; the others learn of epochs by heartbeats and read
+// only when those don't suffice, since the table serves all hosts.
+func (a *Author) reads(now time.Time) bool {
+	return a.rank(a.Alive()) < readers || a.Holding.NeedsTable() || now.Sub(a.asked) >= seldom*a.Every
+}
+
 // next returns the epoch to write after d, if one is due by this host.
 func (a *Author) next(d division.Division) (division.Division, bool) {
 	n := a.Clock.Now()
@@ -119,15 +151,21 @@
 		a.needed = time.Time{}
 	}
 	c := a.Config()
-	if c == nil || !a.settled(d, n) {
+	if c == nil || d.Epoch == 0 && n.Sub(a.began) < a.Holding.Hold/found {
 		return d, false
 	}
+	l := a.Alive()
+	if !a.Holding.Steady() {
+		// Who has just started or was paused has not heard the others yet,
+		// and would drop them all.
+		l = both(l, d.Holders)
+	}
 	o, ok := a.Holding.Current()
 	if ok && (o.Epoch != d.Epoch || len(o.Earlier) >= earlierMost) {
 		return d, false
 	}
 	p := &plan{
-		old: o, config: c, alive: a.Alive(), released: a.released,
+		old: o, config: c, alive: l, released: a.released,
 		demand: a.Demand(), follow: n.Sub(a.changed) >= a.Least,
 	}
 	if a.minority(d, p.alive, n) {
@@ -145,14 +183,21 @@
 	return v, n.Sub(a.needed) >= time.Duration(a.rank(p.alive))*2*a.Every
 }
 
-// settled reports whether this host has heard the others by now. Who has just
-// started or was paused would drop them all. The very first epoch drops
-// nobody, so it comes sooner.
-func (a *Author) settled(d division.Division, now time.Time) bool {
-	if d.Epoch == 0 {
-		return now.Sub(a.began) >= a.Holding.Hold/2
+// both returns the processes of a, and those of b whose name is not in a, in the
+// order of names.
+func both(a, b []holder.Holder) []holder.Holder {
+	r := append([]holder.Holder(nil), a...)
+	m := make(map[string]bool, len(a))
+	for _, h := range a {
+		m[h.Name] = true
+	}
+	for _, h := range b {
+		if !m[h.Name] {
+			r = append(r, h)
+		}
 	}
-	return a.Holding.Steady()
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
+	return r
 }
 
 // minority reports whether this host hears less than half of the holders, while
--- a/holding/view.go
+++ b/holding/view.go
@@ -22,6 +22,7 @@
 	leasedSince time.Time
 	leasedUntil time.Time
 	unused      bool
+	unnamed     bool
 }
 
 // uses computes this host's use of limits as they are asked for: of most
@@ -87,7 +88,7 @@
 	}
 	v := &view{
 		epoch: h.epoch(), settled: h.settled, floor: h.floorSettled, unused: h.epoch() == 1,
-		floorSince: now, floorUntil: h.floorUntil(now), leasedSince: now, leasedUntil: h.leasedUntil(now),
+		unnamed: !h.chain[len(h.chain)-1].Names(h.Self), floorSince: now, floorUntil: h.floorUntil(now), leasedSince: now, leasedUntil: h.leasedUntil(now),
 	}
 	g := false
 	if o.uses != nil && v.epoch == o.epoch && v.settled == o.settled && v.floor == o.floor {
@@ -109,7 +110,7 @@
 func (v *view) grant(u *use) grant.Grant {
 	return grant.Grant{
 		Floor: u.floor, FloorSince: v.floorSince, FloorUntil: v.floorUntil,
-		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused,
+		Leased: u.leased, LeasedSince: v.leasedSince, LeasedUntil: v.leasedUntil, Unused: v.unused, Unknown: v.unnamed,
 	}
 }
 
@@ -133,18 +134,9 @@
 	if !d.Leases(h.Self) || h.store.IsZero() {
 		return time.Time{}
 	}
-	var s []time.Time
-	for _, v := range d.Holders {
-		if v == h.Self {
-			s = append(s, now)
-		} else if p := h.peers[v.Name]; p != nil && p.incarnation == v.Incarnation {
-			s = append(s, p.sent)
-		}
-	}
-	sort.Slice(s, func(i, j int) bool { return s[i].After(s[j]) })
 	t := h.read
-	if q := d.UseQuorum(); len(s) >= q && s[q-1].After(t) {
-		t = s[q-1]
+	if v := h.vouched(d, now); v.After(t) {
+		t = v
 	}
 	u := h.store.Add(h.before(h.StoreHold))
 	if t.IsZero() {
@@ -156,6 +148,24 @@
 	return u
 }
 
+// vouched returns the moment until which enough holders of d have vouched for
+// it, zero if too few ever did.
+func (h *Holding) vouched(d *division.Division, now time.Time) time.Time {
+	var s []time.Time
+	for _, v := range d.Holders {
+		if v == h.Self {
+			s = append(s, now)
+		} else if p := h.peers[v.Name]; p != nil && p.incarnation == v.Incarnation {
+			s = append(s, p.sent)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool { return s[i].After(s[j]) })
+	if q := d.UseQuorum(); len(s) >= q {
+		return s[q-1]
+	}
+	return time.Time{}
+}
+
 // floorUntil returns when the floor ends unless the process shows life.
 func (h *Holding) floorUntil(now time.Time) time.Time {
 	e := h.epoch()
