--- a/backendstandin/backendstandin.go
+++ b/backendstandin/backendstandin.go
@@ -72,6 +72,9 @@
 	case "/health":
 		b.health(w)
 		return
+	case "/runs":
+		b.tell(w)
+		return
 	}
 	k := b.take()
 	w.Header().Set(upstream.IDHeader, r.Header.Get(upstream.IDHeader))
@@ -105,6 +108,15 @@
 	b.answer(w, r, k, hex.EncodeToString(h.Sum(nil)))
 }
 
+// tell writes the judge's counts, for tests with processes.
+func (b *Backendstandin) tell(w http.ResponseWriter) {
+	v, err := codec.Marshal(b.Runs())
+	if err != nil {
+		panic(err) // counts are JSON
+	}
+	_, _ = w.Write(v) // a failed write means that the client left
+}
+
 // Busy returns how many requests run or are being refused now.
 func (b *Backendstandin) Busy() int {
 	return int(b.busy.Load())
--- /dev/null
+++ b/processes/processes_test.go
@@ -0,0 +1,226 @@
+// Package processes_test plays failures that only processes have: SIGKILL, and
+// SIGSTOP in the middle of work. Everything runs as the commands that operators
+// run.
+package processes_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec" //nolint:depguard // only tests start processes
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/codec"
+)
+
+const (
+	patience = 90 * time.Second // of a test; only a hang uses it up
+	rate     = 40
+	burst    = 20
+	hold     = time.Second
+)
+
+var clock = clockwork.NewRealClock()
+
+// deployment is a platform stand-in, three hosts in three failure domains and a
+// backend server in each, all as processes.
+type deployment struct {
+	t        *testing.T
+	ctx      context.Context
+	dir      string
+	binary   string
+	platform string
+	operator string
+	key      string
+	backends map[string]string
+	hosts    map[string]*host
+}
+
+type host struct {
+	command  *exec.Cmd
+	file     string
+	callers  string
+	operator string
+}
+
+var domains = [][2]string{{"l1", "lagos"}, {"l2", "lagos"}, {"a1", "abuja"}}
+
+func deploy(t *testing.T) *deployment {
+	x, f := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(f)
+	d := &deployment{t: t, ctx: x, dir: t.TempDir(), backends: make(map[string]string), hosts: make(map[string]*host)}
+	d.binary = filepath.Join(d.dir, "celeryreach")
+	o, err := exec.CommandContext(x, "go", "build", "-o", d.binary, "..").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(o)))
+	d.platform = "http://" + d.listening("platform", "--listen", "127.0.0.1:0")
+	for _, v := range domains {
+		d.backends[v[0]] = d.listening("backend", "--listen", "127.0.0.1:0", "--name", v[0], "--work", "2ms")
+	}
+	o = d.run("config", "init", "--platform", d.platform, d.write("config.hujson", d.config()))
+	d.operator = regexp.MustCompile(`[A-Z2-7]{26}`).FindString(string(o))
+	must.NotEq(t, "", d.operator, must.Sprint(string(o)))
+	for _, v := range domains {
+		d.add(v[0], v[1])
+	}
+	d.await("hosts", func() bool { return d.status("l1") == http.StatusOK })
+	o = d.run("key", "issue", "--operator", "http://"+d.hosts["l1"].operator, "--wait", "river")
+	d.key = regexp.MustCompile(`[A-Z2-7]{26}`).FindString(string(o))
+	for h := range d.hosts {
+		d.await("answers of "+h, func() bool { c, _ := d.send(h, http.MethodGet, "/listings/1", ""); return c == http.StatusOK })
+	}
+	return d
+}
+
+func (d *deployment) config() string {
+	var b strings.Builder
+	for _, v := range domains {
+		fmt.Fprintf(&b, `{"Name": %q, "Domain": %q, "Service": "Listings", "Address": %q, "Slots": 4, "Connections": 100},`, v[0], v[0], d.backends[v[0]])
+	}
+	return fmt.Sprintf(`{
+		"Preset": "Ordinary",
+		"Presets": [{"Name": "Ordinary", "ShiftCap": 0.1, "ShiftInterval": "60s", "Headroom": 0.1, "GrowthCap": 1, "FloorFraction": 0.5, "MaxWait": "500ms", "LookupTTL": "1s", "RetryBudget": 0.1}],
+		"Regions": [{"Name": "lagos"}, {"Name": "abuja"}],
+		"Domains": [{"Name": "l1", "Region": "lagos"}, {"Name": "l2", "Region": "lagos"}, {"Name": "a1", "Region": "abuja"}],
+		"Services": [{"Name": "Listings", "Prefix": "/listings/", "Timeout": "3s"}],
+		"Backends": [%s],
+		"Accounts": [{"Name": "river", "Rate": %d, "Burst": %d}],
+		"KeyStaleness": {"Idempotent": "10m", "NonIdempotent": "1m"},
+	}`, b.String(), rate, burst)
+}
+
+// add starts a host on addresses that were free a moment ago.
+func (d *deployment) add(name, region string) {
+	h := &host{callers: d.free(), operator: d.free()}
+	h.file = d.write(name+".hujson", fmt.Sprintf(
+		`{"Name": %q, "Domain": %q, "Region": %q, "CallerAddress": %q, "PeerAddress": %q, "OperatorAddress": %q, "PlatformURL": %q, "Hold": %q, "Heartbeat": "100ms"}`,
+		name, name, region, h.callers, d.free(), h.operator, d.platform, hold))
+	d.hosts[name] = h
+	d.start(name)
+}
+
+func (d *deployment) start(name string) {
+	h := d.hosts[name]
+	h.command = exec.CommandContext(d.ctx, d.binary, "serve", "--settings", h.file)
+	must.NoError(d.t, h.command.Start())
+	c := h.command
+	d.t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
+}
+
+func (d *deployment) signal(name string, s syscall.Signal) {
+	must.NoError(d.t, d.hosts[name].command.Process.Signal(s))
+}
+
+// listening starts a stand-in and returns the address that its log tells.
+func (d *deployment) listening(args ...string) string {
+	c := exec.CommandContext(d.ctx, d.binary, args...)
+	e, err := c.StderrPipe()
+	must.NoError(d.t, err)
+	must.NoError(d.t, c.Start())
+	d.t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
+	s := bufio.NewScanner(e)
+	must.True(d.t, s.Scan())
+	m := regexp.MustCompile(`Address=(\S+)`).FindStringSubmatch(s.Text())
+	must.SliceLen(d.t, 2, m)
+	go func() { _, _ = io.Copy(io.Discard, e) }()
+	return m[1]
+}
+
+func (d *deployment) run(args ...string) []byte {
+	c := exec.CommandContext(d.ctx, d.binary, args...)
+	c.Env = append(os.Environ(), "CELERYREACH_OPERATOR_KEY="+d.operator)
+	var b bytes.Buffer
+	c.Stdout, c.Stderr = &b, &b
+	must.NoError(d.t, c.Run(), must.Sprint(b.String()))
+	return b.Bytes()
+}
+
+func (d *deployment) write(name, text string) string {
+	p := filepath.Join(d.dir, name)
+	must.NoError(d.t, os.WriteFile(p, []byte(text), 0o600))
+	return p
+}
+
+func (d *deployment) free() string {
+	var c net.ListenConfig
+	l, err := c.Listen(d.ctx, "tcp", "127.0.0.1:0")
+	must.NoError(d.t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) await(what string, f func() bool) {
+	for !f() {
+		select {
+		case <-d.ctx.Done():
+			d.t.Fatalf("waiting for %s", what)
+		case <-clock.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (d *deployment) status(name string) int {
+	c, _ := d.get(http.MethodGet, "http://"+d.hosts[name].operator+"/status", d.operator, "")
+	return c
+}
+
+func (d *deployment) send(name, method, path, id string) (int, string) {
+	return d.get(method, "http://"+d.hosts[name].callers+path, d.key, id)
+}
+
+// get returns status zero when the connection broke or nobody answered.
+func (d *deployment) get(method, url, key, id string) (int, string) {
+	x, f := context.WithTimeout(d.ctx, 2*time.Second)
+	defer f()
+	q, err := http.NewRequestWithContext(x, method, url, strings.NewReader(id))
+	must.NoError(d.t, err)
+	q.Header.Set("Authorization", "Bearer "+key)
+	if id != "" {
+		q.Header.Set("Idempotency-Key", id)
+	}
+	t := &http.Transport{DisableKeepAlives: true}
+	r, err := t.RoundTrip(q)
+	if err != nil {
+		return 0, ""
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return r.StatusCode, string(b)
+}
+
+// runs returns how often each id was run, over all backend servers.
+func (d *deployment) runs() map[string]int {
+	r := make(map[string]int)
+	for _, a := range d.backends {
+		_, b := d.get(http.MethodGet, "http://"+a+"/runs", "", "")
+		var v map[string]int
+		must.NoError(d.t, codec.Unmarshal([]byte(b), &v))
+		for k, n := range v {
+			r[k] += n
+		}
+	}
+	return r
+}
+
+func (d *deployment) total() int {
+	n := 0
+	for _, v := range d.runs() {
+		n += v
+	}
+	return n
+}
