Membership: addresses only in full heartbeats

Cause: three addresses are half of what is left of a heartbeat. Change: short heartbeats name the process only; a peer that may not know this host gets full ones. Found on the way: a full heartbeat that got lost left a new peer unknown for a third of Hold (the property test of the lists); a peer that has no list of this host is sent full ones until it has.

--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -15,8 +15,8 @@
 	// beatSeconds is the time between two heartbeats to a peer.
 	beatSeconds = 1.0
 	// farSeconds is the time between heartbeats of those who speak for a site or
-	// a domain. Hold is three of them: their part of a limit moves within 9 s.
-	farSeconds = 3.0
+	// a domain. Hold is three of them: their part of a limit moves within 12 s.
+	farSeconds = 4.0
 	// beatDemands is how many accounts' demands changed since the last one.
 	beatDemands = 2
 	// pollers is how many hosts of a domain read the table each second.
--- a/membership/compact.go
+++ b/membership/compact.go
@@ -38,17 +38,25 @@
 		h.Known = nil
 	}
 	n := m.Clock.Now()
-	h.Full = n.Sub(p.full) >= m.Hold/fullsPerHold
+	// A peer that has no list of this host may not know this host at all.
+	h.Full = p.has == 0 || n.Sub(p.full) >= m.Hold/fullsPerHold
 	if h.Full {
 		p.full = n
+		return
 	}
+	h.From = &wire.Host{Name: h.From.Name, Incarnation: h.From.Incarnation, Leaving: h.From.Leaving, Starting: h.From.Starting}
 }
 
-// expand puts the list of hosts back into a heartbeat that left it out. A list
+// expand puts back into a heartbeat what it left out. A list
 // that this host does not have stays out: its own heartbeats tell the peer so,
 // and the next one brings it.
 func (p *peer) expand(h *wire.Heartbeat) {
 	p.has = h.HasDigest
+	if !h.Full && p.member.PeerAddress != "" {
+		l, s := h.From.Leaving, h.From.Starting
+		h.From = host(p.member)
+		h.From.Leaving, h.From.Starting = l, s
+	}
 	switch {
 	case len(h.Known) > 0 || h.KnownDigest == 0:
 		p.known = h.Known
--- a/membership/compact_test.go
+++ b/membership/compact_test.go
@@ -128,7 +128,7 @@
 			if r >= warm {
 				s := proto.Size(h) + proto.Size(g)
 				now += s
-				before += 2 * (proto.Size(h.From) + extra + hashes + demands + 60)
+				before += 2 * (proto.Size(all.From) + extra + hashes + demands + 60)
 			}
 		}
 		c.Advance(interval)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -173,8 +173,8 @@
 		if o := m.peers[v.Name]; o != nil && o.member.Incarnation == v.Incarnation {
 			*p = *o
 		}
-		p.member, p.heard, p.beat = v, m.Clock.Now(), h
 		p.expand(h)
+		p.member, p.heard, p.beat = fromHost(h.From), m.Clock.Now(), h
 		m.peers[v.Name] = p
 	}
 	m.mu.Unlock()
@@ -189,6 +189,10 @@
 	if p != nil && p.member.Incarnation == v.Incarnation {
 		return h.Sequence > p.beat.GetSequence()
 	}
+	if v.PeerAddress == "" {
+		// A short heartbeat of a process whose full one has not come yet.
+		return false
+	}
 	if m.replaced[v.Incarnation] {
 		return false
 	}
