--- a/host/requests.go
+++ b/host/requests.go
@@ -43,7 +43,8 @@
 	hedgeLeast   = 20 * time.Millisecond
 	hedgeMost    = time.Second
 
-	heldBytes = 64 << 10
+	heldBytes    = 64 << 10
+	readPatience = 10 * time.Second
 	// leaveNotice is how long a leaving host still takes requests, in
 	// heartbeats: by then every peer that it can reach has heard of it.
 	leaveNotice = 3
@@ -76,7 +77,7 @@
 		Timeout: func() time.Duration { return x.follower.Snapshot().Preset.MaxWait },
 		Budget:  &budget.Budget{Ratio: func() float64 { return x.follower.Snapshot().Preset.RetryBudget }},
 		Hedge:   &hedge.Hedge{Initial: hedgeInitial, Least: hedgeLeast, Most: hedgeMost},
-		Whole:   &whole.Whole{Clock: h.Clock, Limit: heldBytes},
+		Whole:   &whole.Whole{Clock: h.Clock, Limit: heldBytes, Patience: readPatience},
 	}
 }
 
--- a/whole/whole.go
+++ b/whole/whole.go
@@ -14,13 +14,8 @@
 	"celeryreach.example/celeryreach/hop"
 )
 
-const (
-	// pieceBytes is the memory that a long answer needs on its way through.
-	pieceBytes = 32 << 10
-	// writeTimeout is how long a caller may take for one piece: a reader
-	// that has stopped must not hold a slot.
-	writeTimeout = 10 * time.Second
-)
+// pieceBytes is the memory that a long answer needs on its way through.
+const pieceBytes = 32 << 10
 
 // NotRunHeader is set by a backend server, with status 503, when it did not
 // run the request. Callers never see it: what they are told comes from the
@@ -43,6 +38,9 @@
 	Clock clockwork.Clock
 	// Limit is how much of an answer is held back until it is complete.
 	Limit int
+	// Patience is how long a caller may take for one piece: a reader that has
+	// stopped must not hold a slot.
+	Patience time.Duration
 }
 
 // Copy writes the answer p to w. It calls free, once, when the backend server
@@ -89,7 +87,7 @@
 	r := make([]byte, pieceBytes)
 	for {
 		// Not every writer has deadlines; frames between hosts have none.
-		_ = c.SetWriteDeadline(o.Clock.Now().Add(writeTimeout))
+		_ = c.SetWriteDeadline(o.Clock.Now().Add(o.Patience))
 		if _, err := w.Write(b); err != nil {
 			return errors.Wrap(ErrCaller, err.Error())
 		}
