--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,30 @@
+package budget_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/budget"
+)
+
+// A backend server is overloaded and every answer is late. The second tries that
+// follow stay a fraction of the first ones, whatever their order, so that they
+// do not keep the overload going.
+func TestSecondTriesStayInBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		b := &budget.Budget{Ratio: func() float64 { return q }}
+		f, s := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				b.First()
+				f++
+			} else if b.Second() {
+				s++
+			}
+			must.LessEq(t, 5+q*float64(f)+1e-6, float64(s))
+		}
+	})
+}
--- /dev/null
+++ b/group/group_test.go
@@ -0,0 +1,50 @@
+package group_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/commit"
+	"celeryreach.example/celeryreach/group"
+	"celeryreach.example/celeryreach/row"
+)
+
+// Enrolment opens and a hundred directors send at once. The first request
+// leaves with a commit of its own; the others wait for the gap and share two,
+// since one is full, so that the platform is not asked a hundred times.
+func TestWritesShareCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := make(chan int, 100)
+		g := &group.Group{
+			Clock: clockwork.NewRealClock(), Gap: time.Second, Limit: 100, Timeout: time.Hour,
+			Commit: func(_ context.Context, k commit.Commit) (bool, error) {
+				s <- len(k.Put)
+				return true, nil
+			},
+		}
+		ok, err := g.Write(t.Context(), row.Row{Key: "first"})
+		must.NoError(t, err)
+		must.True(t, ok)
+		d := make(chan bool, 99)
+		for range 99 {
+			go func() {
+				ok, err := g.Write(t.Context(), row.Row{Key: "next"}, row.Row{Key: "index"})
+				d <- ok && err == nil
+			}()
+		}
+		for range 99 {
+			must.True(t, <-d)
+		}
+		close(s)
+		var n []int
+		for v := range s {
+			n = append(n, v)
+		}
+		must.Eq(t, []int{1, 100, 98}, n)
+	})
+}
