--- a/host/plans.go
+++ b/host/plans.go
@@ -166,12 +166,14 @@
 		}
 		o := x.steering.gauge.Observe(v, r)
 		x.steering.observed.Store(&o)
+		l := make(map[string]bool, len(r))
 		for _, n := range r {
-			l := x.lost(n)
+			l[n] = x.silent(n)
 			for _, m := range v {
-				x.steering.failover.Tick(m, n, !l)
+				x.steering.failover.Tick(m, n, !l[n])
 			}
 		}
+		x.steering.lost.Store(&l)
 	}
 }
 
@@ -246,8 +248,15 @@
 	return f / max(d, 1)
 }
 
-// lost reports whether no host of a region was heard for long.
+// lost reports whether no host of a region was heard for long, as of the last
+// look: look-ups ask this and must not go through all hosts.
 func (x *parts) lost(region string) bool {
+	l := x.steering.lost.Load()
+	return l != nil && (*l)[region]
+}
+
+// silent reports whether no host of a region was heard for long.
+func (x *parts) silent(region string) bool {
 	if region == x.host.Settings.Region {
 		return false
 	}
@@ -276,12 +285,21 @@
 	return r
 }
 
+// block finds a client block in the table of its own and among those that the
+// configuration lists; the longer prefix decides.
 func (x *parts) block(a netip.Addr) (netip.Prefix, string, bool) {
+	p, r, ok := x.steering.blocks.Find(a)
 	s := x.follower.Snapshot()
 	if s == nil {
-		return netip.Prefix{}, "", false
+		return p, r, ok
+	}
+	if !s.HasRegion(r) {
+		ok = false // the region was removed; the block waits for its change
+	}
+	if q, n, k := s.Block(a); k && (!ok || q.Bits() > p.Bits()) {
+		return q, n, k
 	}
-	return s.Block(a)
+	return p, r, ok
 }
 
 // roster returns the hosts that look-ups choose from. It is compared once a
