--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,13 +132,13 @@
 	}
 	sent()
 	t := d.Clock.Now()
-	p, ran, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // finish or end closes it
+	p, n, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // finish or end closes it
 	if err == nil {
 		d.Hedge.Observe(r.Service.Name, d.Clock.Since(t))
 		s.Answered(p.StatusCode, p.Header)
 		return try{answer: p, slot: s}
 	}
-	o := d.failed(ctx, r, s, ran, err)
+	o := d.failed(ctx, r, s, n, err)
 	if o.Ran == outcome.RanNo && !r.Gate.Return() {
 		o = refuse(outcome.Left, "the caller left")
 	}
@@ -178,9 +178,9 @@
 
 // again reports whether a try with this outcome may be followed by another.
 func (d *Dispatch) again(o outcome.Outcome, r *request.Request) bool {
-	shed := o.Outcome == outcome.NoCapacity && (o.Message == noRoom || o.Message == noConnection)
-	broke := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
-	if !shed && !broke || !rewind(r) {
+	s := o.Outcome == outcome.NoCapacity && (o.Message == noRoom || o.Message == noConnection)
+	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
+	if !s && !b || !rewind(r) {
 		return false
 	}
 	return d.Budget.Second()
--- a/host/requests.go
+++ b/host/requests.go
@@ -37,7 +37,7 @@
 
 	ticketLifetime = 10 * time.Minute
 	ticketBytes    = 32 << 20
-	ticketLimit    = 100_000
+	ticketLimit    = 50_000
 
 	hedgeInitial = 250 * time.Millisecond
 	hedgeLeast   = 20 * time.Millisecond
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -80,8 +80,8 @@
 	}
 	k := Key(account, id)
 	for {
-		a, own := i.enter(k, r)
-		if own {
+		a, n := i.enter(k, r)
+		if n {
 			return i.insert(ctx, a)
 		}
 		if a.digest != digest {
@@ -158,11 +158,11 @@
 		if e != nil || x.Err() != nil {
 			return i.giveUp(ctx, a)
 		}
-		c, owner := i.owner(o, a)
-		if owner == theirs {
+		c, w := i.owner(o, a)
+		if w == theirs {
 			return i.settle(a, c)
 		}
-		if owner == ours {
+		if w == ours {
 			return i.grant(a, o.Version)
 		}
 		v = o.Version
--- a/idempotency/run.go
+++ b/idempotency/run.go
@@ -170,17 +170,17 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.pending = i.pending[len(p):]
-	all := true
+	k := true
 	for j, a := range p {
 		if !s[j] {
 			i.pending = append(i.pending, a)
-			all = false
+			k = false
 			continue
 		}
 		i.forget(a)
 		delete(i.given, a.record.Attempt)
 	}
-	return all
+	return k
 }
 
 func marshal(r record.Record) []byte {
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -25,6 +25,8 @@
 	prefix   = "ticket:"
 	parts    = 5
 	macBytes = 8
+	// fieldBytes is about what a header field takes besides its text.
+	fieldBytes = 64
 )
 
 // Ticket is the memory of one process. An id names host, incarnation and
@@ -94,8 +96,8 @@
 func (t *Ticket) Begin(ctx context.Context, account, id, attempt, digest string) (record.Record, outcome.Outcome) {
 	r := record.Record{Attempt: attempt, Host: t.Host, Incarnation: t.Incarnation, Digest: digest, State: record.Running}
 	for {
-		u, own, o := t.enter(account, id, r)
-		if u == nil || own {
+		u, k, o := t.enter(account, id, r)
+		if u == nil || k {
 			return r, o
 		}
 		if u.digest != digest {
@@ -127,12 +129,12 @@
 		close(u.done)
 		return
 	}
-	if t.kept+len(r.Body) > t.Bytes {
+	if t.kept+size(r) > t.Bytes {
 		r.State = record.Large
 		r.Body = nil
 		r.Header = nil
 	}
-	t.kept += len(r.Body)
+	t.kept += size(r)
 	u.record = r
 	close(u.done)
 }
@@ -218,7 +220,7 @@
 		}
 		select {
 		case <-u.done:
-			t.kept -= len(u.record.Body)
+			t.kept -= size(u.record)
 			delete(t.used, t.low)
 		default: // it runs; End needs it, and its number is below low anyway
 		}
@@ -237,6 +239,18 @@
 		strconv.FormatUint(n, 36), hex.EncodeToString(m.Sum(nil)[:macBytes]))
 }
 
+// size is about what the answer of a record takes in memory.
+func size(r record.Record) int {
+	n := len(r.Body)
+	for k, v := range r.Header {
+		n += len(k) + fieldBytes
+		for _, w := range v {
+			n += len(w)
+		}
+	}
+	return n
+}
+
 func sequence(id string) (uint64, bool) {
 	p := strings.Split(id, ":")
 	if len(p) != parts {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -76,11 +76,11 @@
 // was written and none can be any more, or b itself says so.
 func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend, fresh bool) (p *http.Response, ran bool, err error) {
 	var n *sealconn.Sealconn
-	wrote := false
+	o := false
 	x := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		// net/http comes here again when it repeats an idempotent request by
 		// itself; what was written on the connection before counts too.
-		wrote = wrote || n != nil && !n.Seal()
+		o = o || n != nil && !n.Seal()
 		n = i.Conn.(*sealconn.Sealconn)
 		n.Mark()
 	}})
@@ -96,7 +96,7 @@
 	p, err = t.RoundTrip(q)
 	if err != nil {
 		y.seal()
-		return nil, wrote || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
+		return nil, o || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.check(p, r, b)
 	if err != nil {
