--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -149,3 +149,30 @@
 		})
 	}
 }
+
+// BenchmarkThroughput compares listings through the entry host with direct ones,
+// with as many callers as there are cores. The callers and the backend server
+// share the cores with the host.
+func BenchmarkThroughput(b *testing.B) {
+	s := newSite(b, 1)
+	for _, v := range []struct{ name, address string }{{"direct", s.servers[0].Address}, {"through", s.address}} {
+		b.Run(v.name, func(b *testing.B) {
+			c := s.clock.Now()
+			b.RunParallel(func(p *testing.PB) {
+				t := new(http.Transport)
+				defer t.CloseIdleConnections()
+				for p.Next() {
+					q, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "http://"+v.address+"/listings/1", nil)
+					must.NoError(b, err)
+					q.Header.Set("X-Api-Key", "camp-key-1")
+					a, err := t.RoundTrip(q)
+					must.NoError(b, err)
+					_, err = io.Copy(io.Discard, a.Body)
+					must.NoError(b, err)
+					a.Body.Close()
+				}
+			})
+			b.ReportMetric(float64(b.N)/s.clock.Since(c).Seconds()/float64(runtime.GOMAXPROCS(0)), "requests/s/core")
+		})
+	}
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -83,7 +83,7 @@
 	c := &config.Config{
 		Preset: "Ordinary", Presets: []preset.Preset{{Name: "Ordinary", MaxWait: s.patience, RetryBudget: 0.1}},
 		Services: []service.Service{{Name: "All", Prefix: "/", Timeout: 10 * s.patience}},
-		Accounts: []account.Account{{Name: "camp", Rate: 5000, Burst: 5000}, {Name: "studio", Rate: 1000, Burst: 1000}},
+		Accounts: []account.Account{{Name: "camp", Rate: 100_000, Burst: 100_000}, {Name: "studio", Rate: 1000, Burst: 1000}},
 		Keys: []credential.Credential{
 			{ID: "1", Account: "camp", Hash: credential.Hash("camp-key-1")},
 			{ID: "2", Account: "studio", Hash: credential.Hash("studio-key-2")},
