Starting hosts refuse as such until they have a part of the limits

Cause: a host that had just started refused callers inside their rate as over it (fleetscript burn.txtar: 8 of 70 requests of the small account). Change: callers are let in once the host holds a part of the limits, or is cut off, or 3 Hold have passed; look-ups once the versions are there; the refusal names other hosts. Conclusion: a refusal for the rate says what is true.

--- a/host/steering.go
+++ b/host/steering.go
@@ -39,6 +39,11 @@
 	rememberFor  = 10 * time.Minute
 	readyPoll    = 50 * time.Millisecond
 	readyHolds   = 3
+	lookupPath   = "/lookup"
+	// aloneAfter is the silence from outside after which a starting host no
+	// longer waits for its part of the limits. While it is cut off it gets
+	// none, and it serves what needs none.
+	aloneAfter = 800 * time.Millisecond
 	// chunksTimeout bounds the fetching of all chunks by a host that starts.
 	chunksTimeout = time.Minute
 )
@@ -47,7 +52,8 @@
 type steering struct {
 	relay     *relay.Relay
 	freshness *freshness.Freshness
-	ready     atomic.Bool
+	current   atomic.Bool // has the newest versions: look-ups may be answered
+	ready     atomic.Bool // has its part of the limits as well
 
 	mu     sync.Mutex
 	known  map[string]knownHost
@@ -240,7 +246,11 @@
 func (x *parts) becomeReady(ctx context.Context) error {
 	t := x.host.Clock.Now()
 	for !x.steering.ready.Load() {
-		if x.isReady(x.host.Clock.Since(t)) {
+		w := x.host.Clock.Since(t)
+		if x.isCurrent(w) {
+			x.steering.current.Store(true)
+		}
+		if x.steering.current.Load() && (x.granted() || x.cutOff() || w >= readyHolds*x.host.Settings.Hold) {
 			x.steering.ready.Store(true)
 			x.host.Log.Info("host is ready", "Version", x.follower.Snapshot().Config.Version)
 			return nil
@@ -254,7 +264,7 @@
 	return nil
 }
 
-func (x *parts) isReady(waited time.Duration) bool {
+func (x *parts) isCurrent(waited time.Duration) bool {
 	if x.follower.Snapshot() == nil {
 		return false
 	}
@@ -272,13 +282,29 @@
 	return p || waited >= x.host.Settings.Hold
 }
 
-// gate refuses callers until the host is ready.
+// granted reports whether this host has a part of the accounts' rates. Before
+// that it would refuse callers as over their rate who are not.
+func (x *parts) granted() bool {
+	s := x.follower.Snapshot()
+	if s == nil || len(s.Config.Accounts) == 0 {
+		return s != nil
+	}
+	return x.grant(s.Config.Accounts[0].Name).Part(x.host.Clock.Now()) > 0
+}
+
+// cutOff reports whether nothing from outside the failure domain was heard for
+// a moment.
+func (x *parts) cutOff() bool {
+	return time.Duration(x.steering.freshness.Age()) > aloneAfter
+}
+
+// gate refuses callers until the host is ready, and names hosts that may be.
 func (x *parts) gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !x.steering.ready.Load() {
+		if !x.steering.ready.Load() && (r.URL.Path != lookupPath || !x.steering.current.Load()) {
 			refusal.Write(w, outcome.Outcome{
-				Outcome: outcome.NoCapacity, Ran: outcome.RanNo, RetryAfter: time.Second,
-				Message: "this host has not got the configuration yet",
+				Outcome: outcome.NoCapacity, Ran: outcome.RanNo, RetryAfter: time.Second, EntryHosts: x.entryHosts("", ""),
+				Message: "this host has just started and has not got what it needs yet",
 			})
 			return
 		}
