--- a/fleetscript/call.go
+++ b/fleetscript/call.go
@@ -12,11 +12,12 @@
 	"celeryreach.example/celeryreach/cmd"
 )
 
+var fileName = regexp.MustCompile(`^[a-z]+\.(html|hujson|json)$`)
+
 var issuedKey = regexp.MustCompile(`key: ([A-Z2-7]{26})\n`)
 
-// celeryreach runs a command in this process. Arguments that name a file of
-// the script, with a dot, are made absolute: a process has one working
-// directory for all scripts.
+// celeryreach runs a command in this process. Arguments that look like a file
+// are made absolute: a process has one working directory for all scripts.
 func celeryreach(ts *testscript.TestScript, neg bool, args []string) {
 	s := of(ts)
 	o, e, c := s.command(ts, args)
@@ -33,8 +34,8 @@
 	m := &cmd.Cmd{Out: &o, Err: &e, Getenv: ts.Getenv, Clock: s.clock}
 	a := []string{"celeryreach"}
 	for _, v := range args {
-		if f := ts.MkAbs(v); strings.Contains(v, ".") && isFile(f) {
-			v = f
+		if fileName.MatchString(v) {
+			v = ts.MkAbs(v)
 		}
 		a = append(a, v)
 	}
@@ -47,11 +48,6 @@
 	return strings.ReplaceAll(o.String(), d, ""), strings.ReplaceAll(e.String(), d, ""), code
 }
 
-func isFile(path string) bool {
-	i, err := os.Stat(path)
-	return err == nil && i.Mode().IsRegular()
-}
-
 func request(ts *testscript.TestScript, neg bool, args []string) {
 	s := of(ts)
 	t, err := s.request(ts, args)
--- a/holding/holding.go
+++ b/holding/holding.go
@@ -38,6 +38,13 @@
 	StoreHold time.Duration
 	// Every is the time between two ticks; well under a third of Hold.
 	Every time.Duration
+	// Busy reports whether requests still run on slots that this host no
+	// longer has; nil means never. While they do, for Hold at most, the host
+	// doesn't report the epoch that took the slots.
+	Busy func() bool
+	// Owed is how long what this host gave away for a time, such as loans, may
+	// be used after it stopped giving. It reports no epoch sooner.
+	Owed time.Duration
 	// Changing is called before what this host may use changes, while Grant
 	// still returns the old grants. It must not block.
 	Changing func()
@@ -53,13 +60,15 @@
 	// floorSettled is the same for floors in the own failure domain, zero
 	// before the first.
 	floorSettled uint64
-	own          history
-	known        history
-	peers        map[string]*peer
-	read         time.Time // start of the newest reading of the current epoch
-	store        time.Time // start of the newest reading
-	tick         time.Time
-	steady       time.Time // since when the process runs without a gap
+	// told is since when this host reports an epoch; others rely on no more.
+	told    history
+	known   history
+	peers   map[string]*peer
+	read    time.Time // start of the newest reading of the current epoch
+	store   time.Time // start of the newest reading
+	learned time.Time // when the current epoch was learned
+	tick    time.Time
+	steady  time.Time // since when the process runs without a gap
 }
 
 // Run keeps the process's signs of life and lets waits end, until ctx ends.
@@ -138,6 +147,21 @@
 	return h.epoch()
 }
 
+// Report returns the epoch to tell in a heartbeat. Telling it promises others
+// that this host uses nothing more that the epoch took from it, and that it
+// vouches for no earlier one from now on.
+func (h *Holding) Report() uint64 {
+	b := h.Busy != nil && h.Busy()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n, e := h.Clock.Now(), h.epoch()
+	if d := n.Sub(h.learned); b && d < h.Hold || e > 1 && d < h.Owed {
+		return h.told.last()
+	}
+	h.told.note(e, n)
+	return e
+}
+
 // Wanted returns the highest epoch that any peer reported.
 func (h *Holding) Wanted() uint64 {
 	h.mu.Lock()
@@ -169,7 +193,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := h.Clock.Now()
-	if of(h.Self.Name) && h.own.span(epoch, n) >= h.after(h.Hold) && h.steadyFor(n) {
+	if of(h.Self.Name) && h.told.span(epoch, n) >= h.after(h.Hold) && h.steadyFor(n) {
 		return true
 	}
 	for k, p := range h.peers {
@@ -188,11 +212,24 @@
 	return h.steadyFor(h.Clock.Now())
 }
 
+// NeedsTable reports whether this host should read the table soon: it has no
+// division or an old one, was paused, or too few others vouch for what it has.
+func (h *Holding) NeedsTable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := h.Clock.Now()
+	if len(h.chain) == 0 || h.known.last() > h.epoch() || !h.steadyFor(n) {
+		return true
+	}
+	d := h.chain[len(h.chain)-1]
+	return d.Leases(h.Self) && n.Sub(h.vouched(d, n)) > h.Hold/2
+}
+
 // Grant returns this host's use of a limit.
 func (h *Holding) Grant(limit string) grant.Grant {
 	v := h.view.Load()
 	if v == nil {
-		return grant.Grant{}
+		return grant.Grant{Unknown: true}
 	}
 	return v.grant(v.uses.limit(limit))
 }
@@ -201,7 +238,7 @@
 func (h *Holding) Rate(account string) grant.Grant {
 	v := h.view.Load()
 	if v == nil {
-		return grant.Grant{}
+		return grant.Grant{Unknown: true}
 	}
 	return v.grant(v.uses.rate(account))
 }
--- a/host/steering.go
+++ b/host/steering.go
@@ -252,6 +252,8 @@
 		}
 		if x.steering.current.Load() && (x.granted() || x.cutOff() || w >= readyHolds*x.host.Settings.Hold) {
 			x.steering.ready.Store(true)
+			// Look-ups name this host from now on, not from the next look.
+			x.steering.roster.Store(x.newRoster())
 			x.host.Log.Info("host is ready", "Version", x.follower.Snapshot().Config.Version)
 			return nil
 		}
@@ -279,6 +281,10 @@
 		}
 		p = p && r.Read()
 	}
+	if !x.limits.holding.Valid() && waited < readyHolds*x.host.Settings.Hold {
+		// It would refuse callers who are inside their rate.
+		return false
+	}
 	return p || waited >= x.host.Settings.Hold
 }
 
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -30,6 +30,7 @@
 	clock      *clock
 	dead       bool
 	died       time.Time
+	leaving    bool
 	paused     bool
 	late       []func()
 	holding    *holding.Holding
@@ -48,12 +49,14 @@
 	number int
 	at     time.Time
 	known  []holder.Holder
+	leaves bool
 }
 
 // message is a heartbeat or its answer.
 type message struct {
 	from   *node
 	epoch  uint64
+	leaves bool
 	known  []holder.Holder
 	demand map[string]float64
 }
@@ -67,6 +70,7 @@
 	n.quota = &quota.Quota{Clock: c, Account: n.account, Grant: n.grant, Hold: f.Hold, Borrow: n.borrow}
 	n.holding = &holding.Holding{
 		Clock: c, Self: n.self, Hold: f.Hold, StoreHold: f.StoreHold, Every: f.Heartbeat, Changing: n.quota.Sync,
+		Owed: loanFor + loanFor/10,
 	}
 	n.demand = &demand.Demand{Clock: c, Hold: f.Hold, Account: n.account}
 	n.author = &author.Author{
@@ -164,12 +168,12 @@
 
 func (n *node) message() message {
 	return message{
-		from: n, epoch: n.holding.Epoch(), known: n.known, demand: n.demand.Of(n.self.Name),
+		from: n, epoch: n.holding.Report(), leaves: n.leaving, known: n.known, demand: n.demand.Of(n.self.Name),
 	}
 }
 
 func (n *node) note(m message, sent time.Time) {
-	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known}
+	n.heard[m.from.self.Name] = contact{holder: m.from.self, number: m.from.number, at: n.clock.Now(), known: m.known, leaves: m.leaves}
 	n.demand.Note(m.from.self.Name, m.demand)
 	e := m.epoch
 	if n.simulation.Report != nil {
@@ -203,7 +207,7 @@
 	n.do(func() {
 		f := n.simulation
 		t := n.clock.Now()
-		if d, ok := f.read(n.number); ok {
+		if d, ok := f.late(n.number); ok {
 			if e, ok := f.Delay(n.number, n.number); ok {
 				f.at(e, func() { n.do(func() { n.holding.Learn(d, t) }) })
 			}
@@ -213,11 +217,15 @@
 	})
 }
 
-// near returns the processes that this one heard itself within Hold.
+// near returns the processes that this one heard itself within Hold, and that
+// do not leave.
 func (n *node) near() []holder.Holder {
-	r := []holder.Holder{n.self}
+	var r []holder.Holder
+	if !n.leaving {
+		r = append(r, n.self)
+	}
 	for _, c := range n.heard {
-		if n.clock.Since(c.at) <= n.simulation.Hold {
+		if !c.leaves && n.clock.Since(c.at) <= n.simulation.Hold {
 			r = append(r, c.holder)
 		}
 	}
@@ -233,6 +241,9 @@
 			continue
 		}
 		for _, h := range c.known {
+			if c := n.heard[h.Name]; c.leaves && c.holder == h {
+				continue
+			}
 			if h.Incarnation > m[h.Name].Incarnation {
 				m[h.Name] = h
 			}
@@ -267,7 +278,7 @@
 	f.Messages++
 	// Without an answer the next one is asked when the loan would have ended.
 	answered := false
-	end := func(u uint64) {
+	end := func(u uint64, d time.Duration) {
 		if answered {
 			return
 		}
@@ -276,21 +287,21 @@
 			n.ask(name, units, l[1:])
 			return
 		}
-		n.quota.Receive(name, units, u, t.Add(loanFor-loanFor/50))
+		n.quota.Receive(name, units, u, t.Add(d-d/50))
 	}
-	f.at(loanFor, func() { n.do(func() { end(0) }) })
+	f.at(loanFor, func() { n.do(func() { end(0, 0) }) })
 	d, ok := f.Delay(n.number, p.number)
 	if !ok {
 		return
 	}
 	f.at(d, func() {
 		p.do(func() {
-			u := p.quota.Lend(name, units, loanFor)
+			u, x := p.quota.Lend(name, units, loanFor)
 			if f.Lent != nil {
 				f.Lent(p.quota, name, u)
 			}
 			if e, ok := f.Delay(p.number, n.number); ok {
-				f.at(e, func() { n.do(func() { end(u) }) })
+				f.at(e, func() { n.do(func() { end(u, x) }) })
 			}
 		})
 	})
