Golden sessions: one player in the place of three

Cause: three packages played their testdata with the same lines. Change: package golden; the sessions and what they must give are unchanged. Measured: go test -race ./validate ./planner ./lookup: passes without UPDATE.

--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -5,16 +5,14 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/golden"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/plan"
@@ -67,31 +65,19 @@
 
 // Each file holds what a host knows, look-ups, and their answers.
 func TestSessions(t *testing.T) {
-	f, err := filepath.Glob("testdata/*.txtar")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, f)
-	for _, n := range f {
-		t.Run(filepath.Base(n), func(t *testing.T) {
-			a, err := txtar.ParseFile(n)
-			must.NoError(t, err)
-			var w world
-			must.NoError(t, codec.Unmarshal(a.Files[0].Data, &w))
-			l := w.lookup()
-			var b strings.Builder
-			for q := range strings.Lines(string(a.Files[1].Data)) {
-				q = strings.TrimSpace(q)
-				r := httptest.NewRecorder()
-				l.ServeHTTP(r, httptest.NewRequest("GET", "/lookup?"+q, nil))
-				fmt.Fprintf(&b, "%s\n  %d %s\n", q, r.Code, r.Body)
-			}
-			if os.Getenv("UPDATE") != "" {
-				a.Files[2].Data = []byte(b.String())
-				must.NoError(t, os.WriteFile(n, txtar.Format(a), 0o600))
-				return
-			}
-			must.EqOp(t, string(a.Files[2].Data), b.String())
-		})
-	}
+	golden.Play(t, func(t *testing.T, p [][]byte) string {
+		var w world
+		must.NoError(t, codec.Unmarshal(p[0], &w))
+		l := w.lookup()
+		var b strings.Builder
+		for q := range strings.Lines(string(p[1])) {
+			q = strings.TrimSpace(q)
+			r := httptest.NewRecorder()
+			l.ServeHTTP(r, httptest.NewRequest("GET", "/lookup?"+q, nil))
+			fmt.Fprintf(&b, "%s\n  %d %s\n", q, r.Code, r.Body)
+		}
+		return b.String()
+	})
 }
 
 // A shift of 5% moves 5% of the client blocks of the region, and none of the
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -6,20 +6,18 @@
 	"fmt"
 	"io"
 	"math"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
-	"github.com/rogpeppe/go-internal/txtar"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/failover"
+	"celeryreach.example/celeryreach/golden"
 	"celeryreach.example/celeryreach/observation"
 	"celeryreach.example/celeryreach/plan"
 	"celeryreach.example/celeryreach/planner"
@@ -183,24 +181,11 @@
 // Each file holds a simulation and its trace: which steps the planner took and
 // how the regions were loaded.
 func TestTraces(t *testing.T) {
-	f, err := filepath.Glob("testdata/*.txtar")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, f)
-	for _, n := range f {
-		t.Run(filepath.Base(n), func(t *testing.T) {
-			a, err := txtar.ParseFile(n)
-			must.NoError(t, err)
-			var s simulation
-			must.NoError(t, codec.Unmarshal(a.Files[0].Data, &s))
-			r := s.run(t)
-			if os.Getenv("UPDATE") != "" {
-				a.Files[1].Data = []byte(r)
-				must.NoError(t, os.WriteFile(n, txtar.Format(a), 0o600))
-				return
-			}
-			must.EqOp(t, string(a.Files[1].Data), r)
-		})
-	}
+	golden.Play(t, func(t *testing.T, p [][]byte) string {
+		var s simulation
+		must.NoError(t, codec.Unmarshal(p[0], &s))
+		return s.run(t)
+	})
 }
 
 // What callers see if this fails: more of them than the cap meet cold caches
