Relay: contents are fetched side by side

Cause: fetching thousands of chunks of client blocks, up to a minute, held up the configuration in the same loop. Change: a loop for each content and one for telling. Measured: go test -race ./separation ./fleet ./fleetscript ./demo: pass. Conclusion: a large content delays nothing else.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,11 +49,10 @@
 	// Retry is how long a peer is left alone after a failed fetch.
 	Retry time.Duration
 
-	mu        sync.Mutex
-	seen      map[string]map[string]*wire.Version // by peer and kind
-	until     map[string]time.Time
-	wakeFetch chan struct{}
-	wakeTell  chan struct{}
+	mu    sync.Mutex
+	seen  map[string]map[string]*wire.Version // by peer and kind
+	until map[string]time.Time
+	wake  []chan struct{}
 }
 
 // Heard notes the versions that a peer tells of.
@@ -118,8 +117,7 @@
 
 // Wake makes Run look for work at once.
 func (r *Relay) Wake() {
-	f, t := r.signals()
-	for _, c := range []chan struct{}{f, t} {
+	for _, c := range r.signals() {
 		select {
 		case c <- struct{}{}:
 		default:
@@ -127,27 +125,32 @@
 	}
 }
 
-// Run relays until ctx ends. Fetching and telling go on side by side, so that
-// a peer that has fallen silent while it is told holds up no fetch.
+// Run relays until ctx ends. Each content is fetched, and peers are told, side
+// by side: neither a peer that has fallen silent while it is told nor the many
+// chunks of a large content hold up the configuration.
 func (r *Relay) Run(ctx context.Context) error {
-	f, t := r.signals()
-	d := make(chan struct{})
-	go func() {
-		defer close(d)
-		r.loop(ctx, t, r.tell)
-	}()
-	r.loop(ctx, f, r.fetchAll)
-	<-d
+	s := r.signals()
+	d := make(chan struct{}, len(s))
+	go r.loop(ctx, s[0], d, r.tell)
+	for i, p := range r.Replicas {
+		go r.loop(ctx, s[i+1], d, func(ctx context.Context) { r.fetch(ctx, p) })
+	}
+	for range s {
+		<-d
+	}
 	return nil
 }
 
 // Pass fetches what is newer and then tells the peers that are behind.
 func (r *Relay) Pass(ctx context.Context) {
-	r.fetchAll(ctx)
+	for _, p := range r.Replicas {
+		r.fetch(ctx, p)
+	}
 	r.tell(ctx)
 }
 
-func (r *Relay) loop(ctx context.Context, wake <-chan struct{}, work func(ctx context.Context)) {
+func (r *Relay) loop(ctx context.Context, wake <-chan struct{}, done chan<- struct{}, work func(ctx context.Context)) {
+	defer func() { done <- struct{}{} }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -159,12 +162,6 @@
 	}
 }
 
-func (r *Relay) fetchAll(ctx context.Context) {
-	for _, p := range r.Replicas {
-		r.fetch(ctx, p)
-	}
-}
-
 // fetch asks the peers that have a higher version, one after another, until
 // one has given it. A peer that failed is left alone for Retry: it may be cut
 // off in one direction only and go on telling of versions that nobody can
@@ -310,15 +307,14 @@
 	return v
 }
 
-// signals returns the channels that wake fetching and telling.
-func (r *Relay) signals() (fetch, tell chan struct{}) {
+// signals returns the channels that wake the telling and each fetching.
+func (r *Relay) signals() []chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.wakeFetch == nil {
-		r.wakeFetch = make(chan struct{}, 1)
-		r.wakeTell = make(chan struct{}, 1)
+	for len(r.wake) < len(r.Replicas)+1 {
+		r.wake = append(r.wake, make(chan struct{}, 1))
 	}
-	return r.wakeFetch, r.wakeTell
+	return r.wake
 }
 
 // distance is 0 within a failure domain, 1 within a region, else 2.
