--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,10 +187,15 @@
 	}
 	x, f := deadline.With(ctx, e.Clock, r.Deadline.Sub(e.Clock.Now()))
 	defer f()
+	l := o.RetryAfter
 	o = e.Forward(x, r, w)
 	if o.Ran == outcome.RanNo {
 		r.Gate.Return()
 	}
+	if o.Outcome == outcome.NoCapacity && l > 0 && (l < o.RetryAfter || o.RetryAfter == 0) {
+		// The own domain will have room before the others do.
+		o.RetryAfter = l
+	}
 	return o
 }
 
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -122,11 +122,6 @@
 	l.lane(service).queue.Kick()
 }
 
-// Committed returns how many slots of a backend server are busy or lent.
-func (l *Lanes) Committed(b backend.Backend) int {
-	return l.lane(b.Service).balancer.Committed(b.Name)
-}
-
 // own returns the services that have backend servers of their own.
 func (l *Lanes) own() []service.Service {
 	s := l.Snapshot()
