Balancer: every host reports the end of a drain, also one without work

Cause: operators wait for a line on each host, but a host that had no request in flight logged none, and one removed from the configuration was not reported. Change: a drain without work ends at once; removal counts as a sign; what comes back after it is cold.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,7 +105,7 @@
 		s.signs = 0
 		return
 	}
-	s.drain("Answer", n)
+	b.drain(s, "Answer", n)
 	if !s.leaving.After(n) {
 		s.signs++
 	}
@@ -133,11 +133,12 @@
 	}
 	b.kept = append(b.kept, kept{server: s, until: n.Add(d), free: free})
 	b.mu.Unlock()
-	b.Clock.AfterFunc(d, b.expire)
+	b.Clock.AfterFunc(d, b.Tick)
 }
 
-// expire frees the slots whose time is over, and reports it.
-func (b *Balancer) expire() {
+// Tick frees the slots whose time is over and reports drains. It is called at
+// regular intervals, besides timers of its own.
+func (b *Balancer) Tick() {
 	b.mu.Lock()
 	b.refresh(b.Clock.Now())
 	f := b.ended
@@ -149,6 +150,19 @@
 	b.Released()
 }
 
+// drain notes the first sign of a drain. Operators wait for the report of its
+// end on every host, so one that has no work there reports as well.
+func (b *Balancer) drain(s *server, sign string, now time.Time) {
+	switch {
+	case s.sign != "":
+	case s.busy == 0:
+		b.ended = append(b.ended, drain{name: s.backend.Name, sign: sign})
+	default:
+		s.sign = sign
+		s.signed = now
+	}
+}
+
 // settle frees the slots whose time is over. It is done whenever slots are
 // counted, since a timer may be late.
 func (b *Balancer) settle(now time.Time) {
@@ -186,7 +200,7 @@
 		s.sheds++
 		s.away = now.Add(shedFor << min(s.sheds-1, maxShedDoublings))
 	case r == result.Refused:
-		s.drain("Refused", now)
+		b.drain(s, "Refused", now)
 		s.refusals++
 		s.away = now.Add(min(awayFor<<min(s.refusals-1, maxDoublings), maxAway))
 		s.warm.Began = s.away
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -127,6 +128,9 @@
 				b := backend.Backend{Name: a[0], Slots: check(s).Number(a[1]), WarmUp: check(s).Duration(a[2])}
 				r.list = append(append([]backend.Backend(nil), r.list...), b)
 			},
+			"remove": func(s *testscript.TestScript, _ bool, a []string) {
+				get(s).list = slices.DeleteFunc(slices.Clone(get(s).list), func(b backend.Backend) bool { return b.Name == a[0] })
+			},
 			"own": func(s *testscript.TestScript, _ bool, a []string) { get(s).own[a[0]] = check(s).Number(a[1]) },
 			"operator": func(s *testscript.TestScript, _ bool, a []string) {
 				get(s).edit(a[0], func(b *backend.Backend) { b.Draining = a[1] == "drains" })
@@ -149,6 +153,7 @@
 				must.EqOp(check(s), strings.Join(a, " "), get(s).free())
 			},
 			"drained": func(s *testscript.TestScript, _ bool, a []string) {
+				get(s).balancer.Tick()
 				must.EqOp(check(s), strings.Join(a, " "), get(s).drained)
 			},
 			"suspects": func(s *testscript.TestScript, _ bool, a []string) {
--- a/balancer/lend.go
+++ b/balancer/lend.go
@@ -38,7 +38,7 @@
 	best.lent++
 	end := sync.OnceFunc(func() { best.lent-- })
 	b.kept = append(b.kept, kept{server: best, until: n.Add(d), free: end})
-	b.Clock.AfterFunc(d, b.expire)
+	b.Clock.AfterFunc(d, b.Tick)
 	return best.backend.Name, func() {
 		b.mu.Lock()
 		end()
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -129,7 +129,7 @@
 		b.servers = append(b.servers, s)
 		b.names = append(b.names, v.Name)
 	}
-	b.forget()
+	b.forget(now)
 }
 
 // server returns the state of a backend server. Those that stand in the first
@@ -144,20 +144,29 @@
 			s.warm.Began = now
 		}
 	}
+	o := s.backend.Draining
+	s.backend.Name = v.Name
 	switch {
+	case v.Draining && !o:
+		b.drain(s, "Operator", now)
 	case v.Draining:
-		s.drain("Operator", now)
-	case s.backend.Draining || s.backend.Address != v.Address && s.backend.Address != "":
+	case o || s.removed || s.backend.Address != v.Address && s.backend.Address != "":
 		s.warm.Began = now
 		s.sign = ""
 	}
+	s.removed = false
 	s.backend = v
 	s.warm.For = v.WarmUp
 	return s
 }
 
-func (b *Balancer) forget() {
+// forget drops the backend servers that were removed when their work has ended.
+func (b *Balancer) forget(now time.Time) {
 	for k, s := range b.known {
+		if s.index < 0 && !s.removed {
+			s.removed = true
+			b.drain(s, "Removed", now)
+		}
 		if s.index < 0 && s.busy+s.lent == 0 {
 			delete(b.known, k)
 			b.outliers.Forget(k)
--- a/balancer/probed.go
+++ b/balancer/probed.go
@@ -45,7 +45,9 @@
 	s.report(h.Report, n)
 	switch {
 	case h.Report.Draining && b.mayLeave(s, n):
-		s.drain("Health", n)
+		if !s.leaving.After(n) {
+			b.drain(s, "Health", n)
+		}
 		s.leave(n.Add(signFor))
 	case h.Reached && !h.Report.Draining && s.leaving.After(n) && s.signs == 0:
 		s.leaving = n
--- a/balancer/server.go
+++ b/balancer/server.go
@@ -38,11 +38,12 @@
 type server struct {
 	backend backend.Backend
 	// index is its place in the configuration, -1 when it is not there.
-	index int
-	busy  int
-	lent  int
-	hold  float64
-	warm  warmup.Warmup
+	index   int
+	removed bool
+	busy    int
+	lent    int
+	hold    float64
+	warm    warmup.Warmup
 	// linger is how long a slot stays taken after a request was cut short.
 	linger   time.Duration
 	load     float64
@@ -77,14 +78,6 @@
 	return s.backend.Draining || s.leaving.After(now)
 }
 
-// drain notes the first sign of a drain.
-func (s *server) drain(sign string, now time.Time) {
-	if s.sign == "" && s.busy > 0 {
-		s.sign = sign
-		s.signed = now
-	}
-}
-
 // leave keeps new work away until t. Whoever comes back then is cold.
 func (s *server) leave(t time.Time) {
 	s.leaving = t
--- a/lanes/lanes.go
+++ b/lanes/lanes.go
@@ -64,6 +64,7 @@
 		d := l.Domains()
 		l.domains.Store(&d)
 		for _, n := range l.all() {
+			n.balancer.Tick()
 			n.queue.Sweep()
 		}
 		select {
