--- a/host/tree.go
+++ b/host/tree.go
@@ -43,6 +43,7 @@
 		),
 		h.branch("steering",
 			child.Child{Name: "plan", Run: x.steering.plans.Replica().Run},
+			child.Child{Name: "blocks", Run: x.steering.blocks.Replica().Run},
 			child.Child{Name: "lease", Run: x.campaign},
 			child.Child{Name: "planner", Run: x.steering.planner.Run},
 			child.Child{Name: "steering", Run: x.look},
--- a/separation/fleet_test.go
+++ b/separation/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,11 +16,15 @@
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/answer"
+	"celeryreach.example/celeryreach/block"
+	"celeryreach.example/celeryreach/blockpublish"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/fleet"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/region"
 	"celeryreach.example/celeryreach/service"
@@ -102,6 +107,63 @@
 	}))
 }
 
+// An operator switches the preset and lowers an account's rate to one request a
+// second in one change, while callers send. Every host names the new preset and
+// refuses the account's next requests as over its rate.
+func TestPresetAndRateChangeEverywhere(t *testing.T) {
+	ctx, f := deploy(t)
+	n := f.Config
+	p := n.Presets[0]
+	p.Name = "Peak"
+	n.Presets = append([]preset.Preset{p}, n.Presets...)
+	n.Preset = "Peak"
+	n.Accounts = []account.Account{{Name: "unity", Rate: 1, Burst: 1}}
+	apply(ctx, t, f, "lagos-2-a", 1, &n)
+	for _, h := range f.Hosts() {
+		must.NoError(t, f.Await(ctx, h, func() bool {
+			s, err := f.Status(ctx, h)
+			c, _, e := f.Send(ctx, h, "unity", http.MethodGet, "/pages/1", "")
+			return err == nil && e == nil && s.Preset == "Peak" && c == http.StatusTooManyRequests
+		}))
+	}
+}
+
+// Client blocks are put on the platform, and one is moved. Look-ups on every
+// host answer by them within seconds, though two hosts only read the list.
+func TestBlocksReachAllHosts(t *testing.T) {
+	ctx, f := deploy(t)
+	p := &platformclient.Platformclient{URL: f.PlatformURL, Timeout: time.Second}
+	defer p.Close()
+	u := &blockpublish.Blockpublish{Clock: clockwork.NewRealClock(), Platform: p.Platform()}
+	n := netip.MustParsePrefix("10.0.0.0/8")
+	for _, r := range []string{"abuja", "lagos"} {
+		_, err := u.Change(ctx, []block.Block{{Prefix: n, Region: r}}, nil)
+		must.NoError(t, err)
+		for _, h := range f.Hosts() {
+			must.NoError(t, f.Await(ctx, h, func() bool { return steered(ctx, f, h) == r }))
+		}
+	}
+}
+
+// steered returns the region that a host answers for a caller at 10.0.0.1.
+func steered(ctx context.Context, f *fleet.Fleet, host string) string {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.Settings(host).CallerAddress+"/lookup?address=10.0.0.1", nil)
+	if err != nil {
+		return ""
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	var a answer.Answer
+	if err != nil || codec.Unmarshal(b, &a) != nil {
+		return ""
+	}
+	return a.Region
+}
+
 // A failure domain is cut off from all others and from the platform. Its
 // caller's non-idempotent requests are refused first, then all, each as not
 // run and with the reason; after healing it is served again. The other domains
