--- a/host/requests.go
+++ b/host/requests.go
@@ -10,6 +10,7 @@
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/entry"
+	"celeryreach.example/celeryreach/expiry"
 	"celeryreach.example/celeryreach/group"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/idempotency"
@@ -27,9 +28,12 @@
 	// storeTimeout is how long a non-idempotent request waits for the store
 	// before it is refused; the store may be a region away.
 	storeTimeout = time.Second
-	// commitGap lets 11 hosts make at most 550 commits a second together.
-	commitGap   = 20 * time.Millisecond
+	// commitGap lets a host make at most 40 commits a second before requests
+	// leave, and 10 after they ended: 550 from 11 hosts at the very worst.
+	commitGap   = 25 * time.Millisecond
 	commitLimit = 64
+	// retention is how long callers may repeat a request under its id.
+	retention = 24 * time.Hour
 
 	ticketLifetime = 10 * time.Minute
 	ticketBytes    = 32 << 20
@@ -48,6 +52,7 @@
 // requests are the parts on the path of a request.
 type requests struct {
 	idempotency *idempotency.Idempotency
+	expiry      *expiry.Expiry
 	tickets     *ticket.Ticket
 	inflight    inflight.Inflight
 	closed      atomic.Bool
@@ -59,8 +64,9 @@
 	q.idempotency = &idempotency.Idempotency{
 		Clock: h.Clock, Platform: h.Platform, Host: h.Settings.Name, Incarnation: h.Incarnation,
 		Group: &group.Group{Clock: h.Clock, Commit: h.Platform.Commit, Gap: commitGap, Limit: commitLimit, Timeout: storeTimeout},
-		Alive: x.alive, Timeout: storeTimeout,
+		Alive: x.alive, Timeout: storeTimeout, Index: expiry.Index,
 	}
+	q.expiry = &expiry.Expiry{Clock: h.Clock, Log: h.Log, Platform: h.Platform, Retention: retention, Sweeps: x.sweeps}
 	q.tickets = &ticket.Ticket{
 		Clock: h.Clock, Host: h.Settings.Name, Incarnation: h.Incarnation, Find: x.find,
 		Lifetime: ticketLifetime, Bytes: ticketBytes, Limit: ticketLimit,
@@ -86,7 +92,7 @@
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
 	m.Handle("GET /tickets", &mint.Mint{Admission: x.admission, Ticket: q.tickets, EntryHost: x.host.Settings.CallerAddress})
-	m.Handle("/", x.counted(e))
+	m.Handle("/", x.counted(x.mark(e)))
 	return x.gate(m)
 }
 
@@ -153,3 +159,13 @@
 	}
 	return "", false
 }
+
+// sweeps reports whether this host has the first name of all that are heard.
+func (x *parts) sweeps() bool {
+	for _, m := range x.membership.Alive() {
+		if m.Name < x.host.Settings.Name {
+			return false
+		}
+	}
+	return true
+}
--- a/host/steering.go
+++ b/host/steering.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"celeryreach.example/celeryreach/accepted"
+	"celeryreach.example/celeryreach/blockfollower"
 	"celeryreach.example/celeryreach/change"
 	"celeryreach.example/celeryreach/failover"
 	"celeryreach.example/celeryreach/follower"
@@ -38,6 +39,8 @@
 	rememberFor  = 10 * time.Minute
 	readyPoll    = 50 * time.Millisecond
 	readyHolds   = 3
+	// chunksTimeout bounds the fetching of all chunks by a host that starts.
+	chunksTimeout = time.Minute
 )
 
 // steering holds the parts that follow the configuration and the plan.
@@ -45,13 +48,13 @@
 	relay     *relay.Relay
 	freshness *freshness.Freshness
 	ready     atomic.Bool
-	polled    atomic.Bool
 
 	mu     sync.Mutex
 	known  map[string]knownHost
-	newest uint64
+	newest map[string]uint64 // by kind
 
 	plans    *planfollower.Planfollower
+	blocks   *blockfollower.Blockfollower
 	planner  *planner.Planner
 	lease    *lease.Lease
 	meter    *meter.Meter
@@ -60,6 +63,7 @@
 	started  time.Time
 	observed atomic.Pointer[[]observation.Observation]
 	roster   atomic.Pointer[roster.Roster]
+	lost     atomic.Pointer[map[string]bool]
 }
 
 type knownHost struct {
@@ -81,7 +85,7 @@
 				return x.peerclient.Notify(ctx, a, n)
 			},
 		},
-		known: make(map[string]knownHost), meter: new(meter.Meter), started: h.Clock.Now(),
+		known: make(map[string]knownHost), newest: make(map[string]uint64), meter: new(meter.Meter), started: h.Clock.Now(),
 		gauge: &gauge.Gauge{Clock: h.Clock, Window: gaugeWindow, Hold: lostHolds * h.Settings.Hold},
 	}
 	s.plans = &planfollower.Planfollower{
@@ -91,6 +95,18 @@
 			s.failover.Planned()
 		},
 	}
+	s.blocks = &blockfollower.Blockfollower{
+		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: s.relay.Wake, Timeout: chunksTimeout,
+		Fetch: func(ctx context.Context, hash string) ([]byte, error) {
+			return s.relay.Ask(ctx, s.blocks.Replica(), blockfollower.ChunkKind, hash)
+		},
+	}
+	s.relay.Object = func(kind, hash string) []byte {
+		if kind != blockfollower.ChunkKind {
+			return nil
+		}
+		return s.blocks.Chunk(hash)
+	}
 	s.failover = &failover.Failover{Clock: h.Clock, Preset: x.preset, Share: x.share, Room: x.room}
 	s.lease = x.newLease()
 	s.planner = x.newPlanner(s)
@@ -101,10 +117,7 @@
 	h := x.host
 	return &follower.Follower{
 		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: x.steering.relay.Wake,
-		Polled: func() {
-			x.steering.polled.Store(true)
-			x.steering.freshness.Outside()
-		},
+		Polled: x.steering.freshness.Outside,
 	}
 }
 
@@ -122,7 +135,7 @@
 }
 
 func (x *parts) replicas() []*replica.Replica {
-	return []*replica.Replica{x.follower.Replica(), x.steering.plans.Replica()}
+	return []*replica.Replica{x.follower.Replica(), x.steering.plans.Replica(), x.steering.blocks.Replica()}
 }
 
 // pollEvery returns the time to the next read of the platform. The first two
@@ -192,9 +205,7 @@
 		Name: h.From.Name, Domain: h.From.Domain, Region: h.From.Region, CallerAddress: h.From.CallerAddress,
 	}}
 	for _, v := range h.Versions {
-		if v.Kind == follower.Kind {
-			s.newest = max(s.newest, v.Version)
-		}
+		s.newest[v.Kind] = max(s.newest[v.Kind], v.Version)
 	}
 }
 
@@ -224,12 +235,15 @@
 // becomeReady lets callers in once the host has the highest version that it
 // can learn of: the platform's, or, while the platform cannot be reached, the
 // highest that peers tell of within Hold. A host that began with the first
-// version it met could take a key that was withdrawn long ago.
+// version it met could take a key that was withdrawn long ago; one without the
+// plan would send callers home whom the plan has moved, over any cap.
 func (x *parts) becomeReady(ctx context.Context) error {
 	t := x.host.Clock.Now()
 	for !x.steering.ready.Load() {
 		if x.isReady(x.host.Clock.Since(t)) {
 			x.steering.ready.Store(true)
+			// Look-ups name this host from now on, not from the next look.
+			x.steering.roster.Store(x.newRoster())
 			x.host.Log.Info("host is ready", "Version", x.follower.Snapshot().Config.Version)
 			return nil
 		}
@@ -243,18 +257,25 @@
 }
 
 func (x *parts) isReady(waited time.Duration) bool {
-	c := x.follower.Snapshot()
-	if c == nil {
+	if x.follower.Snapshot() == nil {
 		return false
 	}
-	x.steering.mu.Lock()
-	n := x.steering.newest
-	x.steering.mu.Unlock()
-	if c.Config.Version < n {
-		// A peer can tell of a version and be cut off from being asked for it.
-		return waited >= readyHolds*x.host.Settings.Hold
+	p := true
+	for _, r := range x.steering.relay.Replicas {
+		x.steering.mu.Lock()
+		n := x.steering.newest[r.Kind]
+		x.steering.mu.Unlock()
+		if r.Digest().Version < n {
+			// A peer can tell of a version and be cut off from being asked for it.
+			return waited >= readyHolds*x.host.Settings.Hold
+		}
+		p = p && r.Read()
+	}
+	if !x.limits.holding.Valid() && waited < readyHolds*x.host.Settings.Hold {
+		// It would refuse callers who are inside their rate.
+		return false
 	}
-	return x.steering.polled.Load() || waited >= x.host.Settings.Hold
+	return p || waited >= x.host.Settings.Hold
 }
 
 // gate refuses callers until the host is ready.
--- a/lanes/fleet_test.go
+++ b/lanes/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/backendknobs"
+	"celeryreach.example/celeryreach/block"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/domain"
 	"celeryreach.example/celeryreach/fleet"
@@ -23,9 +25,17 @@
 	"celeryreach.example/celeryreach/staleness"
 )
 
+// forever is work that only a cancel ends.
+const forever = time.Hour
+
 // start runs a deployment with the failure domains n1 and, in the same or in
 // another region, n2.
-func start(t *testing.T, hosts, backends int, second string, work time.Duration) (context.Context, *fleet.Fleet) {
+func start(t *testing.T, hosts, backends int, second string, work time.Duration, edits ...func(*config.Config)) (context.Context, *fleet.Fleet) {
+	t.Parallel()
+	timeout := 2 * time.Second
+	if work == forever {
+		timeout = 50 * time.Second
+	}
 	ctx, c := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(c)
 	f := &fleet.Fleet{
@@ -38,11 +48,14 @@
 			}},
 			Regions:      []region.Region{{Name: "north"}, {Name: "south"}},
 			Domains:      []domain.Domain{{Name: "n1", Region: "north"}, {Name: "n2", Region: second}},
-			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: 2 * time.Second}},
+			Services:     []service.Service{{Name: "Pages", Prefix: "/pages/", Timeout: timeout}},
 			Accounts:     []account.Account{{Name: "acme", Rate: 10000, Burst: 1000}},
 			KeyStaleness: staleness.Staleness{Idempotent: time.Minute, NonIdempotent: time.Minute},
 		},
 	}
+	for _, e := range edits {
+		e(&f.Config)
+	}
 	t.Cleanup(func() { must.NoError(t, f.Stop()) })
 	must.NoError(t, f.Start(ctx))
 	return ctx, f
@@ -125,3 +138,63 @@
 		must.EqOp(t, "Pages-n1-2", answer(ctx, f, "n1-a"))
 	}
 }
+
+// A caller whose request runs in another region leaves, and its slot there must
+// be free at once, not when the request's time is up. Then the link goes silent
+// under the next request: no error ever arrives, but the caller gets an answer
+// and the slot comes back, since both ends miss the other's signs of life.
+func TestLeaverAndSilence(t *testing.T) {
+	ctx, f := start(t, 1, 1, "south", forever)
+	must.NoError(t, f.StopBackend("Pages-n1-1"))
+	b := f.Backend("Pages-n2-1")
+	send := func(x context.Context, end chan<- int) {
+		c := http.StatusServiceUnavailable // not run: the hosts have just started
+		for c == http.StatusServiceUnavailable && x.Err() == nil {
+			c, _, _ = f.Send(x, "n1-a", "acme", http.MethodGet, "/pages/1", "")
+		}
+		end <- c
+	}
+	x, leave := context.WithCancel(ctx)
+	d := make(chan int, 1)
+	go send(x, d)
+	must.NoError(t, f.Await(ctx, "the request", func() bool { return b.Busy() == 1 }))
+	leave()
+	must.Zero(t, <-d)
+	must.NoError(t, f.Await(ctx, "the free slot", func() bool { return b.Busy() == 0 }))
+	go send(ctx, d)
+	must.NoError(t, f.Await(ctx, "the second request", func() bool { return b.Busy() == 1 }))
+	f.Cut("n1", "n2")
+	must.EqOp(t, http.StatusBadGateway, <-d)
+	must.NoError(t, f.Await(ctx, "the free slot", func() bool { return b.Busy() == 0 }))
+}
+
+// A region failed, and look-ups send its callers to another one that idles with
+// cold caches. They all come at once. The other region takes them on as fast as
+// its growth cap allows and refuses the rest unrun, while its own callers are
+// answered.
+func TestNewlySteered(t *testing.T) {
+	for _, v := range []struct {
+		home string
+		all  bool
+	}{{"north", true}, {"south", false}} {
+		t.Run(v.home, func(t *testing.T) { steered(t, v.home, v.all) })
+	}
+}
+
+func steered(t *testing.T, home string, all bool) {
+	const requests = 60
+	ctx, f := start(t, 1, 1, "north", 0, func(c *config.Config) {
+		c.Blocks = []block.Block{{Prefix: netip.MustParsePrefix("127.0.0.0/8"), Region: home}}
+		c.Presets[0].GrowthCap = 0.1
+		c.Presets[0].ShiftInterval = 30 * time.Second
+	})
+	must.NoError(t, f.Await(ctx, "the division", func() bool { return slots(ctx, f, "n1-a") == 4 && slots(ctx, f, "n2-a") == 4 }))
+	must.NoError(t, f.Await(ctx, "an answer", func() bool { return answer(ctx, f, "n1-a") != "" }))
+	n := 0
+	for range requests {
+		if answer(ctx, f, "n1-a") != "" {
+			n++
+		}
+	}
+	must.EqOp(t, all, n == requests, must.Sprint(n))
+}
