--- a/author/author.go
+++ b/author/author.go
@@ -208,15 +208,15 @@
 	for _, h := range alive {
 		m[h] = true
 	}
-	heard, listed := 0, false
+	n, l := 0, false
 	for _, h := range d.Holders {
 		if m[h] {
-			heard++
+			n++
 		} else if a.Listed(h) {
-			listed = true
+			l = true
 		}
 	}
-	return 2*heard < len(d.Holders) && listed && now.Sub(a.changed) < minorityHolds*a.Holding.Hold
+	return 2*n < len(d.Holders) && l && now.Sub(a.changed) < minorityHolds*a.Holding.Hold
 }
 
 // rank is this host's place in the order of the alive hosts' names.
--- a/author/cut.go
+++ b/author/cut.go
@@ -53,18 +53,18 @@
 	r := make(map[string]part.Part)
 	v := c.free()
 	l := c.lengths(span.Length(v))
-	moved := 0.0
+	m := 0.0
 	s := c.assign(v, l, func(n string) []span.Span { return o[n].Leased })
 	for n, w := range s {
-		moved += math.Abs(float64(span.Length(w)) - float64(span.Length(o[n].Leased)))
+		m += math.Abs(float64(span.Length(w)) - float64(span.Length(o[n].Leased)))
 		r[n] = part.Part{Leased: w}
 	}
-	moved /= 2 * span.Whole
-	if !force && moved < minor {
+	m /= 2 * span.Whole
+	if !force && m < minor {
 		return o, false
 	}
 	c.floors(r, o)
-	return r, moved >= minor
+	return r, m >= minor
 }
 
 // old returns the parts of the old epoch, also for a limit that it doesn't list.
@@ -183,30 +183,30 @@
 
 // users returns the holders that may get leased parts of the limit.
 func (c *cut) users() []holder.Holder {
-	var near, far []holder.Holder
+	var a, b []holder.Holder
 	if d, ok := strings.CutPrefix(c.limit, SlotsPrefix); ok {
 		for _, h := range c.next.Holders {
 			if h.Domain == d {
-				near = append(near, h)
+				a = append(a, h)
 			} else if h.Region == c.regionOf(d) {
-				far = append(far, h)
+				b = append(b, h)
 			}
 		}
-		if len(near) == 0 {
+		if len(a) == 0 {
 			// The failure domain lost its last host: its backend servers
 			// must not stand idle until a replacement comes.
-			return far
+			return b
 		}
-		return near
+		return a
 	}
 	if n, ok := strings.CutPrefix(c.limit, LinkPrefix); ok {
 		f, _, _ := strings.Cut(n, "/")
 		for _, h := range c.next.Holders {
 			if h.Region == f {
-				near = append(near, h)
+				a = append(a, h)
 			}
 		}
-		return near
+		return a
 	}
 	return c.next.Holders
 }
@@ -219,23 +219,23 @@
 		return r
 	}
 	d := c.plan.demand[c.limit]
-	sum := 0.0
+	s := 0.0
 	for _, h := range u {
-		sum += d[h.Name]
+		s += d[h.Name]
 	}
-	if sum == 0 && c.quantum() > 0 {
+	if s == 0 && c.quantum() > 0 {
 		r[c.next.Chief(c.limit, "")] = total
 		return r
 	}
 	for {
 		l := c.spread(float64(total), u, d)
-		least := 0
+		m := 0
 		for i := range u {
-			if l[i] < l[least] {
-				least = i
+			if l[i] < l[m] {
+				m = i
 			}
 		}
-		if l[least] >= float64(c.quantum()) || len(u) == 1 {
+		if l[m] >= float64(c.quantum()) || len(u) == 1 {
 			for i, h := range u {
 				r[h.Name] = uint32(l[i])
 			}
@@ -243,7 +243,7 @@
 		}
 		// Less than a whole token is of no use to its holder, and would be
 		// missing where requests come in or where others borrow.
-		u = append(append([]holder.Holder(nil), u[:least]...), u[least+1:]...)
+		u = append(append([]holder.Holder(nil), u[:m]...), u[m+1:]...)
 	}
 }
 
@@ -251,26 +251,26 @@
 // beyond their floor, the rest by demand.
 func (c *cut) spread(total float64, u []holder.Holder, d map[string]float64) []float64 {
 	e := idle * total / float64(len(u))
-	needs := make([]float64, len(u))
-	sum := 0.0
+	n := make([]float64, len(u))
+	s := 0.0
 	for i, h := range u {
 		f := float64(span.Length(c.floor(h.Domain))) / float64(c.members(h.Domain))
-		needs[i] = max(d[h.Name]*headroom*span.Whole-f-e, 0)
-		sum += d[h.Name]
+		n[i] = max(d[h.Name]*headroom*span.Whole-f-e, 0)
+		s += d[h.Name]
 	}
-	rest := (1 - idle) * total
-	got := maxmin.Divide(rest, needs)
-	for _, v := range got {
-		rest -= v
+	t := (1 - idle) * total
+	g := maxmin.Divide(t, n)
+	for _, v := range g {
+		t -= v
 	}
 	for i, h := range u {
 		w := 1 / float64(len(u))
-		if sum > 0 {
-			w = d[h.Name] / sum
+		if s > 0 {
+			w = d[h.Name] / s
 		}
-		got[i] += e + max(rest, 0)*w
+		g[i] += e + max(t, 0)*w
 	}
-	return got
+	return g
 }
 
 // quantum is the length of the least part worth having: a few whole tokens of
@@ -302,25 +302,25 @@
 // as possible: only what really moves waits for a release.
 func (c *cut) assign(region []span.Span, lengths map[string]uint32, old func(n string) []span.Span) map[string][]span.Span {
 	r := make(map[string][]span.Span, len(lengths))
-	free := region
-	names := sorted(lengths)
-	for _, n := range names {
+	f := region
+	l := sorted(lengths)
+	for _, n := range l {
 		k := span.Intersect(old(n), region)
 		if len(k) > fragments {
 			k = nil
 		}
 		k, _ = span.Split(k, lengths[n])
 		r[n] = k
-		free = span.Subtract(free, k)
+		f = span.Subtract(f, k)
 	}
-	for _, n := range names {
+	for _, n := range l {
 		m := lengths[n] - span.Length(r[n])
 		if m == 0 {
 			continue
 		}
-		g, rest := span.Split(free, m)
+		g, v := span.Split(f, m)
 		r[n] = span.Join(r[n], g)
-		free = rest
+		f = v
 	}
 	return r
 }
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -228,8 +228,10 @@
 // events is a queue by time, then by the order of scheduling.
 type events []event
 
+// Len is for package heap.
 func (e events) Len() int { return len(e) }
 
+// Less is for package heap.
 func (e events) Less(i, j int) bool {
 	if e[i].at.Equal(e[j].at) {
 		return e[i].serial < e[j].serial
@@ -237,6 +239,7 @@
 	return e[i].at.Before(e[j].at)
 }
 
+// Swap is for package heap.
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
 // Push is for package heap.
