--- a/fleetscript/fleetscript.go
+++ b/fleetscript/fleetscript.go
@@ -11,7 +11,8 @@
 //	                                send requests for a time, RATE a second for each four arguments
 //	until PATTERN COMMAND ARGS      run celeryreach or request until its output matches
 //	cut A B, heal A B               separate two places, end that
-//	kill HOST, stop HOST, start HOST, ready
+//	hostkill HOST, hoststop HOST, hoststart HOST, ready
+//	                                crash, shut down, start a host; wait for all hosts
 //	platform {"Outage": true}       play faults of the platform
 //	replace OLD NEW FILE            change a file of the script
 //	runs N                          check that no id ran more than N times
@@ -36,7 +37,7 @@
 	"celeryreach.example/celeryreach/fleet"
 )
 
-const scriptTimeout = 2 * time.Minute
+const scriptTimeout = 40 * time.Second
 
 // Fleetscript runs the scripts of a directory.
 type Fleetscript struct {
@@ -59,7 +60,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet": begin, "celeryreach": celeryreach, "request": request, "offer": offer, "until": until,
-			"cut": cut, "heal": heal, "kill": kill, "stop": stop, "start": start, "ready": ready,
+			"cut": cut, "heal": heal, "hostkill": kill, "hoststop": stop, "hoststart": start, "ready": ready,
 			"platform": platform, "replace": replace, "runs": runs, "session": session,
 		},
 	})
