--- a/host/tree.go
+++ b/host/tree.go
@@ -51,6 +51,7 @@
 		h.branch("serving",
 			child.Child{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operators(), DrainTimeout: answerTimeout}).Run},
 			child.Child{Name: "records", Run: x.requests.idempotency.Run},
+			child.Child{Name: "expiry", Run: x.requests.expiry.Run},
 			child.Child{Name: "callers", Run: (&httplisten.Httplisten{
 				Listener: c, Handler: x.callers(), Leave: x.leave, DrainTimeout: answerTimeout,
 			}).Run},
