status: tokens and slots on loan

Cause: status showed what each host holds, not what it has lent. Change: quota and slotloan tell what is on loan; status prints it by host.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -58,16 +58,16 @@
 }
 
 func (m *Cmd) overview(s []state, o overview) {
-	r := [][]string{{"HOST", "DOMAIN", "REGION", "VERSION", "PRESET", "PEERS", "BUSY/SLOTS+WAITING"}}
+	r := [][]string{{"HOST", "DOMAIN", "REGION", "VERSION", "PRESET", "PEERS", "LENT", "BORROWED", "BUSY/SLOTS+WAITING"}}
 	for _, x := range s {
 		if x.err != nil {
-			r = append(r, []string{x.member.Name, x.member.Domain, x.member.Region, "-", "-", "-", "does not answer"})
+			r = append(r, []string{x.member.Name, x.member.Domain, x.member.Region, "-", "-", "-", "-", "-", "does not answer"})
 			continue
 		}
 		t := x.status
 		r = append(r, []string{
 			t.Host.Name, t.Host.Domain, t.Host.Region, strconv.FormatUint(t.ConfigVersion, 10), t.Preset,
-			strconv.Itoa(len(t.Peers)), loads(t),
+			strconv.Itoa(len(t.Peers)), strconv.Itoa(t.SlotsLent), strconv.Itoa(t.SlotsBorrowed), loads(t),
 		})
 	}
 	m.table(r)
@@ -106,6 +106,9 @@
 		for _, s := range t.Shares {
 			w := r[a[s.Account]]
 			w[len(w)-1] = fmt.Sprintf("%.4g (%.0f%% floor)", s.Rate, 100*s.Floor/(s.Floor+s.Leased))
+			if s.Lent > 0 {
+				w[len(w)-1] += fmt.Sprintf(", %d lent", s.Lent)
+			}
 		}
 	}
 	m.printf("\nparts of the rates, requests a second\n")
--- a/host/product.go
+++ b/host/product.go
@@ -110,6 +110,7 @@
 		s.Loads = append(s.Loads, load.Load{Service: l.Service, Slots: int(l.Slots), Busy: int(l.Busy), Waiting: int(l.Waiting)})
 	}
 	s.Shares = x.shares()
+	s.SlotsLent, s.SlotsBorrowed = x.site.loan.Slots()
 	s.DivisionEpoch = x.limits.holding.Epoch()
 	if p := x.steering.plans.Plan(); p != nil {
 		s.PlanVersion = p.Version
--- a/host/why.go
+++ b/host/why.go
@@ -60,6 +60,7 @@
 		v := share.Share{Account: a.Name, Floor: f.Part(n)}
 		v.Leased = g.Part(n) - v.Floor
 		v.Rate = g.Part(n) * a.Rate
+		v.Lent = x.quota.Lent(a.Name)
 		if v.Rate > 0 {
 			r = append(r, v)
 		}
--- a/share/share.go
+++ b/share/share.go
@@ -11,4 +11,6 @@
 	Leased float64
 	// Rate is what both come to, in requests per second.
 	Rate float64
+	// Lent are the tokens that other hosts have on loan from this one.
+	Lent uint64 `json:",omitzero"`
 }
--- a/status/status.go
+++ b/status/status.go
@@ -22,6 +22,10 @@
 	Loads []load.Load
 	// Shares are its parts of the client accounts' limits.
 	Shares []share.Share
+	// SlotsLent are slots of its own that other hosts have on loan.
+	SlotsLent int
+	// SlotsBorrowed are slots of other hosts that it has on loan.
+	SlotsBorrowed int
 	// DivisionEpoch is the division that it knows.
 	DivisionEpoch uint64
 	// PlanVersion is the plan in force on it.
