--- a/quota/lent_test.go
+++ b/quota/lent_test.go
@@ -23,7 +23,7 @@
 		},
 	}
 	must.Eq(t, 0, q.Lent("a"))
-	n := q.Lend("a", 5, time.Second)
+	n, _ := q.Lend("a", 5, time.Second)
 	must.Positive(t, n)
 	must.Eq(t, n, q.Lent("a"))
 	c.Advance(time.Second)
