--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -15,8 +15,15 @@
 
 func platformCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "platform",
-		Usage:  "run the stand-in for the users' platform; it keeps everything in memory and is not for production",
+		Name:  "platform",
+		Usage: "run the stand-in for the users' platform; it keeps everything in memory and is not for production",
+		Description: `Faults are played while it runs, by POST /knobs with a JSON document:
+  {"Outage": true}       every call fails without effect
+  {"Delay": "500ms"}     every call takes longer
+  {"LoseAnswers": 3}     the next commits take effect and break the connection
+  {"LoseCommits": 3}     the next commits break the connection without effect
+  {"ListLag": "10s"}     the host list stays behind
+An empty document ends all of them.`,
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "listen", Usage: "`ADDRESS`, IP and port", Value: "127.0.0.1:7300"}},
 		Action: runPlatform,
 	}
--- a/document/checker.go
+++ b/document/checker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding"
 	"fmt"
+	"net/netip"
 	"reflect"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 var (
 	durationType = reflect.TypeFor[time.Duration]()
 	textType     = reflect.TypeFor[encoding.TextUnmarshaler]()
+	prefixType   = reflect.TypeFor[netip.Prefix]()
 	bytesType    = reflect.TypeFor[[]byte]()
 )
 
@@ -163,6 +165,9 @@
 	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
 		return "a whole number"
 	default:
+		if t == prefixType {
+			return "an address range, such as \"10.1.0.0/16\""
+		}
 		return "a value of type " + t.Name()
 	}
 }
