Queue: two limits together are never exceeded

Urgent and deferred requests were bounded one by one, by fair parts that are rounded up. Change: a request that makes more than twice the limit wait in all is refused.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -157,13 +157,22 @@
 	c.push(a, w)
 	a.flow.add(1, n)
 	q.kick()
-	if w.line != nil && c.waiting > q.Limit && float64(a.waiting) > float64(q.Limit)*a.weight/c.weights {
+	if w.line != nil && q.full(c, a) {
 		q.refuse(c, a.last(q.newest(a, n)), n, "the queue is full")
 	}
 	q.giveUp(c, a, n)
 	return w
 }
 
+// full reports whether an account may have no more requests in the line. Urgent
+// and deferred requests have a limit each, and together never more than two.
+func (q *Queue) full(c *class, a *account) bool {
+	if q.urgent.waiting+q.deferred.waiting > 2*q.Limit {
+		return true
+	}
+	return c.waiting > q.Limit && float64(a.waiting) > float64(q.Limit)*a.weight/c.weights
+}
+
 // leave takes w out of the line. If w was decided in the same moment, that
 // decision holds: a request is either granted or refused, never both.
 func (q *Queue) leave(w *waiter, o outcome.Outcome) (slot.Slot, outcome.Outcome) {
