docs/CAPACITY.md: each role at the target size, from measured slopes

Cause: the design has to be decided by the size of about two years from now. Change: the page, with tables that experiment capacity -page writes; a row for the burn report's counts; the assumptions named in one place.

--- a/capacity/measurements.go
+++ b/capacity/measurements.go
@@ -41,6 +41,7 @@
 	recordBytes    = "record of a request, bytes by answer bytes"
 	deltaWireBytes = "delta, bytes by accounts"
 	contentBytes   = "configuration, bytes by accounts"
+	countBytes     = "counts of a minute in memory, by accounts busy each second"
 	memberBytes    = "member of the roster, bytes by hosts"
 )
 
@@ -86,6 +87,7 @@
 		{Name: admitBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: c.admitSize},
 		{Name: gaugeTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.gaugeTime},
 		{Name: ticketBytes, Unit: "B", Per: "tickets", Sizes: many, Measure: c.ticketSize},
+		{Name: countBytes, Unit: "B", Per: "accounts", Sizes: few, Measure: countSize},
 		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: few, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
 	}
 }
--- a/capacity/requests.go
+++ b/capacity/requests.go
@@ -5,18 +5,24 @@
 	"net/http"
 	"net/url"
 	"runtime"
+	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/burn"
 	"celeryreach.example/celeryreach/gauge"
 	"celeryreach.example/celeryreach/grant"
 	"celeryreach.example/celeryreach/lookup"
 	"celeryreach.example/celeryreach/measurement"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/plan"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/record"
 	"celeryreach.example/celeryreach/roster"
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/ticket"
+	"celeryreach.example/celeryreach/wire"
 )
 
 func members(n int) []member.Member {
@@ -124,6 +130,25 @@
 	})
 }
 
+// countSize is what the burn report's counts of one minute take.
+func countSize(n int) float64 {
+	c := clockwork.NewFakeClock()
+	b := &burn.Burn{
+		Clock: c, Latency: func(string) time.Duration { return time.Second },
+		Loads: func() []*wire.Load { return nil },
+	}
+	o := outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+	return measurement.Bytes(func() any {
+		for range 60 {
+			for i := range n {
+				b.Record(newName(i), "service-0", o, time.Millisecond)
+			}
+			c.Advance(time.Second)
+		}
+		return b
+	})
+}
+
 // discard is a ResponseWriter for nobody.
 type discard http.Header
 
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -13,7 +13,7 @@
 	// siteAccounts is how many of them send through one site.
 	siteAccounts = 1_000
 	// beatSeconds is the time between two heartbeats to a peer.
-	beatSeconds = 1.0
+	beatSeconds = 1.5
 	// farSeconds is the time between heartbeats of those who speak for a site or
 	// a domain. Hold is three of them: their part of a limit moves within 12 s.
 	farSeconds = 4.0
@@ -22,7 +22,7 @@
 	// pollers is how many hosts of a domain read the table each second.
 	pollers = 2
 	// epochGap is the least seconds between two divisions of one domain.
-	epochGap = 5.0
+	epochGap = 10.0
 	// epochChange is the fraction of the parts that a division changes.
 	epochChange = 0.01
 	// changeBytes is the size of a change with its envelope on the wire.
@@ -34,10 +34,14 @@
 	// nonIdempotent is the requests per second over all hosts that carry
 	// callers' own ids; more than that have to use tickets.
 	nonIdempotent = 100
-	// grouped is how many of them share one commit.
-	grouped = 4
 	// ticketsHeld is the used tickets that a host remembers.
 	ticketsHeld = 20_000
+	// limitedAccounts is how many of a site's accounts are at their limit.
+	limitedAccounts = 20
+	// hourMinutes is the minutes for which seconds are kept.
+	hourMinutes = 60
+	// keepSeconds is the time between two writes of kept counts.
+	keepSeconds = 300.0
 	nanos       = 1e9
 )
 
@@ -53,7 +57,7 @@
 
 func (c *Capacity) roles() []role.Role {
 	return []role.Role{
-		c.lookup(), c.admission(), c.membership(), c.quota(), c.configuration(), c.planner(), c.idempotency(),
+		c.lookup(), c.admission(), c.membership(), c.quota(), c.configuration(), c.planner(), c.idempotency(), c.burn(),
 	}
 }
 
@@ -130,12 +134,23 @@
 
 func (c *Capacity) idempotency() role.Role {
 	return role.Role{
-		Name: "idempotency", State: c.at(ticketBytes, ticketsHeld), Writes: 2 * nonIdempotent / grouped,
-		Carries: "tickets, from memory; grouped commits for callers' own ids",
+		Name: "idempotency", State: c.at(ticketBytes, ticketsHeld), Writes: 2 * nonIdempotent,
+		Carries: "tickets, from memory; the table for callers' own ids (at that size too few a host to share commits)",
 		Breaks:  fmt.Sprintf("more than %d requests a second with callers' own ids over all hosts", nonIdempotent),
 	}
 }
 
+// burn is the counts behind the report on service-level burn.
+func (c *Capacity) burn() role.Role {
+	t := c.Target
+	return role.Role{
+		Name: "burn report", State: c.at(countBytes, limitedAccounts) * hourMinutes, Writes: t.Domains / keepSeconds,
+		Carries: "seconds are kept for accounts at their limit only, the others' by the minute; sums by failure domain are kept on the platform",
+		Breaks: fmt.Sprintf("seconds of every account: %s for %d accounts; counts kept by host: %.0f commits/s",
+			size(c.at(countBytes, siteAccounts)*hourMinutes), siteAccounts, t.Nodes/keepSeconds*2),
+	}
+}
+
 func seconds(ns float64) string {
 	switch {
 	case ns >= 1e9:
