Scenario: presets that move the floors, switched under load

Cause: that a switch of presets never lets two hosts use the same part rested on the divisions' own tests; nothing looked at the sum over real hosts.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -44,6 +44,7 @@
 	ctx   context.Context
 	fleet *fleet.Fleet
 	crowd *crowd
+	flips chan error
 }
 
 func TestScenarios(t *testing.T) {
@@ -79,6 +80,8 @@
 		"down":     down,    // down BACKEND...: end backend servers
 		"store":    store,   // store ok|out|slow|lose: what the platform does
 		"operate":  operate, // operate HOST ARGUMENT...: the operators' command line
+		"flip":     flip,    // flip HOST N: switch between the presets N times, beside what follows
+		"flipped":  flipped, // flipped: wait for the end of flip
 		"crowd":    crowds,  // crowd start ACCOUNT HOST... or crowd stop: callers in the background
 		"burst":    burst,   // burst ACCOUNT N HOST...: send N requests to each, judge by rate and burst
 	}
@@ -99,6 +102,7 @@
 	k := p
 	k.Name = "Peak"
 	k.MaxWait = 500 * time.Millisecond
+	k.FloorFraction = 0.1
 	w.fleet = &fleet.Fleet{
 		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), HostsPerDomain: n, BackendsPerService: 2, Slots: 4,
 		Work: 2 * time.Millisecond,
@@ -235,3 +239,26 @@
 	c := m.Run(w.ctx, append([]string{"celeryreach"}, args[1:]...))
 	return c, b.String()
 }
+
+// flip switches between the presets beside the commands that follow.
+func flip(ts *testscript.TestScript, _ bool, args []string) {
+	w := of(ts)
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	w.flips = make(chan error, 1)
+	go func() {
+		for i := range n {
+			p := []string{"Peak", "Ordinary"}[i%2]
+			if c, o := w.operate([]string{args[0], "preset", "use", "-wait", p}); c != 0 {
+				w.flips <- fmt.Errorf("preset %s: exit code %d: %s", p, c, o)
+				return
+			}
+			<-w.fleet.Clock.After(hold)
+		}
+		w.flips <- nil
+	}()
+}
+
+func flipped(ts *testscript.TestScript, _ bool, _ []string) {
+	ts.Check(<-of(ts).flips)
+}
