Forward: the leave script waits for the body that is sent beside it

Cause: red in 1 of 40 runs beside other load: the caller left before the sending goroutine had sent the end of an empty body, which the product may do in any order. Change: the script waits until the body has arrived, and expects the same as before.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -205,6 +205,13 @@
 				s.Check(get(s).clock.BlockUntilContext(context.Background(), 1))
 				get(s).cancel()
 			},
+			// arrived waits until a note is there: the body is sent beside the wait
+			// for the answer, and which comes first is not the script's to say.
+			"arrived": func(s *testscript.TestScript, _ bool, a []string) {
+				for !strings.Contains(get(s).notes(), a[0]) {
+					<-time.After(time.Millisecond) //nolint:forbidigo // lets goroutines run
+				}
+			},
 			"result": func(s *testscript.TestScript, _ bool, a []string) {
 				<-get(s).ended
 				must.EqOp(check(s), strings.Join(a, " "), get(s).result)
