Style: locals of one letter

Cause: 34 files had locals of more than one letter, against the users' house style. Change: renamed within their functions, to letters that the function did not use. Conclusion: behavior as before.

--- a/author/author.go
+++ b/author/author.go
@@ -171,9 +171,9 @@
 	if a.minority(d, p.alive, n) {
 		return d, false
 	}
-	v, due := p.next()
+	v, u := p.next()
 	v.Author = a.Holding.Self.Name
-	if !due {
+	if !u {
 		a.needed = time.Time{}
 		return d, false
 	}
--- a/author/plan.go
+++ b/author/plan.go
@@ -25,9 +25,9 @@
 // from the old one to be written.
 func (p *plan) next() (division.Division, bool) {
 	n := division.Division{Epoch: p.old.Epoch + 1, Holders: p.alive, Silent: p.silent()}
-	due := p.old.Epoch == 0 || !same(p.old.Holders, n.Holders) || !same(p.old.Silent, n.Silent)
+	u := p.old.Epoch == 0 || !same(p.old.Holders, n.Holders) || !same(p.old.Silent, n.Silent)
 	if p.floors(&n) {
-		due = true
+		u = true
 	}
 	c := &cut{plan: p, next: &n, limit: division.RatePrefix}
 	n.LeasedSpans = c.free()
@@ -38,14 +38,14 @@
 	n.Parts = make(map[string]map[string]part.Part)
 	for _, l := range p.limits() {
 		c := &cut{plan: p, next: &n, limit: l}
-		parts, moved := c.parts(due)
-		n.Parts[l] = parts
-		due = due || moved
+		a, m := c.parts(u)
+		n.Parts[l] = a
+		u = u || m
 	}
 	if p.old.Epoch != 0 {
 		n.Earlier = append(p.old.Earlier, bare(p.old))
 	}
-	return n, due
+	return n, u
 }
 
 // silent returns the processes of failure domains in which nobody is heard.
--- a/backendtrial/backendtrial.go
+++ b/backendtrial/backendtrial.go
@@ -79,8 +79,8 @@
 	b.random = rand.New(rand.NewPCG(b.Seed, 0))
 	b.running = make([]int, count)
 	b.build()
-	rate := load * count * slots / work.Seconds()
-	for t := time.Duration(0); t < b.For; t += time.Duration(b.random.ExpFloat64() / rate * float64(time.Second)) {
+	r := load * count * slots / work.Seconds()
+	for t := time.Duration(0); t < b.For; t += time.Duration(b.random.ExpFloat64() / r * float64(time.Second)) {
 		w := time.Duration(b.random.ExpFloat64() * float64(work))
 		c := b.random.Float64() < 0.6
 		b.time.At(t, func() { b.arrive(t, w, c) })
@@ -123,8 +123,8 @@
 // probe plays the health endpoints, which tell the truth unless they lie.
 func (b *Backendtrial) probe() {
 	for _, v := range b.balancer.Suspects() {
-		bad := v.Name == "0" && b.struck() && (b.Trouble == "refuses" || b.Trouble == "fails fast")
-		h := health.Health{Reached: !bad || b.Trouble != "refuses", Healthy: !bad}
+		a := v.Name == "0" && b.struck() && (b.Trouble == "refuses" || b.Trouble == "fails fast")
+		h := health.Health{Reached: !a || b.Trouble != "refuses", Healthy: !a}
 		if b.Trouble == "health lies" {
 			h = health.Health{Reached: true, Report: loadreport.Loadreport{Draining: true}}
 		}
@@ -160,11 +160,11 @@
 	n := s.Backend.Name
 	i := 0
 	_, _ = fmt.Sscan(n, &i)
-	bad := i == 0 && b.struck()
-	if bad && b.time.Now() >= strikes+late {
+	a := i == 0 && b.struck()
+	if a && b.time.Now() >= strikes+late {
 		b.tally.afterwards++
 	}
-	if bad && b.Trouble == "refuses" {
+	if a && b.Trouble == "refuses" {
 		b.end(at, time.Millisecond, s, result.Refused, http.StatusOK)
 		return
 	}
@@ -174,7 +174,7 @@
 		return
 	}
 	b.running[i]++
-	w, r, c := b.course(bad, w, cancels)
+	w, r, c := b.course(a, w, cancels)
 	e := w
 	if r == result.Canceled {
 		e += notice
--- a/backendtrial/first.go
+++ b/backendtrial/first.go
@@ -10,12 +10,12 @@
 // first is the baseline: the backend server with the greatest free part, by own
 // counts alone.
 func (b *Backendtrial) first() func() (slot.Slot, bool) {
-	busy := make(map[string]int)
+	u := make(map[string]int)
 	return func() (slot.Slot, bool) {
 		p := -1
 		m := 0.0
 		for i, v := range b.list {
-			if f := float64(v.Slots-busy[v.Name]) / float64(v.Slots); f > m {
+			if f := float64(v.Slots-u[v.Name]) / float64(v.Slots); f > m {
 				p = i
 				m = f
 			}
@@ -24,11 +24,11 @@
 			return slot.Slot{}, false
 		}
 		v := b.list[p]
-		busy[v.Name]++
+		u[v.Name]++
 		return slot.Slot{
 			Backend:  v,
 			Answered: func(int, http.Header) {},
-			Release:  func(result.Result) { busy[v.Name]-- },
+			Release:  func(result.Result) { u[v.Name]-- },
 		}, true
 	}
 }
--- a/balancer/lend.go
+++ b/balancer/lend.go
@@ -20,28 +20,28 @@
 	b.refresh(n)
 	var best *server
 	m := 0
-	all := 0
+	a := 0
 	for _, s := range b.servers {
 		f := b.usable(s, n) - s.busy
 		if f <= 0 || b.out(s, n) {
 			continue
 		}
-		all += f
+		a += f
 		if f > m {
 			best = s
 			m = f
 		}
 	}
-	if all <= spare {
+	if a <= spare {
 		return "", nil, false
 	}
 	best.lent++
-	end := sync.OnceFunc(func() { best.lent-- })
-	b.kept = append(b.kept, kept{server: best, until: n.Add(d), free: end})
+	e := sync.OnceFunc(func() { best.lent-- })
+	b.kept = append(b.kept, kept{server: best, until: n.Add(d), free: e})
 	b.Clock.AfterFunc(d, b.Tick)
 	return best.backend.Name, func() {
 		b.mu.Lock()
-		end()
+		e()
 		b.mu.Unlock()
 		b.Released()
 	}, true
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -15,18 +15,18 @@
 	}
 	var best *server
 	m := 0.0
-	in := false
+	i := false
 	for _, s := range b.servers {
 		if b.out(s, now) {
 			continue
 		}
-		in = in || b.usable(s, now) > 0
+		i = i || b.usable(s, now) > 0
 		if f := b.score(s, now); f > 0 && (best == nil || f < m) {
 			best = s
 			m = f
 		}
 	}
-	if in {
+	if i {
 		return best
 	}
 	for _, s := range b.servers {
@@ -110,8 +110,8 @@
 	if len(l) == len(b.list) && (len(l) == 0 || &l[0] == &b.list[0]) {
 		return
 	}
-	first := b.known == nil
-	if first {
+	f := b.known == nil
+	if f {
 		b.known = make(map[string]*server)
 		b.outliers.Consecutive = consecutive
 		b.outliers.For = ejectFor
@@ -124,7 +124,7 @@
 	b.servers = b.servers[:0]
 	b.names = b.names[:0]
 	for i, v := range l {
-		s := b.server(v, first, now)
+		s := b.server(v, f, now)
 		s.index = i
 		b.servers = append(b.servers, s)
 		b.names = append(b.names, v.Name)
--- a/capacity/badhours.go
+++ b/capacity/badhours.go
@@ -13,12 +13,12 @@
 // badHours prints what the worst events cost.
 func (c *Capacity) badHours() {
 	t := c.Target
-	domain := t.Nodes / t.Domains
-	content := c.at(contentBytes, accounts)
+	d := t.Nodes / t.Domains
+	o := c.at(contentBytes, accounts)
 	fmt.Fprintln(c.Out, "| event | what it asks of the platform and of peers | carried by |")
 	fmt.Fprintln(c.Out, "|---|---|---|")
 	fmt.Fprintf(c.Out, "| a domain of %.0f hosts restarts at once | %.0f first reads/s over %.0f s; %s of configuration for each host, %s in all, %s a host from a peer | first reads spread at random; content from peers, %d hosts read the object |\n",
-		domain, 2*domain/spread, spread, size(content), size(content*domain), seconds(content/objectBytesPerSecond*nanos), pollers)
+		d, 2*d/spread, spread, size(o), size(o*d), seconds(o/objectBytesPerSecond*nanos), pollers)
 	fmt.Fprintf(c.Out, "| regions hear each other again | one division a domain: %.0f commits; changes made meanwhile as deltas: %.0f for ten minutes, %s a host | no host was told to stop; the higher version wins |\n",
 		t.Domains, 600*t.Changes, size(600*t.Changes*changeBytes))
 	fmt.Fprintf(c.Out, "| the store is back after an hour | %.0f reads/s by pollers as ever; %.0f commits of divisions; ended records of callers' own ids: %.0f rows at most from before, in commits of 32 | only pollers and authors ask, with the pace they always have |\n",
--- a/capacity/measurements.go
+++ b/capacity/measurements.go
@@ -57,38 +57,38 @@
 }
 
 func (c *Capacity) measurements() []measurement.Measurement {
-	few := c.sizes(10, 100, 1_000)
-	many := c.sizes(1_000, 10_000, 100_000)
-	blocks := c.sizes(22_000, 220_000, 2_200_000)
+	f := c.sizes(10, 100, 1_000)
+	m := c.sizes(1_000, 10_000, 100_000)
+	b := c.sizes(22_000, 220_000, 2_200_000)
 	return []measurement.Measurement{
-		{Name: beatBytes, Unit: "B", Per: "peers", Sizes: few, Measure: func(n int) float64 { return float64(proto.Size(beat(n, 0))) }},
-		{Name: beatTime, Unit: "ns", Per: "peers", Sizes: few, Measure: c.beatTime},
-		{Name: demandBytes, Unit: "B", Per: "accounts", Sizes: few, Measure: func(n int) float64 { return float64(proto.Size(beat(0, n))) }},
-		{Name: divisionBytes, Unit: "B", Per: "parts", Sizes: few, Measure: func(n int) float64 { return float64(len(encode(newDivision(n)))) }},
-		{Name: divisionTime, Unit: "ns", Per: "parts", Sizes: few, Measure: c.divisionTime},
-		{Name: snapshotBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: snapshotSize},
-		{Name: readTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.readTime},
-		{Name: validateTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: func(n int) float64 {
+		{Name: beatBytes, Unit: "B", Per: "peers", Sizes: f, Measure: func(n int) float64 { return float64(proto.Size(beat(n, 0))) }},
+		{Name: beatTime, Unit: "ns", Per: "peers", Sizes: f, Measure: c.beatTime},
+		{Name: demandBytes, Unit: "B", Per: "accounts", Sizes: f, Measure: func(n int) float64 { return float64(proto.Size(beat(0, n))) }},
+		{Name: divisionBytes, Unit: "B", Per: "parts", Sizes: f, Measure: func(n int) float64 { return float64(len(encode(newDivision(n)))) }},
+		{Name: divisionTime, Unit: "ns", Per: "parts", Sizes: f, Measure: c.divisionTime},
+		{Name: snapshotBytes, Unit: "B", Per: "accounts", Sizes: m, Measure: snapshotSize},
+		{Name: readTime, Unit: "ns", Per: "accounts", Sizes: m, Measure: c.readTime},
+		{Name: validateTime, Unit: "ns", Per: "accounts", Sizes: m, Measure: func(n int) float64 {
 			v := newConfig(n)
 			return measurement.Time(c.Clock, func() { validate.Config(v) })
 		}},
-		{Name: deltaTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.deltaTime},
-		{Name: deltaWireBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: func(n int) float64 { return float64(len(changed(n).delta)) }},
-		{Name: contentBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: func(n int) float64 { return float64(len(encode(newConfig(n)))) }},
-		{Name: blockBytes, Unit: "B", Per: "blocks", Sizes: blocks, Measure: blockSize},
-		{Name: blockTime, Unit: "ns", Per: "blocks", Sizes: blocks, Measure: c.blockTime},
-		{Name: blockChange, Unit: "ns", Per: "blocks", Sizes: blocks, Measure: c.blockChange},
-		{Name: rosterTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.rosterTime},
-		{Name: memberBytes, Unit: "B", Per: "hosts", Sizes: few, Measure: func(n int) float64 {
+		{Name: deltaTime, Unit: "ns", Per: "accounts", Sizes: m, Measure: c.deltaTime},
+		{Name: deltaWireBytes, Unit: "B", Per: "accounts", Sizes: m, Measure: func(n int) float64 { return float64(len(changed(n).delta)) }},
+		{Name: contentBytes, Unit: "B", Per: "accounts", Sizes: m, Measure: func(n int) float64 { return float64(len(encode(newConfig(n)))) }},
+		{Name: blockBytes, Unit: "B", Per: "blocks", Sizes: b, Measure: blockSize},
+		{Name: blockTime, Unit: "ns", Per: "blocks", Sizes: b, Measure: c.blockTime},
+		{Name: blockChange, Unit: "ns", Per: "blocks", Sizes: b, Measure: c.blockChange},
+		{Name: rosterTime, Unit: "ns", Per: "hosts", Sizes: f, Measure: c.rosterTime},
+		{Name: memberBytes, Unit: "B", Per: "hosts", Sizes: f, Measure: func(n int) float64 {
 			return measurement.Bytes(func() any { return roster.New(members(n), slots) })
 		}},
-		{Name: lookupTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.lookupTime},
-		{Name: admitTime, Unit: "ns", Per: "accounts", Sizes: many, Measure: c.admitTime},
-		{Name: admitBytes, Unit: "B", Per: "accounts", Sizes: many, Measure: c.admitSize},
-		{Name: gaugeTime, Unit: "ns", Per: "hosts", Sizes: few, Measure: c.gaugeTime},
-		{Name: ticketBytes, Unit: "B", Per: "tickets", Sizes: many, Measure: c.ticketSize},
-		{Name: countBytes, Unit: "B", Per: "accounts", Sizes: few, Measure: countSize},
-		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: few, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
+		{Name: lookupTime, Unit: "ns", Per: "hosts", Sizes: f, Measure: c.lookupTime},
+		{Name: admitTime, Unit: "ns", Per: "accounts", Sizes: m, Measure: c.admitTime},
+		{Name: admitBytes, Unit: "B", Per: "accounts", Sizes: m, Measure: c.admitSize},
+		{Name: gaugeTime, Unit: "ns", Per: "hosts", Sizes: f, Measure: c.gaugeTime},
+		{Name: ticketBytes, Unit: "B", Per: "tickets", Sizes: m, Measure: c.ticketSize},
+		{Name: countBytes, Unit: "B", Per: "accounts", Sizes: f, Measure: countSize},
+		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: f, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
 	}
 }
 
--- a/capacity/requests.go
+++ b/capacity/requests.go
@@ -69,21 +69,21 @@
 
 func (c *Capacity) newQuota(n int) *quota.Quota {
 	s := snapshot.New(newConfig(n), "")
-	now := c.Clock.Now()
-	g := grant.Grant{Floor: 1, FloorSince: now, FloorUntil: now.Add(1000 * hold), Unused: true}
+	o := c.Clock.Now()
+	g := grant.Grant{Floor: 1, FloorSince: o, FloorUntil: o.Add(1000 * hold), Unused: true}
 	return &quota.Quota{Clock: c.Clock, Account: s.Account, Grant: func(string) grant.Grant { return g }, Hold: hold}
 }
 
 func (c *Capacity) admitTime(n int) float64 {
 	q := c.newQuota(n)
-	names := make([]string, n)
-	for i := range names {
-		names[i] = newName(i)
+	a := make([]string, n)
+	for i := range a {
+		a[i] = newName(i)
 	}
 	i := 0
 	return measurement.Time(c.Clock, func() {
 		i++
-		q.Take(names[i%n])
+		q.Take(a[i%n])
 	})
 }
 
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -86,11 +86,11 @@
 // dearest host, which speaks for its domain.
 func (c *Capacity) membership() role.Role {
 	t := c.Target
-	far := t.Sites/t.Domains - 1 + t.Domains - 1
-	n := c.siblings()/beatSeconds + far/farSeconds
+	f := t.Sites/t.Domains - 1 + t.Domains - 1
+	n := c.siblings()/beatSeconds + f/farSeconds
 	b := c.at(beatBytes, 0) + beatDemands*c.slopes[demandBytes].Each
 	return role.Role{
-		Name: "membership", State: c.at(beatBytes, t.Nodes/t.Sites) * (c.siblings() + far), Messages: 2 * n, Traffic: 2 * b * n,
+		Name: "membership", State: c.at(beatBytes, t.Nodes/t.Sites) * (c.siblings() + f), Messages: 2 * n, Traffic: 2 * b * n,
 		Core:    2 * n * c.at(beatTime, 1) / nanos,
 		Carries: "heartbeats inside a site; one host speaks for a site and for a domain; lists of hosts only when they change",
 		Breaks: fmt.Sprintf("everybody beats to everybody five times a second: %s a second for each host",
--- a/cmd/block.go
+++ b/cmd/block.go
@@ -50,16 +50,16 @@
 	if err != nil {
 		return err
 	}
-	put, remove, err := split(n, l)
+	u, r, err := split(n, l)
 	if err != nil {
 		return err
 	}
-	v, err := (&blockpublish.Blockpublish{Clock: clockwork.NewRealClock(), Platform: p}).Change(ctx, put, remove)
+	v, err := (&blockpublish.Blockpublish{Clock: clockwork.NewRealClock(), Platform: p}).Change(ctx, u, r)
 	if err != nil {
 		return err
 	}
 	return m.write(c, v, func() {
-		m.printf("accepted as version %d: %d put, %d removed\n", v.Version, len(put), len(remove))
+		m.printf("accepted as version %d: %d put, %d removed\n", v.Version, len(u), len(r))
 	})
 }
 
--- a/cmd/edit.go
+++ b/cmd/edit.go
@@ -58,27 +58,27 @@
 		return err
 	}
 	defer n.close()
-	base, err := n.load(ctx)
+	b, err := n.load(ctx)
 	if err != nil {
 		return err
 	}
 	for range attempts {
-		v, err := clone(base)
+		v, err := clone(b)
 		if err != nil {
 			return err
 		}
 		if err := apply(v); err != nil {
 			return err
 		}
-		d := difference.Between(base, v)
+		d := difference.Between(b, v)
 		if len(d) == 0 {
-			return m.write(c, changed{Version: base.Version}, func() { m.printf("nothing to change in version %d\n", base.Version) })
+			return m.write(c, changed{Version: b.Version}, func() { m.printf("nothing to change in version %d\n", b.Version) })
 		}
-		a, err := n.change(ctx, base.Version, v)
+		a, err := n.change(ctx, b.Version, v)
 		if err == nil {
 			return m.accepted(ctx, c, n, changed{Version: a.Version, Differences: d, Key: key})
 		}
-		base, err = m.rebase(ctx, c, n, base, d, err)
+		b, err = m.rebase(ctx, c, n, b, d, err)
 		if err != nil {
 			return err
 		}
@@ -135,10 +135,10 @@
 // accepted tells what was accepted and, with -wait, where it is in force.
 func (m *Cmd) accepted(ctx context.Context, c *cli.Command, n *connection, r changed) error {
 	// The next command that asks this host must see the change.
-	_, late := m.reach(ctx, n, accepted.Accepted{Version: r.Version})
-	all := true
+	_, l := m.reach(ctx, n, accepted.Accepted{Version: r.Version})
+	a := true
 	if c.Bool("wait") && n.client != nil {
-		r.Hosts, all = m.everywhere(ctx, n, r.Version, c.Duration("wait-for"))
+		r.Hosts, a = m.everywhere(ctx, n, r.Version, c.Duration("wait-for"))
 	}
 	err := m.write(c, r, func() {
 		m.printf("accepted as version %d\n", r.Version)
@@ -153,9 +153,9 @@
 	switch {
 	case err != nil:
 		return err
-	case late != nil:
-		return &failure{code: exitNotEverywhere, text: late.Error()}
-	case !all:
+	case l != nil:
+		return &failure{code: exitNotEverywhere, text: l.Error()}
+	case !a:
 		return &failure{code: exitNotEverywhere, text: "not in force on every host"}
 	}
 	return nil
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -105,9 +105,9 @@
 func (c *Contention) draw() {
 	r := rand.New(rand.NewPCG(c.Seed, 0))
 	for a := range accounts {
-		rate := c.rate(a)
+		e := c.rate(a)
 		for t := time.Duration(0); ; {
-			t += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+			t += time.Duration(r.ExpFloat64() / e * float64(time.Second))
 			if t >= c.For {
 				break
 			}
@@ -125,11 +125,11 @@
 // rate returns an account's requests a second; the first account is the large
 // one.
 func (c *Contention) rate(account int) float64 {
-	all := load * slots / hold.Seconds()
+	a := load * slots / hold.Seconds()
 	if account == 0 {
-		return excess * large * all
+		return excess * large * a
 	}
-	return (1 - large) * all / (accounts - 1)
+	return (1 - large) * a / (accounts - 1)
 }
 
 func (c *Contention) arrive(v *caller) {
@@ -153,12 +153,12 @@
 
 // settle carries out the decisions that the queue made in the last event.
 func (c *Contention) settle() {
-	for again := true; again; {
-		again = false
+	for a := true; a; {
+		a = false
 		k := c.open[:0]
 		for _, v := range c.open {
 			if v.state == waiting && v.decided != nil {
-				again = c.decide(v) || again
+				a = c.decide(v) || a
 			}
 			if v.state == waiting {
 				k = append(k, v)
--- a/contention/first.go
+++ b/contention/first.go
@@ -13,7 +13,7 @@
 // only. A caller that leaves is taken out.
 func (c *Contention) first() line {
 	var q []*caller
-	kick := func() {
+	k := func() {
 		for len(q) > 0 {
 			s, ok := c.acquire()
 			if !ok {
@@ -27,7 +27,7 @@
 	return line{
 		enter: func(v *caller) {
 			q = append(q, v)
-			kick()
+			k()
 		},
 		leave: func(v *caller) {
 			for i, x := range q {
@@ -37,7 +37,7 @@
 				}
 			}
 		},
-		kick:  kick,
+		kick:  k,
 		sweep: func() {},
 	}
 }
--- a/contention/report.go
+++ b/contention/report.go
@@ -26,20 +26,20 @@
 	}
 	d := due(t, slots*c.For.Seconds()/hold.Seconds())
 	r := []string{"account offered answered of-due refused left wasted wait-p50 wait-p99 refusal-p50 refusal-p99"}
-	worst := 1.0
-	sum := tally{}
+	w := 1.0
+	s := tally{}
 	for i, v := range t {
 		f := float64(v.answered) / d[i]
-		worst = min(worst, f)
+		w = min(w, f)
 		n := "small-" + name(i)
 		if i == 0 {
 			n = "large"
 		}
 		r = append(r, v.line(n, f))
-		sum.merge(v)
+		s.merge(v)
 	}
-	r = append(r, sum.line("all", float64(sum.answered)/total(d)))
-	return append(r, fmt.Sprintf("worst-served share of its max-min due: %.3f", worst))
+	r = append(r, s.line("all", float64(s.answered)/total(d)))
+	return append(r, fmt.Sprintf("worst-served share of its max-min due: %.3f", w))
 }
 
 func (t *tally) add(v *caller) {
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -169,19 +169,19 @@
 }
 
 func (r *result) add(o *offer, event time.Time) {
-	due, short := 0, 0
+	d, h := 0, 0
 	for _, w := range o.windows[:max(len(o.windows)-1, 0)] {
 		s := max(w.due-w.admitted, 0)
-		due += w.due
-		short += s
+		d += w.due
+		h += s
 		if a := w.start.Sub(event); a >= 0 && a < time.Minute {
 			r.lateDue += w.due
 			r.lateLost += s
 		}
 	}
-	r.due += due
-	r.short += short
-	if s := 1 - float64(short)/float64(max(due, 1)); r.least == 0 || s < r.least {
+	r.due += d
+	r.short += h
+	if s := 1 - float64(h)/float64(max(d, 1)); r.least == 0 || s < r.least {
 		r.least = s
 	}
 }
--- a/fleet/hosts.go
+++ b/fleet/hosts.go
@@ -111,7 +111,7 @@
 }
 
 // SendKey is Send with any key.
-func (f *Fleet) SendKey(ctx context.Context, host, key, method, path, id string) (code int, answer string, err error) {
+func (f *Fleet) SendKey(ctx context.Context, host, key, method, path, id string) (c int, answer string, err error) {
 	var b io.Reader
 	if id != "" {
 		b = strings.NewReader("id=" + id)
@@ -124,8 +124,8 @@
 	if id != "" {
 		q.Header.Set("Idempotency-Key", id)
 	}
-	code, a, err := f.do(q)
-	return code, string(a), err
+	c, a, err := f.do(q)
+	return c, string(a), err
 }
 
 // do uses a connection of its own, so that a request never meets a connection
--- a/fleet/network.go
+++ b/fleet/network.go
@@ -69,8 +69,8 @@
 func (n *network) dialer(from []string, clock clockwork.Clock) func(ctx context.Context, address string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
-		to := n.places[address]
-		s := n.separated(from, to)
+		o := n.places[address]
+		s := n.separated(from, o)
 		n.mu.Unlock()
 		if s {
 			select {
@@ -84,7 +84,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return n.add(&conn{Conn: t, network: n, from: from, to: to, closed: make(chan struct{})}), nil
+		return n.add(&conn{Conn: t, network: n, from: from, to: o, closed: make(chan struct{})}), nil
 	}
 }
 
--- a/fleetscript/call.go
+++ b/fleetscript/call.go
@@ -74,11 +74,11 @@
 	if k == "" {
 		k = f.Keys[args[1]]
 	}
-	id := ""
+	i := ""
 	if len(args) == 5 {
-		id = args[4]
+		i = args[4]
 	}
-	c, b, err := f.SendKey(s.context, args[0], k, args[2], args[3], id)
+	c, b, err := f.SendKey(s.context, args[0], k, args[2], args[3], i)
 	return fmt.Sprintf("%d %s\n", c, strings.TrimSpace(b)), err
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -60,25 +60,25 @@
 // run returns how the stream ended. A caller that leaves ends ctx, and with it
 // the stream and the request at the other end.
 func (a *attempt) run(ctx context.Context, address string, fresh bool) outcome.Outcome {
-	x, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a.cancel = cancel
-	s, reused, done, err := a.forward.Open(x, address, fresh)
-	a.reused = reused
+	x, c := context.WithCancel(ctx)
+	defer c()
+	a.cancel = c
+	s, r, d, err := a.forward.Open(x, address, fresh)
+	a.reused = r
 	if err != nil {
 		// Only the name of the call can have left.
 		return refuse("the other failure domain cannot be reached", time.Second)
 	}
 	a.stream = s
-	clean := false
-	defer func() { done(clean) }()
-	end := a.watch(x)
-	defer func() { end(clean) }()
+	l := false
+	defer func() { d(l) }()
+	e := a.watch(x)
+	defer func() { e(l) }()
 	if err := a.send(); err != nil {
 		return a.lost(ctx, err)
 	}
 	o := a.receive(ctx)
-	clean = o.Outcome == outcome.Answered || o.Ran == outcome.RanNo && o.Outcome != outcome.Left
+	l = o.Outcome == outcome.Answered || o.Ran == outcome.RanNo && o.Outcome != outcome.Left
 	return o
 }
 
@@ -96,14 +96,14 @@
 	if a.reused {
 		a.pulse.First = firstPulse
 	}
-	x, stop := context.WithCancel(ctx)
+	x, s := context.WithCancel(ctx)
 	d := make(chan struct{})
 	go a.pulse.Run(x, d)
 	return func(clean bool) {
 		if !clean {
 			a.cancel()
 		}
-		stop()
+		s()
 		// A message on its way to a silent host would hold this up.
 		t := f.Clock.AfterFunc(endWait, a.cancel)
 		<-d
@@ -153,7 +153,7 @@
 
 // receive takes the frames of the answer.
 func (a *attempt) receive(ctx context.Context) outcome.Outcome {
-	wanted := false
+	w := false
 	for {
 		a.pulse.Wait()
 		m, err := a.stream.Recv()
@@ -164,10 +164,10 @@
 		a.heard = true
 		switch v := m.Part.(type) {
 		case *wire.Frame_BodyWanted:
-			if wanted || a.body.rest == nil {
+			if w || a.body.rest == nil {
 				continue
 			}
-			wanted = true
+			w = true
 			go a.long()
 		case *wire.Frame_Refusal:
 			return a.refused(v.Refusal)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,12 +88,12 @@
 // target sends r to one host, and again on a fresh connection if the reused one
 // showed no life at all and a second run does no harm.
 func (f *Forward) target(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) outcome.Outcome {
-	sent, retry, ok := f.Link(m.Region, b.size(r))
+	s, e, ok := f.Link(m.Region, b.size(r))
 	if !ok {
-		return refuse("the link to the other region is full", retry)
+		return refuse("the link to the other region is full", e)
 	}
 	c := &count{writer: w}
-	defer func() { sent(c.sent.Load()) }()
+	defer func() { s(c.sent.Load()) }()
 	a := &attempt{forward: f, request: r, body: b, count: c}
 	o := a.run(ctx, m.PeerAddress, r.NonIdempotent)
 	if o.Outcome == outcome.BackendFailed && a.reused && !a.heard && !b.spent() && ctx.Err() == nil {
--- a/host/domain.go
+++ b/host/domain.go
@@ -141,17 +141,17 @@
 
 // local runs a request of a caller of this host.
 func (x *parts) local(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	far := ctx.Value(elsewhere{}) != nil
-	if far {
+	f := ctx.Value(elsewhere{}) != nil
+	if f {
 		if t, ok := x.site.growth.Admit(); !ok {
 			return tooFast(t)
 		}
 	}
 	o := x.serve(ctx, r, w)
 	switch {
-	case far && o.Ran == outcome.RanNo:
+	case f && o.Ran == outcome.RanNo:
 		x.site.growth.Return()
-	case !far && o.Ran != outcome.RanNo:
+	case !f && o.Ran != outcome.RanNo:
 		x.site.growth.Note()
 	}
 	return o
@@ -170,7 +170,7 @@
 	if !ok {
 		return nil, tooFast(t)
 	}
-	sent, t, ok := x.site.links.Take(x.host.Settings.Region, region, r.Service.AnswerBytes)
+	s, t, ok := x.site.links.Take(x.host.Settings.Region, region, r.Service.AnswerBytes)
 	if !ok {
 		x.site.growth.Return()
 		return nil, outcome.Outcome{
@@ -178,7 +178,7 @@
 		}
 	}
 	return func(o outcome.Outcome, n int64) {
-		sent(n)
+		s(n)
 		if o.Ran == outcome.RanNo {
 			x.site.growth.Return()
 		}
@@ -225,8 +225,8 @@
 	r := x.drawn(service, func(m member.Member, free int) bool {
 		return m.Domain != x.host.Settings.Domain && !m.Leaving && free > 0
 	})
-	near := func(m member.Member) bool { return m.Region == x.host.Settings.Region }
-	sort.SliceStable(r, func(i, j int) bool { return near(r[i]) && !near(r[j]) })
+	n := func(m member.Member) bool { return m.Region == x.host.Settings.Region }
+	sort.SliceStable(r, func(i, j int) bool { return n(r[i]) && !n(r[j]) })
 	return r
 }
 
--- a/host/limits.go
+++ b/host/limits.go
@@ -126,8 +126,8 @@
 func (x *parts) holders() []holder.Holder {
 	s := x.limits.holding.Self
 	m := map[string]holder.Holder{}
-	leaving := x.leaving.Load()
-	if !leaving {
+	l := x.leaving.Load()
+	if !l {
 		m[s.Name] = s
 	}
 	var far []*wire.Host
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -19,18 +19,18 @@
 // their metrics apart by the prefix of their counters.
 func (x *parts) measure() {
 	p := strings.TrimPrefix(x.host.Counter.Prefix, "Requests.")
-	set := func(name string, v float64) { metric.Metric{Name: p + name}.Set(v) }
+	e := func(name string, v float64) { metric.Metric{Name: p + name}.Set(v) }
 	if s := x.follower.Snapshot(); s != nil {
-		set(gaugeConfig, float64(s.Config.Version))
+		e(gaugeConfig, float64(s.Config.Version))
 	}
-	set(gaugePeers, float64(len(x.membership.Alive())))
+	e(gaugePeers, float64(len(x.membership.Alive())))
 	var slots, busy, waiting uint32
 	for _, l := range x.lanes.Loads() {
 		slots += l.Slots
 		busy += l.Busy
 		waiting += l.Waiting
 	}
-	set(gaugeSlots, float64(slots))
-	set(gaugeBusy, float64(busy))
-	set(gaugeWaiting, float64(waiting))
+	e(gaugeSlots, float64(slots))
+	e(gaugeBusy, float64(busy))
+	e(gaugeWaiting, float64(waiting))
 }
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -165,24 +165,24 @@
 // are not cut by time, and the report says for which hosts it has them.
 func between(s sums.Sums, from, to time.Time) sums.Sums {
 	r := sums.Sums{Host: s.Host, Incarnation: s.Incarnation, Region: s.Region, At: s.At}
-	in := func(unix int64) bool { return unix >= from.Unix() && unix < to.Unix() }
+	i := func(unix int64) bool { return unix >= from.Unix() && unix < to.Unix() }
 	for _, v := range s.Tallies {
-		if in(v.Minute * 60) {
+		if i(v.Minute * 60) {
 			r.Tallies = append(r.Tallies, v)
 		}
 	}
 	for _, v := range s.Usages {
-		if in(v.Minute * 60) {
+		if i(v.Minute * 60) {
 			r.Usages = append(r.Usages, v)
 		}
 	}
 	for _, v := range s.Seconds {
-		if in(v.Second) {
+		if i(v.Second) {
 			r.Seconds = append(r.Seconds, v)
 		}
 	}
 	for _, v := range s.Drains {
-		if in(v.At.Unix()) {
+		if i(v.At.Unix()) {
 			r.Drains = append(r.Drains, v)
 		}
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -225,22 +225,22 @@
 	defer m.mu.Unlock()
 	s := map[string]bool{m.Self().PeerAddress: true}
 	var r []string
-	add := func(a string) {
+	d := func(a string) {
 		if a != "" && !s[a] {
 			s[a] = true
 			r = append(r, a)
 		}
 	}
 	for _, a := range m.Seeds {
-		add(a)
+		d(a)
 	}
 	for _, v := range m.listed {
-		add(v.PeerAddress)
+		d(v.PeerAddress)
 	}
 	for _, p := range m.peers {
-		add(p.member.PeerAddress)
+		d(p.member.PeerAddress)
 		for _, k := range p.beat.GetKnown() {
-			add(k.PeerAddress)
+			d(k.PeerAddress)
 		}
 	}
 	return r
--- a/once/once.go
+++ b/once/once.go
@@ -71,14 +71,14 @@
 // ask for the outcome, and a canceled request has none.
 func (l ledger) run(ctx context.Context, r *request.Request, w http.ResponseWriter, c record.Record, run func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome) outcome.Outcome {
 	r.Gate = new(gate.Gate)
-	x, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
+	x, a := context.WithCancel(context.WithoutCancel(ctx))
+	defer a()
+	s := context.AfterFunc(ctx, func() {
 		if r.Gate.Refuse() {
-			cancel()
+			a()
 		}
 	})
-	defer stop()
+	defer s()
 	k := &keep{writer: w, left: ctx, header: make(http.Header)}
 	c.State = record.Unknown
 	// The answer may break off with a panic, which ends the attempt as well.
--- a/receive/body.go
+++ b/receive/body.go
@@ -30,24 +30,24 @@
 // an error, so that a cut body is never taken for a whole one.
 func (b *body) read(cancel context.CancelFunc) {
 	defer cancel()
-	whole := false
+	w := false
 	for {
 		b.pulse.Wait()
 		m, err := b.stream.Recv()
 		b.pulse.Got()
 		switch {
-		case err != nil && !whole && errors.Is(err, io.EOF):
+		case err != nil && !w && errors.Is(err, io.EOF):
 			b.ended <- io.ErrUnexpectedEOF
 			return
-		case err != nil && !whole:
+		case err != nil && !w:
 			b.ended <- err
 			return
 		case err != nil:
 			return
-		case m.GetEnd() && !whole:
-			whole = true
+		case m.GetEnd() && !w:
+			w = true
 			b.ended <- io.EOF
-		case len(m.GetBody()) > 0 && !whole:
+		case len(m.GetBody()) > 0 && !w:
 			select {
 			case b.pieces <- m.GetBody():
 			case <-b.ctx.Done():
--- a/receive/receive.go
+++ b/receive/receive.go
@@ -52,13 +52,13 @@
 	if o.Outcome != "" {
 		return refuse(s, o)
 	}
-	ended, o := v.Admit(r, h.FromRegion)
+	e, o := v.Admit(r, h.FromRegion)
 	if o.Outcome != "" {
 		return refuse(s, o)
 	}
 	w := &answer{stream: s, header: make(http.Header)}
 	o = v.run(s, r, h.HasBody, w)
-	ended(o, w.bytes)
+	e(o, w.bytes)
 	if w.err != nil {
 		return w.err
 	}
@@ -72,9 +72,9 @@
 // run serves r while it watches the sender. When the caller has left, or the
 // sender has gone silent, ctx ends and with it the request.
 func (v *Receive) run(s wire.DRPCPeer_ForwardStream, r *request.Request, hasBody bool, w *answer) outcome.Outcome {
-	x, cancel := context.WithCancel(s.Context())
+	x, c := context.WithCancel(s.Context())
 	p := &pulse.Pulse{
-		Clock: v.Clock, Every: pulseEvery, First: maxSilence, Silence: maxSilence, Lost: cancel,
+		Clock: v.Clock, Every: pulseEvery, First: maxSilence, Silence: maxSilence, Lost: c,
 		Send: func() error { return s.Send(&wire.Frame{Part: &wire.Frame_Alive{Alive: true}}) },
 	}
 	b := &body{stream: s, pulse: p, ctx: x, pieces: make(chan []byte), ended: make(chan error, 1)}
@@ -84,9 +84,9 @@
 	d := make(chan struct{})
 	go p.Run(x, d)
 	// It ends with the stream, which the return of Stream ends.
-	go b.read(cancel)
+	go b.read(c)
 	defer func() {
-		cancel()
+		c()
 		<-d
 	}()
 	return v.serve(x, r, w)
--- a/report/builder.go
+++ b/report/builder.go
@@ -84,10 +84,10 @@
 		if w == 0 {
 			continue
 		}
-		all := b.sum(scope{account: a.Name}, window).OverRate
-		part := b.sum(scope{service: s.service, account: a.Name, region: s.region}, window).OverRate
-		if all > 0 {
-			r += float64(w) * float64(part) / float64(all)
+		l := b.sum(scope{account: a.Name}, window).OverRate
+		p := b.sum(scope{service: s.service, account: a.Name, region: s.region}, window).OverRate
+		if l > 0 {
+			r += float64(w) * float64(p) / float64(l)
 		}
 	}
 	return r
@@ -141,8 +141,8 @@
 	r := budget{Service: s.service, Account: s.account, Region: s.region, Objective: objective, Target: target}
 	for _, w := range Windows {
 		t := b.sum(s, w)
-		bad, total := parts(objective, t, b.wrong(s, w))
-		r.Rates = append(r.Rates, rate{Window: w, Total: uint64(total + 0.5), Bad: uint64(bad + 0.5), Burn: burn(bad, total, allowed)})
+		a, o := parts(objective, t, b.wrong(s, w))
+		r.Rates = append(r.Rates, rate{Window: w, Total: uint64(o + 0.5), Bad: uint64(a + 0.5), Burn: burn(a, o, allowed)})
 	}
 	r.Alert = alert(r.Rates)
 	return r
@@ -152,14 +152,14 @@
 // over the rate that was rightful counts nowhere: it is the account's own
 // doing. Neither does a caller that left, who got what it wanted or not.
 func parts(objective string, t tally.Tally, wrongful float64) (bad, total float64) {
-	inside := float64(t.Inside) + wrongful
+	i := float64(t.Inside) + wrongful
 	switch objective {
 	case Latency:
 		return float64(t.Answered - t.Timely), float64(t.Answered)
 	case Whole:
-		return float64(t.Failed) + inside, float64(t.Answered+t.Failed) + inside
+		return float64(t.Failed) + i, float64(t.Answered+t.Failed) + i
 	default:
-		return inside, float64(t.Answered+t.Failed) + inside
+		return i, float64(t.Answered+t.Failed) + i
 	}
 }
 
@@ -177,11 +177,11 @@
 // alert asks for a short and a long window together: the long one shows that
 // the budget is really going, the short one that it still is.
 func alert(r []rate) string {
-	over := func(i int, limit float64) bool { return r[i].Burn >= limit && r[i].Total >= least }
+	o := func(i int, limit float64) bool { return r[i].Burn >= limit && r[i].Total >= least }
 	switch {
-	case over(0, fastBurn) && over(2, fastBurn):
+	case o(0, fastBurn) && o(2, fastBurn):
 		return Fast
-	case over(1, slowBurn) && over(3, slowBurn):
+	case o(1, slowBurn) && o(3, slowBurn):
 		return Slow
 	default:
 		return ""
--- a/report/measures.go
+++ b/report/measures.go
@@ -20,10 +20,10 @@
 	r := worst{Service: o.Service, Served: 2, Target: o.WorstShare}
 	for _, a := range b.config.Accounts {
 		s := scope{service: o.Service, account: a.Name}
-		bad, total := parts(Whole, b.sum(s, recent), b.wrong(s, recent))
-		if total > 0 && (total-bad)/total < r.Served {
+		d, t := parts(Whole, b.sum(s, recent), b.wrong(s, recent))
+		if t > 0 && (t-d)/t < r.Served {
 			r.Account = a.Name
-			r.Served = (total - bad) / total
+			r.Served = (t - d) / t
 		}
 	}
 	if r.Account == "" {
@@ -100,9 +100,9 @@
 	if m == nil || m.TotalCount() == 0 {
 		return nil
 	}
-	at := func(p float64) time.Duration { return time.Duration(m.ValueAtQuantile(p)) * time.Microsecond }
+	a := func(p float64) time.Duration { return time.Duration(m.ValueAtQuantile(p)) * time.Microsecond }
 	return []latency{{
-		Service: o.Service, Answers: m.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
+		Service: o.Service, Answers: m.TotalCount(), P50: a(50), P90: a(90), P99: a(99), P999: a(99.9),
 		Target: o.Latency, TargetFraction: o.LatencyFraction,
 	}}
 }
@@ -139,11 +139,11 @@
 	r := make(map[int64]float64)
 	d := Windows[len(Windows)-1]
 	for _, a := range b.config.Accounts {
-		all := b.sum(scope{account: a.Name}, d).OverRate
-		if all == 0 {
+		l := b.sum(scope{account: a.Name}, d).OverRate
+		if l == 0 {
 			continue
 		}
-		f := float64(b.sum(scope{account: a.Name, service: service}, d).OverRate) / float64(all)
+		f := float64(b.sum(scope{account: a.Name, service: service}, d).OverRate) / float64(l)
 		for s, n := range b.wrongful[a.Name] {
 			r[s/60] += f * float64(n)
 		}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -277,19 +277,19 @@
 	f, p, t := n.simulation, l[0], n.clock.Now()
 	f.Messages++
 	// Without an answer the next one is asked when the loan would have ended.
-	answered := false
-	end := func(u uint64, d time.Duration) {
-		if answered {
+	a := false
+	v := func(u uint64, d time.Duration) {
+		if a {
 			return
 		}
-		answered = true
+		a = true
 		if u == 0 {
 			n.ask(name, units, l[1:])
 			return
 		}
 		n.quota.Receive(name, units, u, t.Add(d-d/50))
 	}
-	f.at(loanFor, func() { n.do(func() { end(0, 0) }) })
+	f.at(loanFor, func() { n.do(func() { v(0, 0) }) })
 	d, ok := f.Delay(n.number, p.number)
 	if !ok {
 		return
@@ -301,7 +301,7 @@
 				f.Lent(p.quota, name, u)
 			}
 			if e, ok := f.Delay(p.number, n.number); ok {
-				f.at(e, func() { n.do(func() { end(u, x) }) })
+				f.at(e, func() { n.do(func() { v(u, x) }) })
 			}
 		})
 	})
--- a/slotloan/slotloan.go
+++ b/slotloan/slotloan.go
@@ -124,9 +124,9 @@
 	d := min(time.Duration(b.ForNanoseconds), l.Longest)
 	s := b.Limit[len(Prefix):]
 	l.mu.Lock()
-	_, again := l.lent[b.Loan]
+	_, a := l.lent[b.Loan]
 	l.mu.Unlock()
-	if again || d <= 0 {
+	if a || d <= 0 {
 		return &wire.BorrowResponse{Lender: l.Host}
 	}
 	n, f, ok := l.Lend(s, d)
--- a/stress/caller.go
+++ b/stress/caller.go
@@ -68,16 +68,16 @@
 // serve sends a request, and an unanswered one with an id again.
 func (s *Stress) serve(ctx context.Context, t *http.Transport, r *rand.Rand, o order) {
 	for a := range maxAttempts {
-		id := fmt.Sprintf("%s-%d", o.name, a)
-		end, c := s.attempt(ctx, t, r, o, id)
-		c.id = id
+		i := fmt.Sprintf("%s-%d", o.name, a)
+		e, c := s.attempt(ctx, t, r, o, i)
+		c.id = i
 		c.request = o.name
 		c.once = o.method == http.MethodPost
-		s.judge.add(c, end)
+		s.judge.add(c, e)
 		if c.ran == outcome.RanNo {
 			s.pause(ctx, refusedPause)
 		}
-		if end == outcome.Answered || o.id == "" {
+		if e == outcome.Answered || o.id == "" {
 			return
 		}
 	}
