--- /dev/null
+++ b/capacity/lines.go
@@ -0,0 +1,60 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/balancer"
+	"celeryreach.example/celeryreach/measurement"
+	"celeryreach.example/celeryreach/queue"
+	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/slot"
+)
+
+const (
+	// queuedAccounts is how many accounts the waiting requests belong to.
+	queuedAccounts = 100
+	pickSlots      = 4
+)
+
+// newQueue has n requests that wait for slots that never come free.
+func (c *Capacity) newQueue(n int) *queue.Queue {
+	q := &queue.Queue{Clock: c.Clock, Limit: 2 * n, Acquire: func() (slot.Slot, bool) { return slot.Slot{}, false }}
+	for i := range n {
+		q.Enter(context.Background(), newName(i%queuedAccounts), time.Hour)
+	}
+	return q
+}
+
+// waitSize leaves out the caller's goroutines and connection, which package
+// entry's benchmark of waiting callers counts.
+func (c *Capacity) waitSize(n int) float64 {
+	return measurement.Bytes(func() any { return c.newQueue(n) })
+}
+
+func (c *Capacity) waitTime(n int) float64 {
+	q := c.newQueue(n)
+	return measurement.Time(c.Clock, func() {
+		_, l := q.Enter(context.Background(), newName(0), time.Hour)
+		l()
+	})
+}
+
+func (c *Capacity) pickTime(n int) float64 {
+	l := make([]backend.Backend, n)
+	for i := range l {
+		l[i] = backend.Backend{Name: fmt.Sprint("backend-", i), Slots: pickSlots, Connections: 100 * pickSlots}
+	}
+	b := &balancer.Balancer{
+		Clock: c.Clock, Backends: func() []backend.Backend { return l },
+		Slots: func(v backend.Backend) int { return v.Slots }, Released: func() {},
+		Random: func(k int) int { return k / 2 },
+	}
+	return measurement.Time(c.Clock, func() {
+		if s, ok := b.Acquire(); ok {
+			s.Release(result.Succeeded)
+		}
+	})
+}
--- a/capacity/measurements.go
+++ b/capacity/measurements.go
@@ -42,6 +42,9 @@
 	deltaWireBytes = "delta, bytes by accounts"
 	contentBytes   = "configuration, bytes by accounts"
 	countBytes     = "counts of a minute in memory, by accounts busy each second"
+	waitBytes      = "queue in memory, by waiting requests"
+	waitTime       = "request queued and taken out, by waiting requests"
+	pickTime       = "backend server picked, by backend servers"
 	memberBytes    = "member of the roster, bytes by hosts"
 )
 
@@ -87,6 +90,9 @@
 		{Name: admitBytes, Unit: "B", Per: "accounts", Sizes: m, Measure: c.admitSize},
 		{Name: gaugeTime, Unit: "ns", Per: "hosts", Sizes: f, Measure: c.gaugeTime},
 		{Name: ticketBytes, Unit: "B", Per: "tickets", Sizes: m, Measure: c.ticketSize},
+		{Name: waitBytes, Unit: "B", Per: "requests", Sizes: m, Measure: c.waitSize},
+		{Name: waitTime, Unit: "ns", Per: "requests", Sizes: m, Measure: c.waitTime},
+		{Name: pickTime, Unit: "ns", Per: "backend servers", Sizes: c.sizes(12, 40, 120), Measure: c.pickTime},
 		{Name: countBytes, Unit: "B", Per: "accounts", Sizes: f, Measure: countSize},
 		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: f, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
 	}
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -42,7 +42,12 @@
 	hourMinutes = 60
 	// keepSeconds is the time between two writes of kept counts.
 	keepSeconds = 300.0
-	nanos       = 1e9
+	// waiting is how many requests wait at a host; as many requests as look-ups
+	// pass through it.
+	waiting = 10_000
+	// domainBackends is the backend servers of a service in a failure domain.
+	domainBackends = 40
+	nanos          = 1e9
 )
 
 // at returns a measured cost at size n.
@@ -57,7 +62,7 @@
 
 func (c *Capacity) roles() []role.Role {
 	return []role.Role{
-		c.lookup(), c.admission(), c.membership(), c.quota(), c.configuration(), c.planner(), c.idempotency(), c.burn(),
+		c.lookup(), c.admission(), c.queue(), c.balancer(), c.membership(), c.quota(), c.configuration(), c.planner(), c.idempotency(), c.burn(),
 	}
 }
 
@@ -81,6 +86,23 @@
 	}
 }
 
+func (c *Capacity) queue() role.Role {
+	t := c.Target
+	return role.Role{
+		Name: "queue", State: c.at(waitBytes, waiting),
+		Core:    t.Lookups / t.Nodes * c.at(waitTime, waiting) / nanos,
+		Carries: "accounts in a heap by their next turn, requests of an account in a list",
+	}
+}
+
+func (c *Capacity) balancer() role.Role {
+	t := c.Target
+	return role.Role{
+		Name: "balancer", Core: t.Lookups / t.Nodes * c.at(pickTime, domainBackends) / nanos,
+		Carries: "two candidates of those with a free slot; only a domain's own backend servers",
+	}
+}
+
 // membership is heartbeats inside a site by everybody, between sites by one host
 // of each and between domains by one host of each. The cost is that of the
 // dearest host, which speaks for its domain.
