Commands: reading the configuration in force stands once

Cause: config show and preset show repeated what current does. Change: they call it; it takes the names of the command's arguments. Figures: go test -race ./cmd ./fleetscript unchanged and green. Conclusion: report burn, status and config diff need the connection for more and stay as they are.

--- a/cmd/config_show.go
+++ b/cmd/config_show.go
@@ -14,15 +14,7 @@
 }
 
 func (m *Cmd) runConfigShow(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	n, err := m.connect(c)
-	if err != nil {
-		return err
-	}
-	defer n.close()
-	v, err := n.load(ctx)
+	v, err := m.current(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/cmd/current.go
+++ b/cmd/current.go
@@ -8,9 +8,10 @@
 	"celeryreach.example/celeryreach/config"
 )
 
-// current returns the configuration in force for a command without arguments.
-func (m *Cmd) current(ctx context.Context, c *cli.Command) (*config.Config, error) {
-	if _, err := arguments(c); err != nil {
+// current returns the configuration in force for a command that takes the
+// named arguments and needs the operators' interface for nothing else.
+func (m *Cmd) current(ctx context.Context, c *cli.Command, names ...string) (*config.Config, error) {
+	if _, err := arguments(c, names...); err != nil {
 		return nil, err
 	}
 	n, err := m.connect(c)
--- a/cmd/preset_show.go
+++ b/cmd/preset_show.go
@@ -14,20 +14,11 @@
 }
 
 func (m *Cmd) runPresetShow(ctx context.Context, c *cli.Command) error {
-	a, err := arguments(c, "PRESET")
+	v, err := m.current(ctx, c, "PRESET")
 	if err != nil {
 		return err
 	}
-	n, err := m.connect(c)
-	if err != nil {
-		return err
-	}
-	defer n.close()
-	v, err := n.load(ctx)
-	if err != nil {
-		return err
-	}
-	p, err := find(v, a[0])
+	p, err := find(v, c.Args().First())
 	if err != nil {
 		return err
 	}
