Operators: the page on keys has commands, and a script runs them

Cause: the page told what happens and not what to type. Conclusion: tls.md is the page whose commands no script runs.

--- a/fleetscript/docs_test.go
+++ b/fleetscript/docs_test.go
@@ -10,7 +10,7 @@
 )
 
 // pages are the operators' pages whose commands the scripts doc_*.txtar run.
-var pages = []string{"first-deployment", "ordinary-day", "peak", "maintenance", "hosts", "burn-report", "lost-region", "store-outage"}
+var pages = []string{"first-deployment", "ordinary-day", "peak", "maintenance", "hosts", "keys", "burn-report", "lost-region", "store-outage"}
 
 // Every command that a page tells operators to type stands in a script, word
 // for word, so that the scripts run what the pages say.
