Store: the product's seam to the platform is package store

The folder platform/ is to hold the adapter to the users' platform; the seam that the product itself defines takes the name of what it is. No behaviour changes.

--- a/author/author.go
+++ b/author/author.go
@@ -16,8 +16,8 @@
 	"celeryreach.example/celeryreach/division"
 	"celeryreach.example/celeryreach/holder"
 	"celeryreach.example/celeryreach/holding"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 // earlierMost bounds the epochs that may be in use at once. While it is
@@ -50,7 +50,7 @@
 	// Log receives one line for each epoch that this host writes.
 	Log *log.Logger
 	// Platform holds the row.
-	Platform platform.Platform
+	Platform store.Store
 	// Holding takes the divisions that are read.
 	Holding *holding.Holding
 	// Alive returns the processes heard lately by this host or by its peers,
--- a/blockfollower/blockfollower.go
+++ b/blockfollower/blockfollower.go
@@ -16,8 +16,8 @@
 	"celeryreach.example/celeryreach/block"
 	"celeryreach.example/celeryreach/blockchunk"
 	"celeryreach.example/celeryreach/blocktable"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/replica"
+	"celeryreach.example/celeryreach/store"
 )
 
 // Kind names the list of chunks in messages, ChunkKind a single chunk.
@@ -36,7 +36,7 @@
 	// Log receives one line for each applied version.
 	Log *log.Logger
 	// Platform holds the row and the chunks.
-	Platform platform.Platform
+	Platform store.Store
 	// Poll returns the time until the next read of the row.
 	Poll func() time.Duration
 	// Changed is called after a version was applied; nil calls nothing.
--- a/blockfollower/blockfollower_test.go
+++ b/blockfollower/blockfollower_test.go
@@ -18,8 +18,8 @@
 	"celeryreach.example/celeryreach/blockfollower"
 	"celeryreach.example/celeryreach/blockpublish"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
@@ -31,8 +31,8 @@
 	out     bool
 }
 
-func (s *shelf) platform() platform.Platform {
-	return platform.Platform{
+func (s *shelf) platform() store.Store {
+	return store.Store{
 		Read:   func(_ context.Context, k string) (row.Row, error) { return s.table.Read(k), nil },
 		Commit: func(_ context.Context, c commit.Commit) (bool, error) { return s.table.Commit(c), nil },
 		PutObject: func(_ context.Context, k string, b []byte) error {
@@ -52,7 +52,7 @@
 	}
 }
 
-func follow(p platform.Platform) *blockfollower.Blockfollower {
+func follow(p store.Store) *blockfollower.Blockfollower {
 	return &blockfollower.Blockfollower{Clock: clockwork.NewFakeClock(), Log: log.New(io.Discard), Platform: p, Timeout: time.Minute}
 }
 
--- a/blockpublish/blockpublish.go
+++ b/blockpublish/blockpublish.go
@@ -11,8 +11,8 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/block"
 	"celeryreach.example/celeryreach/blockchunk"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/publish"
+	"celeryreach.example/celeryreach/store"
 )
 
 const tries = 5
@@ -22,7 +22,7 @@
 	// Clock paces the reading back after a lost answer.
 	Clock clockwork.Clock
 	// Platform holds the chunks and the row.
-	Platform platform.Platform
+	Platform store.Store
 }
 
 // Change puts some client blocks and removes others. Two changes at once do not
--- a/change/change.go
+++ b/change/change.go
@@ -12,14 +12,14 @@
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/conflict"
 	"celeryreach.example/celeryreach/difference"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/publish"
+	"celeryreach.example/celeryreach/store"
 )
 
 // Change writes configurations to the platform.
 type Change struct {
 	// Platform holds the accepted configuration.
-	Platform platform.Platform
+	Platform store.Store
 	// Clock paces the reading back after a lost answer; nil means the real one.
 	Clock clockwork.Clock
 	// Accepted is told of a version that was just accepted, so that it is put
--- a/cmd/connection.go
+++ b/cmd/connection.go
@@ -17,9 +17,9 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/operatorclient"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/problem"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/validate"
 )
 
@@ -124,7 +124,7 @@
 
 // platform reads and changes the configuration without a host. The check that
 // a host makes of a change is made here.
-func (n *connection) platform(p platform.Platform) {
+func (n *connection) platform(p store.Store) {
 	n.load = func(ctx context.Context) (*config.Config, error) { return load(ctx, p) }
 	n.former = func(context.Context, uint64) (*config.Config, error) {
 		return nil, errors.New("the platform names the newest version only")
@@ -141,7 +141,7 @@
 	}
 }
 
-func load(ctx context.Context, p platform.Platform) (*config.Config, error) {
+func load(ctx context.Context, p store.Store) (*config.Config, error) {
 	r, err := p.Read(ctx, accepted.RowKey)
 	if err != nil {
 		return nil, err
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -33,7 +33,6 @@
 	"celeryreach.example/celeryreach/idempotency"
 	"celeryreach.example/celeryreach/once"
 	"celeryreach.example/celeryreach/outcome"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/preset"
 	"celeryreach.example/celeryreach/queue"
 	"celeryreach.example/celeryreach/quota"
@@ -42,6 +41,7 @@
 	"celeryreach.example/celeryreach/service"
 	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 	"celeryreach.example/celeryreach/ticket"
 	"celeryreach.example/celeryreach/upstream"
@@ -96,7 +96,7 @@
 	v := s.snapshot()
 	n := func() *snapshot.Snapshot { return v }
 	a := &admission.Admission{Snapshot: n}
-	p := platform.Platform{
+	p := store.Store{
 		Read:   platformRead(&s.store, &s.out),
 		Commit: platformCommit(&s.store, &s.out),
 	}
@@ -189,7 +189,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"backend": backendCommand, "send": send, "leave": leave, "stall": stall, "half": half, "ended": ended, "raw": raw, "runs": runs, "seen": seen,
-			"store": store, "commits": commits, "ticket": mint, "enrol": enrol,
+			"store": storeKnob, "commits": commits, "ticket": mint, "enrol": enrol,
 			"shutdown": func(t *testscript.TestScript, _ bool, _ []string) { t.Value("site").(*site).closed.Store(true) },
 		},
 	})
--- a/entry/platform_test.go
+++ b/entry/platform_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-func store(t *testscript.TestScript, _ bool, a []string) {
+func storeKnob(t *testscript.TestScript, _ bool, a []string) {
 	t.Value("site").(*site).out.Store(a[0] == "out")
 }
 
--- a/expiry/expiry.go
+++ b/expiry/expiry.go
@@ -10,9 +10,9 @@
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/record"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 	// Log receives one line for each sweep that removed something or failed.
 	Log *log.Logger
 	// Platform holds the records.
-	Platform platform.Platform
+	Platform store.Store
 	// Retention is how long a record is kept.
 	Retention time.Duration
 	// Sweeps reports whether this host is the one that sweeps. Two sweepers
--- a/expiry/expiry_test.go
+++ b/expiry/expiry_test.go
@@ -12,9 +12,9 @@
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/record"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
@@ -33,7 +33,7 @@
 	s := new(table.Table)
 	e := &Expiry{
 		Clock: c, Log: log.New(io.Discard), Retention: 24 * time.Hour,
-		Platform: platform.Platform{
+		Platform: store.Store{
 			Read:   func(_ context.Context, k string) (row.Row, error) { return s.Read(k), nil },
 			Scan:   func(_ context.Context, k string) ([]row.Row, error) { return s.Scan(k), nil },
 			Commit: func(_ context.Context, m commit.Commit) (bool, error) { return s.Commit(m), nil },
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -13,9 +13,9 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/replica"
 	"celeryreach.example/celeryreach/snapshot"
+	"celeryreach.example/celeryreach/store"
 )
 
 // Kind names the configuration in messages between hosts.
@@ -29,7 +29,7 @@
 	// Log receives one line for each applied version.
 	Log *log.Logger
 	// Platform is polled.
-	Platform platform.Platform
+	Platform store.Store
 	// Poll returns the time until the next read of the row.
 	Poll func() time.Duration
 	// Polled is told of each read that the platform answered; nil tells nobody.
--- a/host/host.go
+++ b/host/host.go
@@ -14,8 +14,8 @@
 
 	"celeryreach.example/celeryreach/certs"
 	"celeryreach.example/celeryreach/counter"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/settings"
+	"celeryreach.example/celeryreach/store"
 )
 
 const (
@@ -28,7 +28,7 @@
 	// Settings say who the host is.
 	Settings settings.Settings
 	// Platform is the users' platform.
-	Platform platform.Platform
+	Platform store.Store
 	// Clock is the host's clock.
 	Clock clockwork.Clock
 	// Log receives the host's events.
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -14,10 +14,10 @@
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/group"
 	"celeryreach.example/celeryreach/outcome"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/record"
 	"celeryreach.example/celeryreach/repeat"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 	// Clock stamps the records for expiry.
 	Clock clockwork.Clock
 	// Platform holds the records.
-	Platform platform.Platform
+	Platform store.Store
 	// Group writes the rows that let requests run.
 	Group *group.Group
 	// Host is the name of this host.
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -19,7 +19,7 @@
 // world is the state of one script.
 type world struct {
 	clock *clockwork.FakeClock
-	store *store
+	store *faultyStore
 	hosts map[string]*idempotency.Idempotency
 	inc   map[string]uint64
 	runs  map[string]record.Record
@@ -43,7 +43,7 @@
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
 			e.Values["world"] = &world{
-				clock: clockwork.NewFakeClock(), store: new(store), hosts: make(map[string]*idempotency.Idempotency),
+				clock: clockwork.NewFakeClock(), store: new(faultyStore), hosts: make(map[string]*idempotency.Idempotency),
 				inc: make(map[string]uint64), runs: make(map[string]record.Record), open: make(map[string]bool),
 			}
 			return nil
--- a/idempotency/property_test.go
+++ b/idempotency/property_test.go
@@ -75,7 +75,7 @@
 func newModel(blind bool) *model {
 	m := &model{tries: make(map[string][2]string), ran: make(map[string]int)}
 	m.clock = clockwork.NewFakeClock()
-	m.store = &store{blind: blind}
+	m.store = &faultyStore{blind: blind}
 	m.hosts = make(map[string]*idempotency.Idempotency)
 	m.inc = make(map[string]uint64)
 	m.runs = make(map[string]record.Record)
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -11,17 +11,17 @@
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/group"
 	"celeryreach.example/celeryreach/idempotency"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
 var errStore = errors.New("the store does not answer")
 
-// store is a table whose calls fail as told: "up", "out" (no effect), "lose"
+// faultyStore is a table whose calls fail as told: "up", "out" (no effect), "lose"
 // (commits take effect, their answers are lost) or "late" (commits fail, and
 // take effect when arrive is called). Reads fail only when it is out.
-type store struct {
+type faultyStore struct {
 	table table.Table
 
 	mu      sync.Mutex
@@ -31,17 +31,17 @@
 	blind   bool
 }
 
-func (s *store) set(mode string) {
+func (s *faultyStore) set(mode string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mode = mode
 }
 
-func (s *store) platform() platform.Platform {
-	return platform.Platform{Read: s.read, Commit: s.commit}
+func (s *faultyStore) platform() store.Store {
+	return store.Store{Read: s.read, Commit: s.commit}
 }
 
-func (s *store) read(_ context.Context, k string) (row.Row, error) {
+func (s *faultyStore) read(_ context.Context, k string) (row.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mode == "out" || s.noReads {
@@ -50,7 +50,7 @@
 	return s.table.Read(k), nil
 }
 
-func (s *store) commit(_ context.Context, c commit.Commit) (bool, error) {
+func (s *faultyStore) commit(_ context.Context, c commit.Commit) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.blind {
@@ -71,7 +71,7 @@
 }
 
 // arrive lets the late commits take effect and returns how many did.
-func (s *store) arrive() int {
+func (s *faultyStore) arrive() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -84,7 +84,7 @@
 	return n
 }
 
-func newHost(c clockwork.Clock, s *store, name string, incarnation uint64, alive func(string, uint64) bool) *idempotency.Idempotency {
+func newHost(c clockwork.Clock, s *faultyStore, name string, incarnation uint64, alive func(string, uint64) bool) *idempotency.Idempotency {
 	p := s.platform()
 	return &idempotency.Idempotency{
 		Clock: c, Platform: p, Host: name, Incarnation: incarnation, Alive: alive, Timeout: 100 * time.Millisecond,
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -14,8 +14,8 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/sums"
 )
 
@@ -36,7 +36,7 @@
 	// Log receives one line for each write that failed.
 	Log *log.Logger
 	// Platform keeps the counts.
-	Platform platform.Platform
+	Platform store.Store
 	// Every is the time between two writes.
 	Every time.Duration
 	// Sums returns the host's counts.
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -14,15 +14,15 @@
 
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/keep"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/sums"
 	"celeryreach.example/celeryreach/table"
 	"celeryreach.example/celeryreach/tally"
 )
 
-// store is a platform in memory that can fail.
-type store struct {
+// faultyStore is a platform in memory that can fail.
+type faultyStore struct {
 	table   table.Table
 	mu      sync.Mutex
 	objects map[string][]byte
@@ -30,8 +30,8 @@
 	puts    chan struct{}
 }
 
-func (s *store) platform() platform.Platform {
-	return platform.Platform{
+func (s *faultyStore) platform() store.Store {
+	return store.Store{
 		Scan: func(_ context.Context, p string) ([]row.Row, error) { return s.table.Scan(p), nil },
 		Commit: func(_ context.Context, c commit.Commit) (bool, error) {
 			return s.table.Commit(c), nil
@@ -60,7 +60,7 @@
 // for that process itself.
 func TestKept(t *testing.T) {
 	c := clockwork.NewFakeClockAt(time.Unix(60_000_000, 0))
-	s := &store{objects: make(map[string][]byte), puts: make(chan struct{}, 10), down: true}
+	s := &faultyStore{objects: make(map[string][]byte), puts: make(chan struct{}, 10), down: true}
 	v := sums.Sums{Host: "h", Incarnation: 7, Region: "north"}
 	var mu sync.Mutex
 	count := func(n uint64) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -12,8 +12,8 @@
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 // drift bounds how far the clocks of two hosts may differ in speed, as a
@@ -31,7 +31,7 @@
 	// Clock is the host's monotonic clock.
 	Clock clockwork.Clock
 	// Platform holds the row.
-	Platform platform.Platform
+	Platform store.Store
 	// Name is the key of the row.
 	Name string
 	// Holder names this process; it must differ between incarnations.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,8 +12,8 @@
 
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/lease"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
@@ -47,7 +47,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, a []string){
-			"process": process, "step": step, "pause": pause, "held": held, "fence": fence, "write": write, "store": store,
+			"process": process, "step": step, "pause": pause, "held": held, "fence": fence, "write": write, "store": storeKnob,
 		},
 	})
 }
@@ -63,7 +63,7 @@
 	if len(a) > 1 {
 		v.speed = map[string]float64{"fast": 1.01, "slow": 0.99}[a[1]]
 	}
-	v.Lease = &lease.Lease{Clock: v.clock, Name: "planner", Holder: a[0], Term: term, Platform: platform.Platform{Read: r.read, Commit: r.commit}}
+	v.Lease = &lease.Lease{Clock: v.clock, Name: "planner", Holder: a[0], Term: term, Platform: store.Store{Read: r.read, Commit: r.commit}}
 	r.leases[a[0]] = v
 }
 
@@ -131,7 +131,7 @@
 }
 
 // store out|in|lose|answer sets what happens to calls of the table.
-func store(ts *testscript.TestScript, _ bool, a []string) {
+func storeKnob(ts *testscript.TestScript, _ bool, a []string) {
 	r := on(ts)
 	r.out = a[0] == "out"
 	r.lose = a[0] == "lose"
--- a/planfollower/planfollower.go
+++ b/planfollower/planfollower.go
@@ -12,8 +12,8 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/plan"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/replica"
+	"celeryreach.example/celeryreach/store"
 )
 
 // Kind names the plan in messages between hosts.
@@ -27,7 +27,7 @@
 	// Log receives one line for each applied version.
 	Log *log.Logger
 	// Platform is polled.
-	Platform platform.Platform
+	Platform store.Store
 	// Poll returns the time until the next read of the row.
 	Poll func() time.Duration
 	// Changed is called after a version was applied; nil calls nothing.
--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -16,8 +16,8 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/member"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 const (
@@ -45,8 +45,8 @@
 }
 
 // Platform returns the functions of the seam.
-func (p *Platformclient) Platform() platform.Platform {
-	return platform.Platform{
+func (p *Platformclient) Platform() store.Store {
+	return store.Store{
 		Read: p.read, Scan: p.scan, Commit: p.commit, PutObject: p.put, GetObject: p.get,
 		Hosts: p.hosts, Announce: p.announce,
 	}
--- a/platformclient/platformclient_test.go
+++ b/platformclient/platformclient_test.go
@@ -15,14 +15,14 @@
 
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/knobs"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/platformclient"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/standin"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
-func serve(t *testing.T, h http.Handler) platform.Platform {
+func serve(t *testing.T, h http.Handler) store.Store {
 	t.Helper()
 	s := httptest.NewServer(h)
 	p := &platformclient.Platformclient{URL: s.URL, Timeout: 10 * time.Second}
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -11,8 +11,8 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 )
 
 const (
@@ -25,7 +25,7 @@
 	// Clock paces the reading back after a lost answer.
 	Clock clockwork.Clock
 	// Platform holds the row and the objects.
-	Platform platform.Platform
+	Platform store.Store
 	// Key is the key of the row.
 	Key string
 	// Fence adds conditions to a commit, such as a lease that must still be
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,7 +16,7 @@
 	"celeryreach.example/celeryreach/accepted"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/delta"
-	"celeryreach.example/celeryreach/platform"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -37,7 +37,7 @@
 	// Log receives one line for each applied version and each fault.
 	Log *log.Logger
 	// Platform is read by Run.
-	Platform platform.Platform
+	Platform store.Store
 	// Clock paces the reading.
 	Clock clockwork.Clock
 	// Every returns the time until the next read.
--- a/separation/version_test.go
+++ b/separation/version_test.go
@@ -63,7 +63,7 @@
 // play runs a schedule and returns the first broken promise.
 func play(s []action, broken bool) error {
 	w := newWorld()
-	n := []string{"a", "b", "c", "d", store}
+	n := []string{"a", "b", "c", "d", platformName}
 	for i, k := range n[:4] {
 		w.start(k, fmt.Sprintf("domain-%d", i/2), "lagos").keeps = broken
 	}
--- a/separation/world_test.go
+++ b/separation/world_test.go
@@ -24,19 +24,19 @@
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/plan"
 	"celeryreach.example/celeryreach/planfollower"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/publish"
 	"celeryreach.example/celeryreach/relay"
 	"celeryreach.example/celeryreach/replica"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 	"celeryreach.example/celeryreach/wire"
 )
 
 const (
-	store = "platform"
-	hold  = 3 * time.Second
-	beat  = 200 * time.Millisecond
+	platformName = "platform"
+	hold         = 3 * time.Second
+	beat         = 200 * time.Millisecond
 )
 
 var errCut = errors.New("cut")
@@ -110,8 +110,8 @@
 
 // members expands a host, a failure domain or a region to hosts.
 func (w *world) members(s string) []string {
-	if s == store {
-		return []string{store}
+	if s == platformName {
+		return []string{platformName}
 	}
 	var r []string
 	for _, n := range w.names() {
@@ -138,7 +138,7 @@
 	if w.cuts[[2]string{a, b}] {
 		return errCut
 	}
-	if b != store && w.hosts[b] == nil {
+	if b != platformName && w.hosts[b] == nil {
 		return errCut
 	}
 	f()
@@ -148,14 +148,14 @@
 	return nil
 }
 
-func (w *world) platform(name string) platform.Platform {
+func (w *world) platform(name string) store.Store {
 	call := func(f func()) error {
 		if w.down {
 			return errCut
 		}
-		return w.call(name, store, f)
+		return w.call(name, platformName, f)
 	}
-	return platform.Platform{
+	return store.Store{
 		Read: func(_ context.Context, k string) (r row.Row, err error) {
 			err = call(func() { r = w.table.Read(k) })
 			return r, err
@@ -179,7 +179,7 @@
 			if err := call(func() { b = slices.Clone(w.objects[k]) }); err != nil {
 				return nil, err
 			}
-			if w.torn[store] && len(b) > 0 {
+			if w.torn[platformName] && len(b) > 0 {
 				b = b[:len(b)/2]
 			}
 			return b, nil
--- a/simulation/simulation.go
+++ b/simulation/simulation.go
@@ -21,9 +21,9 @@
 	"celeryreach.example/celeryreach/division"
 	"celeryreach.example/celeryreach/grant"
 	"celeryreach.example/celeryreach/holder"
-	"celeryreach.example/celeryreach/platform"
 	"celeryreach.example/celeryreach/quota"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/store"
 	"celeryreach.example/celeryreach/table"
 )
 
@@ -176,8 +176,8 @@
 }
 
 // platform returns the table as one host reaches it.
-func (f *Simulation) platform(host int) platform.Platform {
-	return platform.Platform{
+func (f *Simulation) platform(host int) store.Store {
+	return store.Store{
 		Read: func(_ context.Context, key string) (row.Row, error) {
 			if r, a := f.Store(host); !r || !a {
 				return row.Row{}, errOutage
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the seam to the users' platform: a transactional table,
+// Package store is the seam to the users' platform: a transactional table,
 // an object store and a list of hosts. Users set their own functions in the
 // place of those that package platformclient makes.
-package platform
+package store
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"celeryreach.example/celeryreach/row"
 )
 
-// Platform is what the system needs of the users' platform. An error says that
+// Store is what the system needs of the users' platform. An error says that
 // the outcome is not known: a Commit that returned one may have taken effect.
-type Platform struct {
+type Store struct {
 	// Read returns a row. An absent row has Version zero and no error.
 	Read func(ctx context.Context, key string) (row.Row, error)
 	// Scan returns the rows whose key starts with prefix, in key order.
