Platform: the whole path on the users' platform

The adapter in platform/ translates settings, store, callers' and backend servers' protocol. The product grows routes with weights, homes, affinity with bounded load, cold rates, tokens that hosts hand to each other, copies of the store's tables that hosts take from each other.

--- a/account/account.go
+++ b/account/account.go
@@ -12,4 +12,10 @@
 	Burst float64
 	// Weight is the account's part of a contended queue; zero means one.
 	Weight float64
+	// Priority, if Ranked, goes before the priority of the route.
+	Priority int `json:",omitzero"`
+	// Ranked tells that the account has a priority of its own.
+	Ranked bool `json:",omitzero"`
+	// Homes are the regions that may serve the account; empty means all.
+	Homes []string `json:",omitzero"`
 }
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -23,4 +23,13 @@
 	Health string `json:",omitzero"`
 	// Draining is set by operators: no new work.
 	Draining bool `json:",omitzero"`
+	// Region is the region of its failure domain.
+	Region string `json:",omitzero"`
+	// ColdFor is how long it stays cold from when this was written.
+	ColdFor time.Duration `json:",omitzero"`
+	// Started is when its process started, in milliseconds since 1970. A
+	// backend server that starts again under its name has forgotten all.
+	Started int64 `json:",omitzero"`
+	// Revision is the version of the store at which this was written.
+	Revision uint64 `json:",omitzero"`
 }
--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -83,6 +83,16 @@
 	return true
 }
 
+// Add adds n tokens as far as the burst allows.
+func (b *Bucket) Add(n int64) {
+	b.tokens = min(b.tokens+n*unit, b.burst)
+}
+
+// Refill adds what the rate has made until now.
+func (b *Bucket) Refill(now time.Time) {
+	b.refill(now)
+}
+
 // Return gives back the token of a request that did not run.
 func (b *Bucket) Return() {
 	b.tokens = min(b.tokens+unit, b.burst)
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -4,46 +4,56 @@
 import "sync"
 
 const (
-	// start lets a quiet service find a silent connection at once.
-	start = 5
-	limit = 20
+	// defaultStart lets a quiet service find a silent connection at once.
+	defaultStart = 5
+	defaultLimit = 20
 )
 
-// Budget counts tries. Without it, an overloaded backend server would get
-// every request twice at the moment when it can bear it least.
+// Budget counts the tries of each service. Without it, an overloaded backend
+// server would get every request twice at the moment when it can bear it least.
 type Budget struct {
 	// Ratio returns the greatest ratio of second tries to first tries.
 	Ratio func() float64
+	// Limit returns how many second tries may follow at once; nil means 20.
+	Limit func() float64
 
-	mu    sync.Mutex
-	begun bool
-	left  float64
+	mu   sync.Mutex
+	left map[string]float64
 }
 
 // First counts a first try.
-func (b *Budget) First() {
+func (b *Budget) First(service string) {
 	r := b.Ratio()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.open()
-	b.left = min(b.left+r, limit)
+	b.left[service] = min(b.open(service)+r, b.limit())
 }
 
 // Second reports whether a second try is allowed, and counts it.
-func (b *Budget) Second() bool {
+func (b *Budget) Second(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.open()
-	if b.left < 1 {
+	v := min(b.open(service), b.limit())
+	if v < 1 {
 		return false
 	}
-	b.left--
+	b.left[service] = v - 1
 	return true
 }
 
-func (b *Budget) open() {
-	if !b.begun {
-		b.begun = true
-		b.left = start
+func (b *Budget) open(service string) float64 {
+	if b.left == nil {
+		b.left = make(map[string]float64)
 	}
+	if v, ok := b.left[service]; ok {
+		return v
+	}
+	return min(defaultStart, b.limit())
+}
+
+func (b *Budget) limit() float64 {
+	if b.Limit == nil {
+		return defaultLimit
+	}
+	return b.Limit()
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -19,9 +19,9 @@
 		f, s := 0, 0
 		for range rapid.IntRange(0, 500).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "first") {
-				b.First()
+				b.First("listings")
 				f++
-			} else if b.Second() {
+			} else if b.Second("listings") {
 				s++
 			}
 			must.LessEq(t, 5+q*float64(f)+1e-6, float64(s))
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -74,6 +74,7 @@
 	return []*cli.Command{
 		demoCommand(),
 		serveCommand(),
+		steerCommand(),
 		platformCommand(),
 		backendCommand(),
 		m.configCommand(),
--- a/cmd/logger.go
+++ b/cmd/logger.go
@@ -8,5 +8,7 @@
 
 // logger writes one key=value line for each event.
 func logger() *log.Logger {
-	return log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	return log.NewWithOptions(os.Stderr, logOptions)
 }
+
+var logOptions = log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter}
--- /dev/null
+++ b/cmd/steer.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"context"
+	"os"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/urfave/cli/v3"
+
+	"celeryreach.example/celeryreach/logsink"
+	"celeryreach.example/celeryreach/platform"
+)
+
+// bootVariable holds the path of the settings that the users' platform writes.
+const bootVariable = "CELERYREACH_BOOT"
+
+func steerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "steer",
+		Usage: "run one entry host on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the platform", Sources: cli.EnvVars(bootVariable), Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "report every mistake of the settings, with line and field, and end"},
+		},
+		Action: runSteer, OnUsageError: usageError,
+	}
+}
+
+func runSteer(ctx context.Context, c *cli.Command) error {
+	k := clockwork.NewRealClock()
+	s := logsink.New(k, os.Stdout)
+	x, f := context.WithCancel(context.WithoutCancel(ctx))
+	d := make(chan error, 1)
+	go func() { d <- s.Run(x) }()
+	defer func() { f(); <-d }()
+	p := &platform.Platform{Path: c.String("settings"), Clock: k, Log: log.NewWithOptions(s, logOptions)}
+	e, err := p.Check()
+	if err != nil {
+		return &failure{code: exitMistakes, text: err.Error()}
+	}
+	if len(e) > 0 {
+		return &failure{code: exitMistakes, text: lines(p.Path, e)}
+	}
+	if c.Bool("check") {
+		return nil
+	}
+	return p.Run(ctx)
+}
--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,8 @@
 	"celeryreach.example/celeryreach/block"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/domain"
+	"celeryreach.example/celeryreach/entrylimit"
+	"celeryreach.example/celeryreach/ingress"
 	"celeryreach.example/celeryreach/link"
 	"celeryreach.example/celeryreach/objective"
 	"celeryreach.example/celeryreach/preset"
@@ -46,6 +48,11 @@
 	Links []link.Link `json:",omitzero"`
 	// Objectives are the service-level objectives.
 	Objectives []objective.Objective `json:",omitzero"`
+	// Routes are the routes by which requests come in, where operators tell
+	// them apart from services.
+	Routes []ingress.Ingress `json:",omitzero"`
+	// EntryLimits bound what callers send.
+	EntryLimits entrylimit.Entrylimit `json:",omitzero"`
 	// KeyStaleness is how long a failure domain that hears neither the
 	// platform nor another domain goes on accepting keys.
 	KeyStaleness staleness.Staleness
--- /dev/null
+++ b/discovery/discovery.go
@@ -0,0 +1,177 @@
+// Package discovery keeps the list of backend servers that may be used.
+package discovery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/backend"
+)
+
+const (
+	// lapseHold is how long after the store's return an entry that is missing
+	// counts as lapsed in the outage: sound backend servers are back on the
+	// list within two seconds.
+	lapseHold = 2200 * time.Millisecond
+	// coldMargin is put on what a backend server says of how long it stays
+	// cold: its word was some time under way.
+	coldMargin = 300 * time.Millisecond
+	// sweepEvery is how often entries are looked over that wait for a time.
+	sweepEvery = 200 * time.Millisecond
+)
+
+// Discovery merges what the store lists with what happened to the store.
+type Discovery struct {
+	// Clock measures holds.
+	Clock clockwork.Clock
+	// Log receives one line for each backend server that comes, leaves or
+	// turns cold.
+	Log *log.Logger
+	// Restored returns when the way to the store was last found open again,
+	// and whether it is blocked now.
+	Restored func() (at time.Time, blocked bool)
+	// WarmUp returns how long a backend server of a service may be cold.
+	WarmUp func(service string) time.Duration
+	// Changed is told which backend servers take new requests, and until when
+	// one of them is cold.
+	Changed func(l []backend.Backend, cold func(name string) time.Time)
+
+	mu        sync.Mutex
+	known     map[string]*known
+	evacuated map[string]bool
+}
+
+type known struct {
+	backend backend.Backend
+	cold    time.Time
+	lapsed  bool
+}
+
+// Run drops lapsed entries in time, until ctx ends.
+func (d *Discovery) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-d.Clock.After(sweepEvery):
+			d.sweep()
+		}
+	}
+	return nil
+}
+
+// Backends takes the list as the store has it now.
+func (d *Discovery) Backends(l []backend.Backend) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known == nil {
+		d.known = make(map[string]*known)
+	}
+	s := make(map[string]bool, len(l))
+	for _, b := range l {
+		s[b.Name] = true
+		d.put(b)
+	}
+	for n, k := range d.known {
+		if !s[n] {
+			d.miss(n, k)
+		}
+	}
+	d.tell()
+}
+
+// Evacuated takes the failure domains that get no new requests.
+func (d *Discovery) Evacuated(z map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.Clock.Now()
+	for v := range d.evacuated {
+		if z[v] {
+			continue
+		}
+		d.Log.Info("failure domain is back", "Domain", v)
+		// Its backend servers had nothing to do and may be cold, before any
+		// of them can have said so.
+		for _, k := range d.known {
+			if k.backend.Domain == v {
+				k.cold = later(k.cold, n.Add(d.WarmUp(k.backend.Service)+coldMargin))
+			}
+		}
+	}
+	for v := range z {
+		if !d.evacuated[v] {
+			d.Log.Info("failure domain is evacuated", "Domain", v)
+		}
+	}
+	d.evacuated = z
+	d.tell()
+}
+
+func (d *Discovery) put(b backend.Backend) {
+	k := d.known[b.Name]
+	n := d.Clock.Now()
+	if k == nil {
+		d.Log.Info("backend server appeared", "Backend", b.Name, "Service", b.Service, "Domain", b.Domain, "ColdFor", b.ColdFor)
+		k = &known{}
+		d.known[b.Name] = k
+	}
+	if k.backend.Revision != b.Revision && b.ColdFor > 0 {
+		k.cold = later(k.cold, n.Add(b.ColdFor+coldMargin))
+	}
+	if b.Draining && !k.backend.Draining {
+		d.Log.Info("backend server leaves", "Backend", b.Name, "Service", b.Service)
+	}
+	k.backend = b
+	k.lapsed = false
+}
+
+// miss takes note of an entry that is no longer listed.
+func (d *Discovery) miss(name string, k *known) {
+	t, blocked := d.Restored()
+	if blocked || !t.IsZero() && d.Clock.Since(t) < lapseHold {
+		k.lapsed = true
+		return
+	}
+	d.drop(name, k)
+}
+
+func (d *Discovery) drop(name string, k *known) {
+	d.Log.Info("backend server is gone", "Backend", name, "Service", k.backend.Service)
+	delete(d.known, name)
+}
+
+func (d *Discovery) sweep() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := false
+	for n, k := range d.known {
+		if !k.lapsed {
+			continue
+		}
+		d.miss(n, k)
+		c = c || d.known[n] == nil
+	}
+	if c {
+		d.tell()
+	}
+}
+
+func (d *Discovery) tell() {
+	var l []backend.Backend
+	for _, k := range d.known {
+		if !k.backend.Draining && !d.evacuated[k.backend.Domain] {
+			l = append(l, k.backend)
+		}
+	}
+	d.Changed(l, func(n string) time.Time { return d.known[n].cold })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,8 +40,14 @@
 type Dispatch struct {
 	// Clock measures deadlines.
 	Clock clockwork.Clock
+	// Place returns a slot for a request, or the outcome that says why there
+	// is none. Nil leaves it to Queue.
+	Place func(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome)
 	// Queue returns the line of a service, nil if the service is not known.
 	Queue func(service string) *queue.Queue
+	// Keep sends non-idempotent requests on kept connections at first, where
+	// opening one costs the backend server too much.
+	Keep bool
 	// Valid reports whether a key still works.
 	Valid func(c credential.Credential) bool
 	// Confirm reports whether the request's token may still be used.
@@ -75,12 +81,12 @@
 func (d *Dispatch) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	x, f := deadline.With(ctx, d.Clock, r.Deadline.Sub(d.Clock.Now()))
 	defer f()
-	d.Budget.First()
+	d.Budget.First(r.Service.Name)
 	if !r.NonIdempotent {
 		return d.race(x, r, w)
 	}
-	t := d.try(x, r, true, func() {})
-	for n := 1; n < maxTries && d.again(t.outcome, r); n++ {
+	t := d.try(x, r, !d.Keep, func() {})
+	for n := 1; n < tries(r) && d.again(t.outcome, r); n++ {
 		t = d.try(x, r, true, func() {})
 	}
 	return d.finish(x, r, t, w)
@@ -98,6 +104,9 @@
 
 // wait returns a slot for r, or the outcome that says why there is none.
 func (d *Dispatch) wait(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
+	if d.Place != nil {
+		return d.Place(ctx, r)
+	}
 	q := d.Queue(r.Service.Name)
 	if q == nil {
 		return slot.Slot{}, refuse(outcome.NoCapacity, "the service is not known here")
@@ -155,7 +164,7 @@
 	case ctx.Err() != nil:
 		d.linger(s, ran)
 		return ended(ctx, ran)
-	case !ran && unreachable(err):
+	case !ran && (unreachable(err) || errors.Is(err, upstream.ErrElsewhere)):
 		s.Release(result.Refused)
 		return refuse(outcome.NoCapacity, noConnection)
 	case !ran:
@@ -183,7 +192,7 @@
 	if !s && !b || !rewind(r) {
 		return false
 	}
-	return d.Budget.Second()
+	return d.Budget.Second(r.Service.Name)
 }
 
 // finish passes the answer of a try on, or returns its outcome.
@@ -248,6 +257,14 @@
 	return errors.As(err, &o) && o.Op == "dial"
 }
 
+// tries is how many tries a request has.
+func tries(r *request.Request) int {
+	if r.Attempts > 0 {
+		return min(r.Attempts, maxTries)
+	}
+	return maxTries
+}
+
 // rewind makes the body ready for another try.
 func rewind(r *request.Request) bool {
 	if r.Body == nil {
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -52,7 +52,7 @@
 			}
 		case <-c:
 			c = nil
-			if a.more() && rewind(a.request) && a.dispatch.Budget.Second() {
+			if a.more() && rewind(a.request) && a.dispatch.Budget.Second(a.request.Service.Name) {
 				a.start(ctx, true)
 			}
 		case t := <-a.results:
@@ -74,7 +74,7 @@
 }
 
 func (a *race) more() bool {
-	return len(a.cancels) < maxTries
+	return len(a.cancels) < tries(a.request)
 }
 
 func (a *race) start(ctx context.Context, fresh bool) {
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,144 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/ingressbook"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/wire"
+)
+
+const (
+	announceTimeout = 2 * time.Second
+	announcePause   = 300 * time.Millisecond
+)
+
+func (e *Edge) self() member.Member {
+	m := e.Self
+	m.Leaving = e.leaving.Load()
+	m.Starting = !m.Leaving && !e.Ready()
+	return m
+}
+
+// Named returns the caller addresses of the hosts that callers of a region may
+// use, those of the region or, if it has none, all.
+func (e *Edge) Named(region string) []string {
+	var near, all []string
+	for _, m := range append(e.membership.Alive(), e.self()) {
+		if m.Leaving || m.Starting {
+			continue
+		}
+		all = append(all, m.CallerAddress)
+		if m.Region == region {
+			near = append(near, m.CallerAddress)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	sort.Strings(near)
+	return near
+}
+
+// configured takes a change of the configuration or of the evacuations.
+func (e *Edge) configured(m map[string]row.Row) {
+	c, z := e.Decode(m)
+	if c != nil {
+		if b := e.book.Load(); b == nil || c.Version > b.Config.Version {
+			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
+			e.book.Store(ingressbook.New(c))
+			e.tokens.Set(c.Accounts)
+		}
+	}
+	e.discovery.Evacuated(z)
+}
+
+func (e *Edge) compose(h *wire.Heartbeat) {
+	h.Versions = e.copier.Versions()
+}
+
+func (e *Edge) heard(h *wire.Heartbeat, _ time.Time) {
+	if a := h.GetFrom().GetPeerAddress(); a != "" {
+		// Whoever hears of the other hosts from one of them knows enough to
+		// take its part of the limits.
+		e.listed.Store(e.listed.Load() || len(h.GetKnown()) > 0)
+		e.copier.Heard(a, h.GetVersions())
+	}
+}
+
+func (e *Edge) lend(b *wire.BorrowRequest) *wire.BorrowResponse {
+	n := e.tokens.Give(b.GetLimit(), int64(b.GetUnits()))
+	return &wire.BorrowResponse{Units: uint64(n), Lender: e.Self.Name}
+}
+
+func (e *Edge) notified(*wire.Notice) *wire.Notice {
+	return &wire.Notice{Versions: e.copier.Versions()}
+}
+
+// refuseForward answers hosts of another kind: each host here reaches backend
+// servers itself.
+func refuseForward(wire.DRPCPeer_ForwardStream) error {
+	return errors.New("this host takes no requests from other hosts")
+}
+
+func (e *Edge) dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// announce puts this host on the store's list, and takes it off in the end.
+func (e *Edge) announce(ctx context.Context) error {
+	for {
+		x, f := context.WithTimeout(ctx, announceTimeout)
+		err := e.Announce(x, e.Self)
+		f()
+		if err == nil {
+			break
+		}
+		e.Log.Warn("host not announced", "Error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.Clock.After(announcePause):
+		}
+	}
+	<-ctx.Done()
+	x, f := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	defer f()
+	if err := e.Withdraw(x, e.Self); err != nil {
+		e.Log.Warn("host not withdrawn", "Error", err)
+	}
+	return nil
+}
+
+// list reads the list of hosts until it is known, and then rarely: membership
+// asks at every Hold, and calls to the store are paid for.
+func (e *Edge) list() func(ctx context.Context) ([]member.Member, error) {
+	var mu sync.Mutex
+	var last []member.Member
+	var at time.Time
+	return func(ctx context.Context) ([]member.Member, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !at.IsZero() && e.Clock.Since(at) < listEvery {
+			return last, nil
+		}
+		x, f := context.WithTimeout(ctx, announceTimeout)
+		defer f()
+		l, err := e.Listed(x)
+		if err != nil {
+			e.Log.Warn("list of hosts not read", "Error", err)
+			return nil, err
+		}
+		last, at = l, e.Clock.Now()
+		e.listed.Store(true)
+		return l, nil
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,272 @@
+// Package gateway takes a caller's request from its key to its answer.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/deadline"
+	"celeryreach.example/celeryreach/ingress"
+	"celeryreach.example/celeryreach/ingressbook"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/placement"
+	"celeryreach.example/celeryreach/portion"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/result"
+	"celeryreach.example/celeryreach/slot"
+	"celeryreach.example/celeryreach/tokens"
+	"celeryreach.example/celeryreach/tried"
+)
+
+const (
+	// patienceParts is the part of the objective that a request may wait for a
+	// slot. A caller that is refused after that can still be served in time
+	// when it comes back.
+	patienceParts = 8
+	// retryAfter is when a request that found no room may come back, about the
+	// time in which a backend server ends its running requests.
+	retryAfter = 250 * time.Millisecond
+	// leaveRetry is when a caller of a leaving host may come back, to another.
+	leaveRetry = 10 * time.Millisecond
+)
+
+// Gateway serves requests on routes.
+type Gateway struct {
+	// Clock measures deadlines.
+	Clock clockwork.Clock
+	// Log receives one line for each request that was not answered, and for a
+	// sample of the answered.
+	Log *log.Logger
+	// Book returns the configuration in force, nil before the first.
+	Book func() *ingressbook.Ingressbook
+	// Tokens hold the rates of client accounts.
+	Tokens *tokens.Tokens
+	// Placement chooses backend servers.
+	Placement *placement.Placement
+	// Load reads a backend server's report on itself out of an answer.
+	Load func(h http.Header) (running, waiting int, ok bool)
+	// Dispatch sends a request and passes the answer on.
+	Dispatch func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
+	// Counted is told how each request ended.
+	Counted func(o string)
+
+	mu     sync.Mutex
+	splits map[string]*split
+	served atomic.Uint64
+}
+
+// Serve runs r, of which the caller has said what it is, and which it is sent
+// with key and path. The outcome says why nothing was written to w, unless it
+// is Answered.
+func (g *Gateway) Serve(ctx context.Context, r *request.Request, path, key string, w http.ResponseWriter) outcome.Outcome {
+	n := g.Clock.Now()
+	b := g.Book()
+	if b == nil {
+		return refuse(outcome.Leaving, "no configuration is known yet", retryAfter)
+	}
+	i, o := g.admit(b, r, path, key)
+	if o.Outcome == "" {
+		o = g.run(ctx, r, w)
+	}
+	g.tell(b, r, i, o, g.Clock.Since(n))
+	return o
+}
+
+// admit finds the route and the client account of r and takes its token.
+func (g *Gateway) admit(b *ingressbook.Ingressbook, r *request.Request, path, key string) (*ingress.Ingress, outcome.Outcome) {
+	i := b.Route(r.Host, path)
+	if i == nil {
+		return nil, refuse(outcome.NoRoute, "no route has this path", 0)
+	}
+	var a *account.Account
+	if !i.Public && b.Keyed() {
+		a = b.Account(key)
+		if a == nil {
+			return i, refuse(outcome.KeyUnknown, "the key is not known", 0)
+		}
+		r.Account = a.Name
+		r.Credential = credential.Credential{Account: a.Name, Hash: credential.Hash(key)}
+	}
+	g.describe(b, r, i, a)
+	if a != nil {
+		if d, ok := g.Tokens.Take(a.Name); !ok {
+			return i, refuse(outcome.OverRate, "the account's rate is used up", d)
+		}
+	}
+	return i, outcome.Outcome{}
+}
+
+// describe puts on r what the route and the account say of it.
+func (g *Gateway) describe(b *ingressbook.Ingressbook, r *request.Request, i *ingress.Ingress, a *account.Account) {
+	n := g.Clock.Now()
+	if t := n.Add(i.Timeout); i.Timeout > 0 && t.Before(r.Deadline) {
+		r.Deadline = t
+	}
+	r.Admitted = n
+	r.Service.Name = g.portion(i)
+	if s := b.Service(r.Service.Name); s != nil {
+		r.Service = *s
+	}
+	r.NonIdempotent = i.NonIdempotent
+	r.Attempts = i.Attempts
+	r.Patience = i.Objective / patienceParts
+	r.Tried = new(tried.Tried)
+	r.Priority = i.Priority
+	h := i.Homes
+	var o []string
+	if a != nil {
+		o = a.Homes
+		if a.Ranked {
+			r.Priority = a.Priority
+		}
+	}
+	if len(h)+len(o) > 0 {
+		r.Homes = func(v string) bool { return allows(h, v) && allows(o, v) }
+	}
+	if !i.Sticky {
+		r.Object = ""
+	}
+}
+
+// run serves r until its deadline.
+func (g *Gateway) run(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	d := r.Deadline.Sub(g.Clock.Now())
+	if d <= 0 {
+		return refuse(outcome.DeadlineExceeded, "the time ran out before the request was sent", 0)
+	}
+	x, f := deadline.With(ctx, g.Clock, d)
+	defer f()
+	o := g.Dispatch(x, r, w)
+	if o.Ran == outcome.RanNo && r.Account != "" {
+		g.Tokens.Return(r.Account)
+	}
+	return o
+}
+
+// Place waits for a slot of a backend server for r, as long as its patience
+// lasts.
+func (g *Gateway) Place(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
+	u := r.Admitted.Add(r.Patience)
+	for {
+		c := g.Placement.Freed()
+		b, ok, wait := g.Placement.Take(r)
+		if ok {
+			r.Tried.Add(b.Name)
+			return slot.Slot{
+				Backend: b,
+				Answered: func(_ int, h http.Header) {
+					if n, m, ok := g.Load(h); ok {
+						g.Placement.Report(b.Name, n, m)
+					}
+				},
+				Release: releaseOnce(func(v result.Result) { g.Placement.Release(b.Name, v) }),
+			}, outcome.Outcome{}
+		}
+		d := u.Sub(g.Clock.Now())
+		if !wait || d <= 0 {
+			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", retryAfter)
+		}
+		select {
+		case <-c:
+		case <-g.Clock.After(d):
+		case <-ctx.Done():
+			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
+		}
+	}
+}
+
+// Valid reports whether a key that a request came with still works.
+func (g *Gateway) Valid(c credential.Credential) bool {
+	return c.Hash == "" || g.Book().Holds(c.Hash)
+}
+
+func releaseOnce(f func(result.Result)) func(result.Result) {
+	var o sync.Once
+	return func(r result.Result) { o.Do(func() { f(r) }) }
+}
+
+// tell logs the end of a request.
+func (g *Gateway) tell(b *ingressbook.Ingressbook, r *request.Request, i *ingress.Ingress, o outcome.Outcome, d time.Duration) {
+	g.Counted(o.Outcome)
+	if o.Outcome == outcome.Answered && g.served.Add(1)%sampled != 0 || o.Outcome == outcome.Left {
+		return
+	}
+	n := ""
+	if i != nil {
+		n = i.Name
+	}
+	g.Log.Info("request ended", "Request", r.ID, "Route", n, "Account", r.Account, "Service", r.Service.Name,
+		"Outcome", o.Outcome, "Ran", o.Ran, "Cause", o.Message, "RetryAfter", o.RetryAfter,
+		"Backends", r.Tried.Names(), "Took", d, "Version", b.Config.Version)
+}
+
+// sampled is how many answered requests have one log line between them.
+const sampled = 100
+
+func refuse(o, m string, d time.Duration) outcome.Outcome {
+	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: d}
+}
+
+func allows(homes []string, region string) bool {
+	if len(homes) == 0 {
+		return true
+	}
+	for _, h := range homes {
+		if h == region {
+			return true
+		}
+	}
+	return false
+}
+
+// split deals the requests of a route to its services in the proportion of
+// their weights, as evenly as whole requests allow.
+type split struct {
+	due map[string]float64
+}
+
+func (g *Gateway) portion(i *ingress.Ingress) string {
+	if len(i.Portions) == 0 {
+		return ""
+	}
+	if len(i.Portions) == 1 {
+		return i.Portions[0].Service
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.splits == nil {
+		g.splits = make(map[string]*split)
+	}
+	s := g.splits[i.Name]
+	if s == nil {
+		s = &split{due: make(map[string]float64)}
+		g.splits[i.Name] = s
+	}
+	return s.next(i.Portions)
+}
+
+// next is smooth weighted round robin: each service is owed its part of every
+// request, and the one that is owed most gets this one.
+func (s *split) next(l []portion.Portion) string {
+	t := 0.0
+	for _, p := range l {
+		t += p.Weight
+	}
+	m := l[0].Service
+	for _, p := range l {
+		s.due[p.Service] += p.Weight / t
+		if s.due[p.Service] > s.due[m] {
+			m = p.Service
+		}
+	}
+	s.due[m]--
+	return m
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -108,6 +108,35 @@
 	return r
 }
 
+// Known returns the names of all hosts that may be serving, this one included,
+// in order: those on the platform's list and those heard of, alive or cut off.
+// Only hosts that said good-bye and then fell silent are left out.
+func (m *Membership) Known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.Clock.Now()
+	s := map[string]bool{m.Self().Name: true}
+	for _, v := range m.listed {
+		s[v.Name] = true
+	}
+	for k, p := range m.peers {
+		s[k] = !p.member.Leaving || n.Sub(p.heard) <= m.Hold
+		for _, v := range p.beat.GetKnown() {
+			if m.peers[v.Name] == nil {
+				s[v.Name] = true
+			}
+		}
+	}
+	var r []string
+	for k, v := range s {
+		if v {
+			r = append(r, k)
+		}
+	}
+	sort.Strings(r)
+	return r
+}
+
 // Leaves reports whether the newest word of a host is that it is shutting down.
 func (m *Membership) Leaves(name string) bool {
 	m.mu.Lock()
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,223 @@
+// Package mirror holds a copy of one table of the store. It follows the store's
+// feed of changes, and takes the copy of another host when its own way to the
+// store is blocked.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/deadline"
+	"celeryreach.example/celeryreach/row"
+)
+
+const (
+	// slack is how much later than Wait an answer of the feed may come. A
+	// connection that has gone silent is found out by it.
+	slack = 1500 * time.Millisecond
+	// readTimeout bounds a read of the whole table.
+	readTimeout = 2500 * time.Millisecond
+	// firstPause and lastPause space the tries while the store is away. Each
+	// call costs the store something, also one that it refuses.
+	firstPause = 150 * time.Millisecond
+	lastPause  = 600 * time.Millisecond
+)
+
+// ErrHistoryLost says that the feed no longer knows what changed since the
+// version that was asked for.
+var ErrHistoryLost = errors.New("the store has dropped its history")
+
+// Mirror is the copy.
+type Mirror struct {
+	// Clock measures timeouts.
+	Clock clockwork.Clock
+	// Log receives one line for each change of the way to the store.
+	Log *log.Logger
+	// Name identifies the copy among hosts and in logs.
+	Name string
+	// Read returns all rows, and the version of the store that they show.
+	Read func(ctx context.Context) ([]row.Row, uint64, error)
+	// Feed returns the rows that changed after a version, with Version zero
+	// those that are gone, and the version up to which it looked. It waits for
+	// the first change, but no longer than wait. ErrHistoryLost asks for Read.
+	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
+	// Wait is the longest wait of one call of Feed.
+	Wait time.Duration
+	// Changed is told the rows, by key, after each change. It must not keep
+	// the map.
+	Changed func(rows map[string]row.Row)
+
+	mu       sync.Mutex
+	rows     map[string]row.Row
+	seen     uint64 // the copy shows the table as of this version
+	changed  uint64 // the last change in the copy
+	failing  bool
+	restored time.Time
+}
+
+// content is a copy on its way to another host.
+type content struct {
+	Seen    uint64
+	Changed uint64
+	Rows    []row.Row
+}
+
+// Run follows the store until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	p := firstPause
+	for ctx.Err() == nil {
+		err := m.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if m.note(err) {
+			p = firstPause
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-m.Clock.After(p):
+		}
+		p = min(2*p, lastPause)
+	}
+	return nil
+}
+
+// Version returns the last change in the copy, zero before the first.
+func (m *Mirror) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Restored returns when the way to the store was last found open again, zero if
+// it never was blocked, and whether it is blocked now.
+func (m *Mirror) Restored() (at time.Time, blocked bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.restored, m.failing
+}
+
+// Behind reports whether another host's copy has a change that this one may
+// lack.
+func (m *Mirror) Behind(version uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return version > m.seen
+}
+
+// Content returns the copy for another host.
+func (m *Mirror) Content() (uint64, []byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := content{Seen: m.seen, Changed: m.changed}
+	for _, r := range m.rows {
+		c.Rows = append(c.Rows, r)
+	}
+	b, err := codec.Marshal(c)
+	return m.changed, b, errors.Wrap(err, "copy of a table")
+}
+
+// Adopt takes another host's copy if it is newer.
+func (m *Mirror) Adopt(b []byte) error {
+	var c content
+	if err := codec.Unmarshal(b, &c); err != nil {
+		return errors.Wrap(err, "another host's copy of a table")
+	}
+	if !m.Behind(c.Changed) {
+		return nil
+	}
+	m.Log.Info("copy taken from another host", "Table", m.Name, "Version", c.Changed)
+	m.replace(c.Rows, c.Seen, c.Changed)
+	return nil
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	m.mu.Lock()
+	n := m.seen
+	m.mu.Unlock()
+	if n == 0 {
+		return m.read(ctx)
+	}
+	x, f := deadline.With(ctx, m.Clock, m.Wait+slack)
+	defer f()
+	r, v, err := m.Feed(x, n, m.Wait)
+	if errors.Is(err, ErrHistoryLost) {
+		m.Log.Info("history lost, reading all", "Table", m.Name, "Version", n)
+		return m.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	m.apply(r, v)
+	return nil
+}
+
+func (m *Mirror) read(ctx context.Context) error {
+	x, f := deadline.With(ctx, m.Clock, readTimeout)
+	defer f()
+	r, v, err := m.Read(x)
+	if err != nil {
+		return err
+	}
+	m.replace(r, v, v)
+	return nil
+}
+
+// apply takes changes of the feed.
+func (m *Mirror) apply(l []row.Row, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version <= m.seen {
+		return // a copy that was adopted meanwhile has them
+	}
+	m.seen = version
+	if len(l) == 0 {
+		return
+	}
+	m.changed = version
+	for _, r := range l {
+		if r.Version == 0 {
+			delete(m.rows, r.Key)
+		} else {
+			m.rows[r.Key] = r
+		}
+	}
+	m.Changed(m.rows)
+}
+
+func (m *Mirror) replace(l []row.Row, seen, changed uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if seen < m.seen {
+		return
+	}
+	m.seen, m.changed = seen, changed
+	m.rows = make(map[string]row.Row, len(l))
+	for _, r := range l {
+		m.rows[r.Key] = r
+	}
+	m.Changed(m.rows)
+}
+
+// note logs that the way to the store was blocked or opened.
+func (m *Mirror) note(err error) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err != nil && !m.failing:
+		m.failing = true
+		m.Log.Warn("store lost", "Table", m.Name, "Error", err)
+	case err == nil && m.failing:
+		m.failing = false
+		m.restored = m.Clock.Now()
+		m.Log.Info("store regained", "Table", m.Name, "Version", m.seen)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,215 @@
+// Package placement chooses the backend server of a request: the one that has
+// its object, as long as that one has room.
+package placement
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/coldpace"
+	"celeryreach.example/celeryreach/outlier"
+	"celeryreach.example/celeryreach/rendezvous"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/result"
+)
+
+const (
+	// consecutive failures take a backend server out of use; a first ejection
+	// lasts as long as a crashed one usually needs to start anew.
+	consecutive = 3
+	ejection    = time.Second
+	// ejected is the greatest part of a service's backend servers that is out
+	// of use for failures. When more fail, the cause is elsewhere.
+	ejected = 0.5
+)
+
+// Placement knows the load of the backend servers as far as this host can see
+// it: its own requests, and what answers report of all hosts' requests.
+type Placement struct {
+	// Clock measures the age of reports.
+	Clock clockwork.Clock
+	// Region is the region of this host.
+	Region string
+	// Far is the weight of a backend server in another region, relative to one
+	// in this region. Most objects then stay near, and a region with few
+	// backend servers gives a part of its objects, always the same, to others.
+	Far float64
+	// Pace divides what cold backend servers bear.
+	Pace *coldpace.Coldpace
+	// Rate returns what a cold backend server of a service bears, in requests
+	// per second.
+	Rate func(service string) (perSecond float64, warmUp time.Duration)
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]*group
+	freed    chan struct{}
+}
+
+// group is the backend servers of one service.
+type group struct {
+	servers []*server
+	names   []string
+	outlier outlier.Outlier
+}
+
+// Set replaces the backend servers that may be used. What is known of those
+// that stay is kept.
+func (p *Placement) Set(l []backend.Backend, cold func(name string) time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, g := p.servers, p.services
+	p.servers = make(map[string]*server)
+	p.services = make(map[string]*group)
+	for _, b := range l {
+		s := o[b.Name]
+		if s == nil || s.backend.Started != b.Started || s.backend.Address != b.Address {
+			s = new(server)
+		}
+		s.backend = b
+		s.cold = later(s.cold, cold(b.Name))
+		p.servers[b.Name] = s
+		v := p.services[b.Service]
+		if v == nil {
+			v = &group{outlier: outlier.Outlier{Consecutive: consecutive, For: ejection, Fraction: ejected}}
+			if w := g[b.Service]; w != nil {
+				v.outlier = w.outlier
+			}
+			p.services[b.Service] = v
+		}
+		v.servers = append(v.servers, s)
+		v.names = append(v.names, b.Name)
+	}
+	p.wake()
+}
+
+// Take chooses a backend server for r and counts r there until Release. Wait
+// tells that one may have room soon; without it there is none at all.
+func (p *Placement) Take(r *request.Request) (b backend.Backend, ok, wait bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.services[r.Service.Name]
+	if g == nil {
+		return backend.Backend{}, false, false
+	}
+	n := p.Clock.Now()
+	c := p.candidates(g, r, n)
+	s := p.choose(c, r, n)
+	if s == nil {
+		return backend.Backend{}, false, len(c) > 0
+	}
+	s.take(n)
+	return s.backend, true, false
+}
+
+// Freed returns a channel that is closed when a backend server may have got
+// room.
+func (p *Placement) Freed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.freed == nil {
+		p.freed = make(chan struct{})
+	}
+	return p.freed
+}
+
+// Report takes what a backend server said of itself in an answer.
+func (p *Placement) Report(name string, running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[name]; s != nil {
+		s.report(running+waiting, p.Clock.Now())
+	}
+}
+
+// Release ends a request that Take counted.
+func (p *Placement) Release(name string, r result.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	s.running = max(s.running-1, 0)
+	p.judge(s, r, p.Clock.Now())
+	p.wake()
+}
+
+// judge takes backend servers that fail out of use for a while.
+func (p *Placement) judge(s *server, r result.Result, now time.Time) {
+	g := p.services[s.backend.Service]
+	switch r {
+	case result.Succeeded:
+		g.outlier.Succeed(s.backend.Name)
+	case result.Shed:
+		s.shed(now)
+		if s.load(now) < float64(s.backend.Slots) {
+			// It refuses though it has room: its word on itself is wrong.
+			p.fail(g, s, now)
+		}
+	case result.Failed, result.Refused:
+		p.fail(g, s, now)
+		if r == result.Refused {
+			// It may be about to start anew, and is cold then.
+			_, w := p.Rate(s.backend.Service)
+			s.cold = later(s.cold, now.Add(w+ejection))
+		}
+	case result.Canceled, result.Unused:
+	}
+}
+
+func (p *Placement) fail(g *group, s *server, now time.Time) {
+	g.outlier.Fail(s.backend.Name, g.names, now)
+}
+
+// candidates returns the backend servers that r may go to now, those that have
+// its object first.
+func (p *Placement) candidates(g *group, r *request.Request, now time.Time) []candidate {
+	rate, _ := p.Rate(r.Service.Name)
+	k := r.Service.Name + "\x00" + r.Object
+	if r.Object == "" {
+		k = r.ID
+	}
+	var c []candidate
+	for _, s := range g.servers {
+		b := s.backend
+		if r.Homes != nil && !r.Homes(b.Region) || r.Tried.Has(b.Name) || g.outlier.Ejected(b.Name, now) {
+			continue
+		}
+		if s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, rate), now) {
+			continue
+		}
+		w := float64(b.Slots)
+		if b.Region != p.Region {
+			w *= p.Far
+		}
+		c = append(c, candidate{server: s, score: rendezvous.Score(k, b.Name, w)})
+	}
+	sort.Slice(c, func(i, j int) bool { return c[i].score > c[j].score })
+	return c
+}
+
+func (p *Placement) wake() {
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// decay is what is left of a report after some time: requests that others had
+// there have ended meanwhile.
+func decay(age time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(reportLife))
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"time"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/coldpace"
+	"celeryreach.example/celeryreach/request"
+)
+
+const (
+	// reportLife is the time in which a report of other hosts' load fades to
+	// a third, a few times the usual work of a request.
+	reportLife = time.Second
+	// shedLife is how long a backend server that refused a request for want
+	// of room counts as full.
+	shedLife = 200 * time.Millisecond
+)
+
+// server is what this host knows of one backend server.
+type server struct {
+	backend backend.Backend
+	running int       // requests of this host
+	others  float64   // requests of other hosts, when last reported
+	seen    time.Time // when that was
+	full    time.Time // until when it counts as full
+	cold    time.Time // until when it is cold
+	sent    []time.Time
+}
+
+type candidate struct {
+	server *server
+	score  float64
+}
+
+// load estimates the requests that run or wait there.
+func (s *server) load(now time.Time) float64 {
+	return float64(s.running) + s.others*decay(now.Sub(s.seen))
+}
+
+func (s *server) report(total int, now time.Time) {
+	// The answer is that of a request which is still counted here.
+	s.others = max(float64(total-s.running+1), 0)
+	s.seen = now
+}
+
+func (s *server) shed(now time.Time) {
+	s.full = now.Add(shedLife)
+}
+
+func (s *server) take(now time.Time) {
+	s.running++
+	if s.cold.After(now) {
+		s.sent = append(s.sent, now)
+	}
+}
+
+// paced reports whether a cold backend server may get one more request.
+func (s *server) paced(part int, now time.Time) bool {
+	var ok bool
+	s.sent, ok = coldpace.Allow(s.sent, part, now)
+	return ok
+}
+
+// choose returns the first candidate with a free slot, or else the one that
+// will be free soonest, as far as the request's rank lets it wait there.
+func (p *Placement) choose(c []candidate, r *request.Request, now time.Time) *server {
+	for _, v := range c {
+		if s := v.server; !s.full.After(now) && s.load(now) < float64(s.backend.Slots) {
+			return s
+		}
+	}
+	var m *server
+	l := 1 + line(r.Priority)
+	for _, v := range c {
+		s := v.server
+		if u := (s.load(now) + 1) / float64(s.backend.Slots); !s.full.After(now) && u <= l {
+			m, l = s, u
+		}
+	}
+	return m
+}
+
+// line is how many requests may wait before each slot of a backend server, by
+// rank. Under overload the lines of the less urgent fill first, so that they
+// are refused while the more urgent still find room.
+func line(priority int) float64 {
+	switch priority {
+	case 0:
+		return 1
+	case 1:
+		return 0.7
+	default:
+		return 0.4
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -10,6 +10,7 @@
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/gate"
 	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/tried"
 )
 
 // Request is an identified request without its key.
@@ -21,6 +22,25 @@
 	Credential credential.Credential
 	// Service is the service that the path belongs to.
 	Service service.Service
+	// Host is the Host header that the caller sent.
+	Host string
+	// Object names what the request concerns; empty when that is not known.
+	// Requests for one object are served fastest by one backend server.
+	Object string
+	// Account is the client account that the request counts against; empty
+	// on public routes.
+	Account string
+	// Priority is the rank of the request, 0 is the most urgent.
+	Priority int
+	// Attempts is how many backend servers the request may be sent to; zero
+	// leaves it to the host.
+	Attempts int
+	// Patience is how long the request may wait for a slot.
+	Patience time.Duration
+	// Homes reports whether a region may serve the request; nil means all may.
+	Homes func(region string) bool
+	// Tried are the backend servers that it was sent to.
+	Tried *tried.Tried
 	// Method is the HTTP method.
 	Method string
 	// Target is the path and query.
--- a/service/service.go
+++ b/service/service.go
@@ -25,4 +25,14 @@
 	Timeout time.Duration
 	// AnswerBytes is the usual size of an answer, for the limits of links.
 	AnswerBytes int64 `json:",omitzero"`
+	// Health is the path of the backend servers' health endpoint.
+	Health string `json:",omitzero"`
+	// Connections is how many open connections a backend server accepts from
+	// all hosts together.
+	Connections int `json:",omitzero"`
+	// WarmUp is how long a backend server is cold after its start.
+	WarmUp time.Duration `json:",omitzero"`
+	// ColdRate is how many requests a second a cold backend server bears, from
+	// all hosts together.
+	ColdRate float64 `json:",omitzero"`
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -40,12 +40,25 @@
 // ErrNotRun is the backend server's own word that it did not run the request.
 var ErrNotRun = errors.New("the backend server refused the request unrun")
 
+// ErrElsewhere says that the address belongs to another backend server now,
+// which did not run the request.
+var ErrElsewhere = errors.New("another backend server has the address")
+
 // Upstream sends requests through net/http's transports.
 type Upstream struct {
 	// Clock measures what is left of deadlines.
 	Clock clockwork.Clock
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
+	// Dress puts on a request what a backend server is told beside what the
+	// caller sent; left is the time until the deadline. Nil means IDHeader
+	// and TimeoutHeader.
+	Dress func(h http.Header, r *request.Request, b backend.Backend, left time.Duration)
+	// Verdict judges an answer: ErrNotRun, or why it cannot be passed on. Nil
+	// means this package's own rules.
+	Verdict func(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error)
+	// Keep sends non-idempotent requests on kept connections too.
+	Keep bool
 
 	reused http.Transport
 	fresh  http.Transport
@@ -90,7 +103,7 @@
 		return nil, false, err
 	}
 	t := &u.reused
-	if r.NonIdempotent || fresh {
+	if fresh || r.NonIdempotent && !u.Keep {
 		t = &u.fresh
 	}
 	p, err = t.RoundTrip(q)
@@ -98,7 +111,7 @@
 		y.seal()
 		return nil, o || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
 	}
-	ran, err = u.check(p, r, b)
+	ran, err = u.judge(p, r, b)
 	if err != nil {
 		p.Body.Close()
 		return nil, ran, err
@@ -118,8 +131,16 @@
 		return nil, errors.Wrap(err, "upstream request")
 	}
 	q.Header = r.Header.Clone()
-	q.Header.Set(IDHeader, r.ID)
-	q.Header.Set(TimeoutHeader, r.Deadline.Sub(u.Clock.Now()).String())
+	if r.Host != "" {
+		q.Host = r.Host
+	}
+	d := r.Deadline.Sub(u.Clock.Now())
+	if u.Dress != nil {
+		u.Dress(q.Header, r, b, d)
+	} else {
+		q.Header.Set(IDHeader, r.ID)
+		q.Header.Set(TimeoutHeader, d.String())
+	}
 	q.ContentLength = r.Length
 	if r.NonIdempotent || r.Body != nil {
 		q.Body = y
@@ -127,6 +148,13 @@
 	return q, nil
 }
 
+func (u *Upstream) judge(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error) {
+	if u.Verdict != nil {
+		return u.Verdict(p, r, b)
+	}
+	return u.check(p, r, b)
+}
+
 // check makes sure that an answer belongs to its request. A backend server
 // that has echoed ids before must go on doing so; one that never did is
 // trusted, since some cannot.
--- a/whole/whole.go
+++ b/whole/whole.go
@@ -41,13 +41,17 @@
 	// Patience is how long a caller may take for one piece: a reader that has
 	// stopped must not hold a slot.
 	Patience time.Duration
+	// Unframed lets answers pass that have neither length nor chunks and end
+	// with their connection. It is for backend servers that reset connections
+	// which break off, so that an end is told from a break.
+	Unframed bool
 }
 
 // Copy writes the answer p to w. It calls free, once, when the backend server
 // has sent all it will send; for held answers that is before the caller reads.
 func (o *Whole) Copy(w http.ResponseWriter, p *http.Response, free func(error)) error {
 	defer p.Body.Close()
-	if !delimited(p) {
+	if !o.Unframed && !delimited(p) {
 		free(ErrBackend)
 		return errors.Wrap(ErrBackend, "it has neither length nor chunks, so its end cannot be told from a break")
 	}
