--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -57,6 +57,10 @@
 	rows     map[string]row.Row
 	seen     uint64 // the copy shows the table as of this version
 	changed  uint64 // the last change in the copy
+
+	// way guards what is known of the way to the store. It is apart from mu:
+	// Changed runs under mu, and who is told asks for it.
+	way      sync.Mutex
 	failing  bool
 	restored time.Time
 }
@@ -99,8 +103,8 @@
 // Restored returns when the way to the store was last found open again, zero if
 // it never was blocked, and whether it is blocked now.
 func (m *Mirror) Restored() (at time.Time, blocked bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.way.Lock()
+	defer m.way.Unlock()
 	return m.restored, m.failing
 }
 
@@ -208,8 +212,8 @@
 
 // note logs that the way to the store was blocked or opened.
 func (m *Mirror) note(err error) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.way.Lock()
+	defer m.way.Unlock()
 	switch {
 	case err != nil && !m.failing:
 		m.failing = true
@@ -217,7 +221,7 @@
 	case err == nil && m.failing:
 		m.failing = false
 		m.restored = m.Clock.Now()
-		m.Log.Info("store regained", "Table", m.Name, "Version", m.seen)
+		m.Log.Info("store regained", "Table", m.Name)
 	}
 	return err == nil
 }
