--- a/placement/server.go
+++ b/placement/server.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// spread is on how many backend servers an object may be at a time. When
+	// they are full, its requests are refused: sent to any other, they would
+	// take several times the work there, which would soon be full as well.
+	spread = 2
 	// reportLife is the time in which a report of other hosts' load fades to
 	// a third, a few times the usual work of a request.
 	reportLife = time.Second
@@ -65,6 +69,7 @@
 // choose returns the first candidate with a free slot, or else the one that
 // will be free soonest, as far as the request's rank lets it wait there.
 func (p *Placement) choose(c []candidate, r *request.Request, now time.Time) *server {
+	c = c[:min(len(c), spread)]
 	for _, v := range c {
 		if s := v.server; !s.full.After(now) && s.load(now) < float64(s.backend.Slots) {
 			return s
