Discovery: what another host tells is gone is gone

The copy now carries whether it was read just after an outage. Ruled out: the feed's time limits (the copies came in time).

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -31,9 +31,6 @@
 	// Log receives one line for each backend server that comes, leaves or
 	// turns cold.
 	Log *log.Logger
-	// Restored returns when the way to the store was last found open again,
-	// and whether it is blocked now.
-	Restored func() (at time.Time, blocked bool)
 	// WarmUp returns how long a backend server of a service may be cold.
 	WarmUp func(service string) time.Duration
 	// Changed is told which backend servers take new requests, and until when
@@ -48,7 +45,7 @@
 type known struct {
 	backend backend.Backend
 	cold    time.Time
-	lapsed  bool
+	lapsed  time.Time // when its entry was first missed, zero while it is listed
 }
 
 // Run drops lapsed entries in time, until ctx ends.
@@ -57,14 +54,17 @@
 		select {
 		case <-ctx.Done():
 		case <-d.Clock.After(sweepEvery):
-			d.sweep()
+			d.Sweep()
 		}
 	}
 	return nil
 }
 
-// Backends takes the list as the store has it now.
-func (d *Discovery) Backends(l []backend.Backend) {
+// Backends takes the list as the store has it. With doubt it is from just after
+// an outage of the store, in which entries of sound backend servers lapse: those
+// that are missing stay in use for a while. Without doubt they are gone, also
+// while this host itself cannot reach the store and another one told it.
+func (d *Discovery) Backends(l []backend.Backend, doubt bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.known == nil {
@@ -76,8 +76,13 @@
 		d.put(b)
 	}
 	for n, k := range d.known {
-		if !s[n] {
-			d.miss(n, k)
+		switch {
+		case s[n]:
+		case !doubt:
+			d.drop(n, k)
+		case k.lapsed.IsZero():
+			d.Log.Warn("backend server is missing after an outage of the store", "Backend", n)
+			k.lapsed = d.Clock.Now()
 		}
 	}
 	d.tell()
@@ -125,17 +130,7 @@
 		d.Log.Info("backend server leaves", "Backend", b.Name, "Service", b.Service)
 	}
 	k.backend = b
-	k.lapsed = false
-}
-
-// miss takes note of an entry that is no longer listed.
-func (d *Discovery) miss(name string, k *known) {
-	t, blocked := d.Restored()
-	if blocked || !t.IsZero() && d.Clock.Since(t) < lapseHold {
-		k.lapsed = true
-		return
-	}
-	d.drop(name, k)
+	k.lapsed = time.Time{}
 }
 
 func (d *Discovery) drop(name string, k *known) {
@@ -143,16 +138,16 @@
 	delete(d.known, name)
 }
 
-func (d *Discovery) sweep() {
+// Sweep drops entries that lapsed in an outage and are not back in time.
+func (d *Discovery) Sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := false
 	for n, k := range d.known {
-		if !k.lapsed {
-			continue
+		if !k.lapsed.IsZero() && d.Clock.Since(k.lapsed) >= lapseHold {
+			d.drop(n, k)
+			c = true
 		}
-		d.miss(n, k)
-		c = c || d.known[n] == nil
 	}
 	if c {
 		d.tell()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -163,13 +163,13 @@
 		Pace: &coldpace.Coldpace{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
-		Clock: e.Clock, Log: e.Log, Restored: e.Backends.Restored, WarmUp: e.warmUp, Changed: e.placement.Set,
+		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, Changed: e.placement.Set,
 	}
 	e.copier = copier.New()
 	e.copier.Clock, e.copier.Log, e.copier.Fetch = e.Clock, e.Log, e.client.Fetch
 	e.copier.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
 	e.Config.Changed = e.configured
-	e.Backends.Changed = func(m map[string]row.Row) { e.discovery.Backends(e.DecodeBackends(m)) }
+	e.Backends.Changed = func(m map[string]row.Row, doubt bool) { e.discovery.Backends(e.DecodeBackends(m), doubt) }
 	g := e.Gateway
 	g.Clock, g.Log, g.Book, g.Tokens, g.Placement = e.Clock, e.Log, e.book.Load, e.tokens, e.placement
 	g.Dispatch = e.dispatch().Serve
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,7 +48,7 @@
 }
 
 // configured takes a change of the configuration or of the evacuations.
-func (e *Edge) configured(m map[string]row.Row) {
+func (e *Edge) configured(m map[string]row.Row, _ bool) {
 	c, z := e.Decode(m)
 	if c != nil {
 		if b := e.book.Load(); b == nil || c.Version > b.Config.Version {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// call costs the store something, also one that it refuses.
 	firstPause = 150 * time.Millisecond
 	lastPause  = 600 * time.Millisecond
+	// doubtFor is how long after the store's return rows may be missing: those
+	// that lapsed in the outage are back within two seconds.
+	doubtFor = 2 * time.Second
 )
 
 // ErrHistoryLost says that the feed no longer knows what changed since the
@@ -49,26 +53,28 @@
 	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
 	// Wait is the longest wait of one call of Feed.
 	Wait time.Duration
-	// Changed is told the rows, by key, after each change. It must not keep
-	// the map.
-	Changed func(rows map[string]row.Row)
+	// Changed is told the rows, by key, after each change. Doubt tells that the
+	// store was away until just now, so that rows may be missing that are about
+	// to come back. It must not keep the map, and may ask the mirror.
+	Changed func(rows map[string]row.Row, doubt bool)
+
+	// telling keeps the calls of Changed in order. It is apart from mu: who is
+	// told asks for what mu guards.
+	telling sync.Mutex
 
 	mu       sync.Mutex
 	rows     map[string]row.Row
 	seen     uint64 // the copy shows the table as of this version
 	changed  uint64 // the last change in the copy
-
-	// way guards what is known of the way to the store. It is apart from mu:
-	// Changed runs under mu, and who is told asks for it.
-	way      sync.Mutex
 	failing  bool
-	restored time.Time
+	doubtful time.Time // until when rows may be missing
 }
 
 // content is a copy on its way to another host.
 type content struct {
 	Seen    uint64
 	Changed uint64
+	Doubt   bool
 	Rows    []row.Row
 }
 
@@ -80,10 +86,11 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if m.note(err) {
+		if err == nil {
 			p = firstPause
 			continue
 		}
+		m.fail(err)
 		select {
 		case <-ctx.Done():
 		case <-m.Clock.After(p):
@@ -100,14 +107,6 @@
 	return m.changed
 }
 
-// Restored returns when the way to the store was last found open again, zero if
-// it never was blocked, and whether it is blocked now.
-func (m *Mirror) Restored() (at time.Time, blocked bool) {
-	m.way.Lock()
-	defer m.way.Unlock()
-	return m.restored, m.failing
-}
-
 // Behind reports whether another host's copy has a change that this one may
 // lack.
 func (m *Mirror) Behind(version uint64) bool {
@@ -120,7 +119,7 @@
 func (m *Mirror) Content() (uint64, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := content{Seen: m.seen, Changed: m.changed}
+	c := content{Seen: m.seen, Changed: m.changed, Doubt: m.doubt()}
 	for _, r := range m.rows {
 		c.Rows = append(c.Rows, r)
 	}
@@ -138,7 +137,7 @@
 		return nil
 	}
 	m.Log.Info("copy taken from another host", "Table", m.Name, "Version", c.Changed)
-	m.replace(c.Rows, c.Seen, c.Changed)
+	m.replace(c.Rows, c.Seen, c.Changed, c.Doubt)
 	return nil
 }
 
@@ -159,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	m.open()
 	m.apply(r, v)
 	return nil
 }
@@ -170,58 +170,85 @@
 	if err != nil {
 		return err
 	}
-	m.replace(r, v, v)
+	m.open()
+	m.replace(r, v, v, false)
 	return nil
 }
 
 // apply takes changes of the feed.
 func (m *Mirror) apply(l []row.Row, version uint64) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if version <= m.seen {
+		m.mu.Unlock()
 		return // a copy that was adopted meanwhile has them
 	}
 	m.seen = version
 	if len(l) == 0 {
+		m.mu.Unlock()
 		return
 	}
 	m.changed = version
+	c := maps.Clone(m.rows)
 	for _, r := range l {
 		if r.Version == 0 {
-			delete(m.rows, r.Key)
+			delete(c, r.Key)
 		} else {
-			m.rows[r.Key] = r
+			c[r.Key] = r
 		}
 	}
-	m.Changed(m.rows)
+	m.rows = c
+	d := m.doubt()
+	m.mu.Unlock()
+	m.Changed(c, d)
 }
 
-func (m *Mirror) replace(l []row.Row, seen, changed uint64) {
+// replace takes a whole table.
+func (m *Mirror) replace(l []row.Row, seen, changed uint64, doubt bool) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if seen < m.seen {
+		m.mu.Unlock()
 		return
 	}
 	m.seen, m.changed = seen, changed
-	m.rows = make(map[string]row.Row, len(l))
+	c := make(map[string]row.Row, len(l))
 	for _, r := range l {
-		m.rows[r.Key] = r
+		c[r.Key] = r
+	}
+	m.rows = c
+	if doubt {
+		m.doubtful = m.Clock.Now().Add(doubtFor)
 	}
-	m.Changed(m.rows)
+	d := m.doubt()
+	m.mu.Unlock()
+	m.Changed(c, d)
 }
 
-// note logs that the way to the store was blocked or opened.
-func (m *Mirror) note(err error) bool {
-	m.way.Lock()
-	defer m.way.Unlock()
-	switch {
-	case err != nil && !m.failing:
-		m.failing = true
-		m.Log.Warn("store lost", "Table", m.Name, "Error", err)
-	case err == nil && m.failing:
+func (m *Mirror) doubt() bool {
+	return m.Clock.Now().Before(m.doubtful)
+}
+
+// open notes that the store answers. What comes with the first answer after an
+// outage is already in doubt.
+func (m *Mirror) open() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
 		m.failing = false
-		m.restored = m.Clock.Now()
+		m.doubtful = m.Clock.Now().Add(doubtFor)
 		m.Log.Info("store regained", "Table", m.Name)
 	}
-	return err == nil
+}
+
+// fail notes that the store does not answer.
+func (m *Mirror) fail(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.failing {
+		m.failing = true
+		m.Log.Warn("store lost", "Table", m.Name, "Error", err)
+	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -15,8 +15,7 @@
 )
 
 // A backend server's entry goes from the store, and whoever is told of the
-// change asks the copy whether the store was away meanwhile. The copy must
-// answer then: when it waited for its own lock, the host learned of no change any
+// change asks the copy how new it is. The copy must answer then: when it waited for its own lock, the host learned of no change any
 // more, and callers were sent by a configuration that had long been replaced.
 func TestTheToldMayAsk(t *testing.T) {
 	ctx, f := context.WithCancel(context.Background())
@@ -34,9 +33,10 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	m.Changed = func(r map[string]row.Row) {
-		_, blocked := m.Restored()
-		must.False(t, blocked)
+	m.Changed = func(r map[string]row.Row, doubt bool) {
+		must.False(t, doubt)
+		must.Positive(t, m.Version())
+		must.False(t, m.Behind(m.Version()))
 		told <- len(r)
 	}
 	d := make(chan error)
