--- a/cmd/steer.go
+++ b/cmd/steer.go
@@ -31,8 +31,11 @@
 	k := clockwork.NewRealClock()
 	s := logsink.New(k, os.Stdout)
 	x, f := context.WithCancel(context.WithoutCancel(ctx))
-	d := make(chan error, 1)
-	go func() { d <- s.Run(x) }()
+	d := make(chan struct{})
+	go func() {
+		defer close(d)
+		_ = s.Run(x) // it ends without an error when x does
+	}()
 	defer func() { f(); <-d }()
 	p := &platform.Platform{Path: c.String("settings"), Clock: k, Log: log.NewWithOptions(s, logOptions)}
 	e, err := p.Check()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,8 +34,6 @@
 	// retryAfter is when a request that found no room may come back, about the
 	// time in which a backend server ends its running requests.
 	retryAfter = 250 * time.Millisecond
-	// leaveRetry is when a caller of a leaving host may come back, to another.
-	leaveRetry = 10 * time.Millisecond
 )
 
 // Gateway serves requests on routes.
@@ -97,7 +95,8 @@
 	}
 	g.describe(b, r, i, a)
 	if a != nil {
-		if d, ok := g.Tokens.Take(a.Name); !ok {
+		d, ok := g.Tokens.Take(a.Name)
+		if !ok {
 			return i, refuse(outcome.OverRate, "the account's rate is used up", d)
 		}
 	}
