--- a/edge/edge.go
+++ b/edge/edge.go
@@ -114,6 +114,7 @@
 		e.branch("peers",
 			child.Child{Name: "peerserver", Run: s.Run},
 			child.Child{Name: "membership", Run: e.membership.Run},
+			child.Child{Name: "tokens", Run: e.tokens.Run},
 			child.Child{Name: "borrower", Run: e.borrower.Run},
 			child.Child{Name: "copier", Run: e.copier.Run},
 		),
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -28,6 +28,9 @@
 	// call costs the store something, also one that it refuses.
 	firstPause = 150 * time.Millisecond
 	lastPause  = 600 * time.Millisecond
+	// gatherFor is the pause after a change, a tenth of the time in which a
+	// change must be in force.
+	gatherFor = 250 * time.Millisecond
 	// doubtFor is how long after the store's return rows may be missing: those
 	// that lapsed in the outage are back within two seconds.
 	doubtFor = 2 * time.Second
@@ -82,24 +85,35 @@
 func (m *Mirror) Run(ctx context.Context) error {
 	p := firstPause
 	for ctx.Err() == nil {
+		v := m.Version()
 		err := m.step(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err == nil {
+		d := m.gather(v)
+		if err != nil {
+			m.fail(err)
+			d, p = p, min(2*p, lastPause)
+		} else {
 			p = firstPause
-			continue
 		}
-		m.fail(err)
 		select {
 		case <-ctx.Done():
-		case <-m.Clock.After(p):
+		case <-m.Clock.After(d):
 		}
-		p = min(2*p, lastPause)
 	}
 	return nil
 }
 
+// gather is the pause before the next call: changes come in series, and one call
+// then brings several.
+func (m *Mirror) gather(before uint64) time.Duration {
+	if m.Version() != before {
+		return gatherFor
+	}
+	return 0
+}
+
 // Version returns the last change in the copy, zero before the first.
 func (m *Mirror) Version() uint64 {
 	m.mu.Lock()
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -3,6 +3,7 @@
 package tokens
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	spare = 0.5
 	// askPause spaces the requests for tokens of one account.
 	askPause = 60 * time.Millisecond
+	// refillEvery is how often buckets are refilled that nobody uses.
+	refillEvery = 500 * time.Millisecond
 	// retry is when a refused caller may come back: a host's part of a usual
 	// rate makes some tokens in that time, or others have sent some.
 	retry = 250 * time.Millisecond
@@ -51,6 +54,28 @@
 	asked   time.Time
 }
 
+// Run refills all buckets until ctx ends, so that an account's first requests
+// find what its rate has made since the host started.
+func (t *Tokens) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-t.Clock.After(refillEvery):
+			t.refill()
+		}
+	}
+	return nil
+}
+
+func (t *Tokens) refill() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.Clock.Now()
+	for _, e := range t.accounts {
+		t.fit(e, n)
+	}
+}
+
 // Set takes the client accounts of a configuration. Lower limits hold at once.
 func (t *Tokens) Set(l []account.Account) {
 	t.mu.Lock()
