Placement: an overdue request keeps others away

A request that runs four times as long as is usual on its route now counts its backend server as full.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	if s := b.Service(r.Service.Name); s != nil {
 		r.Service = *s
 	}
+	r.Route = i.Name
 	r.NonIdempotent = i.NonIdempotent
 	r.Attempts = i.Attempts
 	r.Patience = i.Objective / patienceParts
@@ -166,7 +167,7 @@
 						g.Placement.Report(b.Name, n, m)
 					}
 				},
-				Release: releaseOnce(func(v result.Result) { g.Placement.Release(b.Name, v) }),
+				Release: releaseOnce(func(v result.Result) { g.Placement.Release(b.Name, r, v) }),
 			}, outcome.Outcome{}
 		}
 		d := u.Sub(g.Clock.Now())
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -49,6 +49,7 @@
 	servers  map[string]*server
 	services map[string]*group
 	freed    chan struct{}
+	usual    map[string]time.Duration // the usual time of a route's requests
 }
 
 // group is the backend servers of one service.
@@ -103,7 +104,7 @@
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0
 	}
-	s.take(n)
+	s.take(r, n)
 	return s.backend, true, false
 }
 
@@ -128,14 +129,16 @@
 }
 
 // Release ends a request that Take counted.
-func (p *Placement) Release(name string, r result.Result) {
+func (p *Placement) Release(name string, q *request.Request, r result.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[name]
 	if s == nil {
 		return
 	}
-	s.running = max(s.running-1, 0)
+	if t, ok := s.end(q); ok && r == result.Succeeded {
+		p.learn(q.Route, p.Clock.Since(t))
+	}
 	p.judge(s, r, p.Clock.Now())
 	p.wake()
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -19,12 +19,18 @@
 	// shedLife is how long a backend server that refused a request for want
 	// of room counts as full.
 	shedLife = 200 * time.Millisecond
+	// A request that runs overdueFactor times as long as is usual, and no less
+	// than overdueLeast, tells that its backend server is in trouble.
+	overdueFactor = 4
+	overdueLeast  = 400 * time.Millisecond
+	// usualSamples is over how many answers the usual time is taken.
+	usualSamples = 50
 )
 
 // server is what this host knows of one backend server.
 type server struct {
 	backend backend.Backend
-	running int       // requests of this host
+	running []flight  // requests of this host
 	others  float64   // requests of other hosts, when last reported
 	seen    time.Time // when that was
 	full    time.Time // until when it counts as full
@@ -32,6 +38,12 @@
 	sent    []time.Time
 }
 
+// flight is a request on its way.
+type flight struct {
+	id, route string
+	since     time.Time
+}
+
 type candidate struct {
 	server *server
 	score  float64
@@ -39,12 +51,12 @@
 
 // load estimates the requests that run or wait there.
 func (s *server) load(now time.Time) float64 {
-	return float64(s.running) + s.others*decay(now.Sub(s.seen))
+	return float64(len(s.running)) + s.others*decay(now.Sub(s.seen))
 }
 
 func (s *server) report(total int, now time.Time) {
 	// The answer is that of a request which is still counted here.
-	s.others = max(float64(total-s.running+1), 0)
+	s.others = max(float64(total-len(s.running)+1), 0)
 	s.seen = now
 }
 
@@ -52,13 +64,49 @@
 	s.full = now.Add(shedLife)
 }
 
-func (s *server) take(now time.Time) {
-	s.running++
+func (s *server) take(r *request.Request, now time.Time) {
+	s.running = append(s.running, flight{id: r.ID, route: r.Route, since: now})
 	if s.cold.After(now) {
 		s.sent = append(s.sent, now)
 	}
 }
 
+// end takes a request out and returns since when it ran.
+func (s *server) end(r *request.Request) (time.Time, bool) {
+	for i, f := range s.running {
+		if f.id == r.ID {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			return f.since, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// overdue reports whether a request runs there for much longer than is usual on
+// its route: the backend server is slow or silent, or has a line that no report
+// has told of yet.
+func (p *Placement) overdue(s *server, now time.Time) bool {
+	for _, f := range s.running {
+		u, ok := p.usual[f.route]
+		if ok && now.Sub(f.since) > max(overdueFactor*u, overdueLeast) {
+			return true
+		}
+	}
+	return false
+}
+
+// learn keeps the usual time of a route's requests.
+func (p *Placement) learn(route string, d time.Duration) {
+	if p.usual == nil {
+		p.usual = make(map[string]time.Duration)
+	}
+	u, ok := p.usual[route]
+	if !ok {
+		u = d
+	}
+	p.usual[route] = u + (d-u)/usualSamples
+}
+
 // paced reports whether a cold backend server may get one more request.
 func (s *server) paced(part int, now time.Time) bool {
 	var ok bool
@@ -71,7 +119,7 @@
 func (p *Placement) choose(c []candidate, r *request.Request, now time.Time) *server {
 	c = c[:min(len(c), spread)]
 	for _, v := range c {
-		if s := v.server; !s.full.After(now) && s.load(now) < float64(s.backend.Slots) {
+		if s := v.server; !s.full.After(now) && !p.overdue(s, now) && s.load(now) < float64(s.backend.Slots) {
 			return s
 		}
 	}
@@ -79,7 +127,7 @@
 	l := 1 + line(r.Priority)
 	for _, v := range c {
 		s := v.server
-		if u := (s.load(now) + 1) / float64(s.backend.Slots); !s.full.After(now) && u <= l {
+		if u := (s.load(now) + 1) / float64(s.backend.Slots); !s.full.After(now) && !p.overdue(s, now) && u <= l {
 			m, l = s, u
 		}
 	}
--- a/request/request.go
+++ b/request/request.go
@@ -27,6 +27,8 @@
 	// Object names what the request concerns; empty when that is not known.
 	// Requests for one object are served fastest by one backend server.
 	Object string
+	// Route names the route that the request came in by.
+	Route string
 	// Account is the client account that the request counts against; empty
 	// on public routes.
 	Account string
