Explain: each decision on a failed request has its line, and a command that follows it

A request keeps its decisions with what decided them (tokens left, load and age of the report, candidates, version) and logs them when it ends badly, or as one in a hundred. celeryreach explain ID FILE... tells them with what each host believed. Counters and latencies are served at the first internal port.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -88,5 +88,6 @@
 		m.blockCommand(),
 		m.experimentCommand(),
 		stressCommand(),
+		explainCommand(),
 	}
 }
--- a/cmd/logger.go
+++ b/cmd/logger.go
@@ -11,4 +11,8 @@
 	return log.NewWithOptions(os.Stderr, logOptions)
 }
 
-var logOptions = log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter}
+// timeFormat tells milliseconds: what several hosts decided within a second is
+// put in order by them.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+var logOptions = log.Options{ReportTimestamp: true, TimeFormat: timeFormat, Formatter: log.LogfmtFormatter}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// lapseHold is how long after the store's return an entry that is missing
-	// counts as lapsed in the outage: sound backend servers are back on the
-	// list within two seconds.
-	lapseHold = 2200 * time.Millisecond
 	// coldMargin is put on what a backend server says of how long it stays
 	// cold: its word was some time under way.
 	coldMargin = 300 * time.Millisecond
@@ -45,7 +41,7 @@
 type known struct {
 	backend backend.Backend
 	cold    time.Time
-	lapsed  time.Time // when its entry was first missed, zero while it is listed
+	lapsed  time.Time // until when a missing entry holds, zero while it is listed
 }
 
 // Run drops lapsed entries in time, until ctx ends.
@@ -60,11 +56,11 @@
 	return nil
 }
 
-// Backends takes the list as the store has it. With doubt it is from just after
-// an outage of the store, in which entries of sound backend servers lapse: those
-// that are missing stay in use for a while. Without doubt they are gone, also
-// while this host itself cannot reach the store and another one told it.
-func (d *Discovery) Backends(l []backend.Backend, doubt bool) {
+// Backends takes the list as the store has it. In an outage of the store, entries
+// of sound backend servers lapse: those that are missing stay in use until doubt
+// ends. Those that are missing without doubt are gone, also while this host
+// itself cannot reach the store and another one told it.
+func (d *Discovery) Backends(l []backend.Backend, doubt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.known == nil {
@@ -78,11 +74,11 @@
 	for n, k := range d.known {
 		switch {
 		case s[n]:
-		case !doubt:
+		case !doubt.After(d.Clock.Now()):
 			d.drop(n, k)
 		case k.lapsed.IsZero():
 			d.Log.Warn("backend server is missing after an outage of the store", "Backend", n)
-			k.lapsed = d.Clock.Now()
+			k.lapsed = doubt
 		}
 	}
 	d.tell()
@@ -124,6 +120,7 @@
 		d.known[b.Name] = k
 	}
 	if k.backend.Revision != b.Revision && b.ColdFor > 0 {
+		d.Log.Info("backend server is cold", "Backend", b.Name, "For", b.ColdFor)
 		k.cold = later(k.cold, n.Add(b.ColdFor+coldMargin))
 	}
 	if b.Draining && !k.backend.Draining {
@@ -144,7 +141,7 @@
 	defer d.mu.Unlock()
 	c := false
 	for n, k := range d.known {
-		if !k.lapsed.IsZero() && d.Clock.Since(k.lapsed) >= lapseHold {
+		if !k.lapsed.IsZero() && !k.lapsed.After(d.Clock.Now()) {
 			d.drop(n, k)
 			c = true
 		}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -15,6 +15,9 @@
 	"celeryreach.example/celeryreach/scripttest"
 )
 
+// doubtFor is how long after an outage entries may be missing.
+const doubtFor = 2 * time.Second
+
 // world is one host's list.
 type world struct {
 	clock     *clockwork.FakeClock
@@ -46,8 +49,8 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"list":     func(ts *testscript.TestScript, _ bool, a []string) { on(ts).list(a, false) },
-			"doubt":    func(ts *testscript.TestScript, _ bool, a []string) { on(ts).list(a, true) },
+			"list":     func(ts *testscript.TestScript, _ bool, a []string) { on(ts).list(a, 0) },
+			"doubt":    func(ts *testscript.TestScript, _ bool, a []string) { on(ts).list(a, doubtFor) },
 			"evacuate": evacuate, "after": after, "usable": usable, "cold": cold, "iscold": isCold,
 		},
 	})
@@ -67,13 +70,13 @@
 	sort.Strings(w.usable)
 }
 
-func (w *world) list(names []string, doubt bool) {
+func (w *world) list(names []string, doubt time.Duration) {
 	w.revision++
 	var l []backend.Backend
 	for _, n := range names {
 		l = append(l, backend.Backend{Name: n, Service: "listings", Domain: "lagos-1", Revision: w.revision})
 	}
-	w.discovery.Backends(l, doubt)
+	w.discovery.Backends(l, w.clock.Now().Add(doubt))
 }
 
 func cold(ts *testscript.TestScript, _ bool, a []string) {
@@ -82,7 +85,7 @@
 	w.revision++
 	w.discovery.Backends([]backend.Backend{{
 		Name: a[0], Service: "listings", Domain: "lagos-1", ColdFor: d, Revision: w.revision,
-	}}, false)
+	}}, time.Time{})
 }
 
 func evacuate(ts *testscript.TestScript, _ bool, a []string) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/gateway"
 	"celeryreach.example/celeryreach/ingressbook"
+	"celeryreach.example/celeryreach/latency"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
 	"celeryreach.example/celeryreach/mirror"
@@ -90,6 +91,7 @@
 
 	book       atomic.Pointer[ingressbook.Ingressbook]
 	leaving    atomic.Bool
+	left       chan struct{} // closed by Leave
 	listed     atomic.Bool
 	membership *membership.Membership
 	client     *peerclient.Peerclient
@@ -130,7 +132,9 @@
 
 // Leave makes this host go: others no longer name it to callers.
 func (e *Edge) Leave() {
-	e.leaving.Store(true)
+	if e.leaving.CompareAndSwap(false, true) {
+		close(e.left)
+	}
 }
 
 // Leaving reports whether Leave was called.
@@ -149,6 +153,7 @@
 }
 
 func (e *Edge) assemble() {
+	e.left = make(chan struct{})
 	e.client = &peerclient.Peerclient{Dial: e.dial}
 	e.membership = &membership.Membership{
 		Clock: e.Clock, Log: e.Log, Self: e.self, Seeds: e.Seeds, Listed: e.list(),
@@ -160,7 +165,7 @@
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Hosts: e.hosts, Ask: e.borrower.Ask}
 	e.borrower.Received = e.tokens.Receive
 	e.placement = &placement.Placement{
-		Clock: e.Clock, Region: e.Self.Region, Far: far, Rate: e.rate,
+		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, Far: far, Rate: e.rate,
 		Pace: &coldpace.Coldpace{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
@@ -170,10 +175,12 @@
 	e.copier.Clock, e.copier.Log, e.copier.Fetch = e.Clock, e.Log, e.client.Fetch
 	e.copier.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
 	e.Config.Changed = e.configured
-	e.Backends.Changed = func(m map[string]row.Row, doubt bool) { e.discovery.Backends(e.DecodeBackends(m), doubt) }
+	e.Backends.Changed = func(m map[string]row.Row, doubt time.Time) { e.discovery.Backends(e.DecodeBackends(m), doubt) }
 	g := e.Gateway
 	g.Clock, g.Log, g.Book, g.Tokens, g.Placement = e.Clock, e.Log, e.book.Load, e.tokens, e.placement
 	g.Dispatch = e.dispatch().Serve
+	g.Latency = &latency.Latency{Name: "Latency"}
+	g.Latency.Publish()
 	g.Counted = (&counter.Counter{Prefix: "Requests."}).Add
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,7 +48,7 @@
 }
 
 // configured takes a change of the configuration or of the evacuations.
-func (e *Edge) configured(m map[string]row.Row, _ bool) {
+func (e *Edge) configured(m map[string]row.Row, _ time.Time) {
 	c, z := e.Decode(m)
 	if c != nil {
 		if b := e.book.Load(); b == nil || c.Version > b.Config.Version {
@@ -93,23 +93,22 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// announce puts this host on the store's list, and takes it off in the end.
+// announce puts this host on the store's list, and takes it off when it leaves:
+// in the end there may be no time left for a store that does not answer.
 func (e *Edge) announce(ctx context.Context) error {
-	for {
-		x, f := context.WithTimeout(ctx, announceTimeout)
-		err := e.Announce(x, e.Self)
-		f()
-		if err == nil {
-			break
-		}
-		e.Log.Warn("host not announced", "Error", err)
+	for !e.announced(ctx) {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-e.left:
+			return nil
 		case <-e.Clock.After(announcePause):
 		}
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-e.left:
+	}
 	x, f := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
 	defer f()
 	if err := e.Withdraw(x, e.Self); err != nil {
@@ -118,6 +117,16 @@
 	return nil
 }
 
+func (e *Edge) announced(ctx context.Context) bool {
+	x, f := context.WithTimeout(ctx, announceTimeout)
+	defer f()
+	err := e.Announce(x, e.Self)
+	if err != nil {
+		e.Log.Warn("host not announced", "Error", err)
+	}
+	return err == nil
+}
+
 // list reads the list of hosts until it is known, and then rarely: membership
 // asks at every Hold, and calls to the store are paid for.
 func (e *Edge) list() func(ctx context.Context) ([]member.Member, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,10 +12,12 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/ingress"
 	"celeryreach.example/celeryreach/ingressbook"
+	"celeryreach.example/celeryreach/latency"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/portion"
@@ -23,6 +25,7 @@
 	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/tokens"
+	"celeryreach.example/celeryreach/trail"
 	"celeryreach.example/celeryreach/tried"
 )
 
@@ -53,6 +56,8 @@
 	Load func(h http.Header) (running, waiting int, ok bool)
 	// Dispatch sends a request and passes the answer on.
 	Dispatch func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
+	// Latency takes the time of each answered request.
+	Latency *latency.Latency
 	// Counted is told how each request ended.
 	Counted func(o string)
 
@@ -95,10 +100,12 @@
 	}
 	g.describe(b, r, i, a)
 	if a != nil {
-		d, ok := g.Tokens.Take(a.Name)
+		left, d, ok := g.Tokens.Take(a.Name)
 		if !ok {
+			r.Trail.Add(r.Admitted, "request over its rate", "Account", a.Name, "Tokens", left, "Rate", a.Rate, "Version", b.Config.Version)
 			return i, refuse(outcome.OverRate, "the account's rate is used up", d)
 		}
+		r.Trail.Add(r.Admitted, "request admitted", "Route", i.Name, "Account", a.Name, "Tokens", left, "Version", b.Config.Version)
 	}
 	return i, outcome.Outcome{}
 }
@@ -119,6 +126,7 @@
 	r.Attempts = i.Attempts
 	r.Patience = i.Objective / patienceParts
 	r.Tried = new(tried.Tried)
+	r.Trail = new(trail.Trail)
 	r.Priority = i.Priority
 	h := i.Homes
 	var o []string
@@ -159,19 +167,11 @@
 		c := g.Placement.Freed()
 		b, ok, wait := g.Placement.Take(r)
 		if ok {
-			r.Tried.Add(b.Name)
-			return slot.Slot{
-				Backend: b,
-				Answered: func(_ int, h http.Header) {
-					if n, m, ok := g.Load(h); ok {
-						g.Placement.Report(b.Name, n, m)
-					}
-				},
-				Release: releaseOnce(func(v result.Result) { g.Placement.Release(b.Name, r, v) }),
-			}, outcome.Outcome{}
+			return g.slot(r, b), outcome.Outcome{}
 		}
 		d := u.Sub(g.Clock.Now())
 		if !wait || d <= 0 {
+			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", wait, "Patience", r.Patience, "Priority", r.Priority)
 			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", retryAfter)
 		}
 		select {
@@ -183,6 +183,25 @@
 	}
 }
 
+// slot makes the slot of a request on a backend server.
+func (g *Gateway) slot(r *request.Request, b backend.Backend) slot.Slot {
+	r.Tried.Add(b.Name)
+	return slot.Slot{
+		Backend: b,
+		Answered: func(status int, h http.Header) {
+			n, m, ok := g.Load(h)
+			if ok {
+				g.Placement.Report(b.Name, n, m)
+			}
+			r.Trail.Add(g.Clock.Now(), "backend server answered", "Backend", b.Name, "Status", status, "Running", n, "Waiting", m)
+		},
+		Release: releaseOnce(func(v result.Result) {
+			g.Placement.Release(b.Name, r, v)
+			r.Trail.Add(g.Clock.Now(), "backend server released", "Backend", b.Name, "Result", v)
+		}),
+	}
+}
+
 // Valid reports whether a key that a request came with still works.
 func (g *Gateway) Valid(c credential.Credential) bool {
 	return c.Hash == "" || g.Book().Holds(c.Hash)
@@ -196,6 +215,9 @@
 // tell logs the end of a request.
 func (g *Gateway) tell(b *ingressbook.Ingressbook, r *request.Request, i *ingress.Ingress, o outcome.Outcome, d time.Duration) {
 	g.Counted(o.Outcome)
+	if o.Outcome == outcome.Answered {
+		g.Latency.Observe(r.Route, d)
+	}
 	if o.Outcome == outcome.Answered && g.served.Add(1)%sampled != 0 || o.Outcome == outcome.Left {
 		return
 	}
@@ -203,6 +225,7 @@
 	if i != nil {
 		n = i.Name
 	}
+	r.Trail.Write(g.Log, r.ID, g.Clock.Now())
 	g.Log.Info("request ended", "Request", r.ID, "Route", n, "Account", r.Account, "Service", r.Service.Name,
 		"Outcome", o.Outcome, "Ran", o.Ran, "Cause", o.Message, "RetryAfter", o.RetryAfter,
 		"Backends", r.Tried.Names(), "Took", d, "Version", b.Config.Version)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -65,6 +65,7 @@
 	digest uint64       // of known
 	has    uint64       // the digest of the list that it has from this host
 	full   time.Time    // when a full heartbeat was last composed for it
+	silent bool         // it was logged as silent
 }
 
 // Run sends heartbeats until ctx ends.
@@ -248,6 +249,23 @@
 	}
 }
 
+// notice logs peers that fell silent, and those that are heard again.
+func (m *Membership) notice() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.Clock.Now()
+	for k, p := range m.peers {
+		switch s := n.Sub(p.heard) > m.Hold; {
+		case s && !p.silent:
+			m.Log.Warn("peer silent", "Host", k, "Leaving", p.member.Leaving, "Heard", n.Sub(p.heard))
+			p.silent = true
+		case !s && p.silent:
+			m.Log.Info("peer heard again", "Host", k)
+			p.silent = false
+		}
+	}
+}
+
 // addresses returns every address that may be a peer's.
 func (m *Membership) addresses() []string {
 	m.mu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -56,10 +56,10 @@
 	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
 	// Wait is the longest wait of one call of Feed.
 	Wait time.Duration
-	// Changed is told the rows, by key, after each change. Doubt tells that the
-	// store was away until just now, so that rows may be missing that are about
-	// to come back. It must not keep the map, and may ask the mirror.
-	Changed func(rows map[string]row.Row, doubt bool)
+	// Changed is told the rows, by key, after each change. The store may have
+	// been away until just now; then rows may be missing that are back before
+	// doubt ends. It must not keep the map, and may ask the mirror.
+	Changed func(rows map[string]row.Row, doubt time.Time)
 
 	// telling keeps the calls of Changed in order. It is apart from mu: who is
 	// told asks for what mu guards.
@@ -77,7 +77,7 @@
 type content struct {
 	Seen    uint64
 	Changed uint64
-	Doubt   bool
+	Doubt   time.Duration // for how much longer rows may be missing
 	Rows    []row.Row
 }
 
@@ -133,7 +133,7 @@
 func (m *Mirror) Content() (uint64, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := content{Seen: m.seen, Changed: m.changed, Doubt: m.doubt()}
+	c := content{Seen: m.seen, Changed: m.changed, Doubt: max(m.doubtful.Sub(m.Clock.Now()), 0)}
 	for _, r := range m.rows {
 		c.Rows = append(c.Rows, r)
 	}
@@ -185,7 +185,7 @@
 		return err
 	}
 	m.open()
-	m.replace(r, v, v, false)
+	m.replace(r, v, v, 0)
 	return nil
 }
 
@@ -213,13 +213,13 @@
 		}
 	}
 	m.rows = c
-	d := m.doubt()
+	d := m.doubtful
 	m.mu.Unlock()
 	m.Changed(c, d)
 }
 
 // replace takes a whole table.
-func (m *Mirror) replace(l []row.Row, seen, changed uint64, doubt bool) {
+func (m *Mirror) replace(l []row.Row, seen, changed uint64, doubt time.Duration) {
 	m.telling.Lock()
 	defer m.telling.Unlock()
 	m.mu.Lock()
@@ -233,16 +233,19 @@
 		c[r.Key] = r
 	}
 	m.rows = c
-	if doubt {
-		m.doubtful = m.Clock.Now().Add(doubtFor)
+	if doubt > 0 && m.troubled() {
+		m.doubtful = m.Clock.Now().Add(doubt)
 	}
-	d := m.doubt()
+	d := m.doubtful
 	m.mu.Unlock()
 	m.Changed(c, d)
 }
 
-func (m *Mirror) doubt() bool {
-	return m.Clock.Now().Before(m.doubtful)
+// troubled reports whether the way to the store is blocked or was until just
+// now. A host that has had the store all the while knows that there was no
+// outage: what another one has in doubt after its own is certain here.
+func (m *Mirror) troubled() bool {
+	return m.failing || m.Clock.Now().Before(m.doubtful)
 }
 
 // open notes that the store answers. What comes with the first answer after an
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/mirror"
 	"celeryreach.example/celeryreach/row"
 )
@@ -33,8 +34,8 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	m.Changed = func(r map[string]row.Row, doubt bool) {
-		must.False(t, doubt)
+	m.Changed = func(r map[string]row.Row, doubt time.Time) {
+		must.True(t, doubt.IsZero())
 		must.Positive(t, m.Version())
 		must.False(t, m.Behind(m.Version()))
 		told <- len(r)
@@ -46,3 +47,43 @@
 	f()
 	must.NoError(t, <-d)
 }
+
+// Two hosts: one was cut off and reads the list anew, so it has missing entries in
+// doubt; the other one had the store all the while and takes the newer copy from
+// it. A backend server that left is gone for the second host at once: its requests
+// would reach it after it has ended. A host that is cut off itself shares the doubt.
+func TestDoubtOfOthers(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		k := clockwork.NewFakeClock()
+		b, err := codec.Marshal(struct {
+			Seen, Changed uint64
+			Doubt         time.Duration
+			Rows          []row.Row
+		}{Seen: 2, Changed: 2, Doubt: time.Second, Rows: []row.Row{{Key: "a", Version: 1}}})
+		must.NoError(t, err)
+		var doubt time.Time
+		failed := make(chan struct{}, 100)
+		m := &mirror.Mirror{
+			Clock: k, Log: log.New(io.Discard), Name: "Backends", Wait: time.Hour,
+			Changed: func(_ map[string]row.Row, d time.Time) { doubt = d },
+			Read: func(context.Context) ([]row.Row, uint64, error) {
+				failed <- struct{}{}
+				return nil, 0, io.EOF
+			},
+		}
+		ctx, f := context.WithCancel(context.Background())
+		d := make(chan error, 1)
+		if cut {
+			go func() { d <- m.Run(ctx) }()
+			<-failed
+			must.NoError(t, k.BlockUntilContext(ctx, 1))
+		}
+		must.NoError(t, m.Adopt(b))
+		must.EqOp(t, cut, doubt.Equal(k.Now().Add(time.Second)))
+		must.EqOp(t, !cut, doubt.IsZero())
+		f()
+		if cut {
+			must.NoError(t, <-d)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
@@ -33,6 +34,9 @@
 type Placement struct {
 	// Clock measures the age of reports.
 	Clock clockwork.Clock
+	// Log receives one line for each backend server that is ejected; nil means
+	// none.
+	Log *log.Logger
 	// Region is the region of this host.
 	Region string
 	// Far is the weight of a backend server in another region, relative to one
@@ -109,6 +113,8 @@
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0
 	}
+	r.Trail.Add(n, "request placed", "Backend", s.backend.Name, "Load", s.load(n), "Slots", s.backend.Slots,
+		"ReportAge", n.Sub(s.seen), "Candidates", len(c), "Cold", s.cold.After(n))
 	s.take(r, n)
 	return s.backend, true, false
 }
@@ -172,7 +178,10 @@
 }
 
 func (p *Placement) fail(g *group, s *server, now time.Time) {
-	g.outlier.Fail(s.backend.Name, g.names, now)
+	t, ok := g.outlier.Fail(s.backend.Name, g.names, now)
+	if ok && p.Log != nil {
+		p.Log.Warn("backend server ejected", "Backend", s.backend.Name, "Service", s.backend.Service, "For", t.Sub(now))
+	}
 }
 
 // candidates returns the backend servers that r may go to now, those that have
--- a/request/request.go
+++ b/request/request.go
@@ -10,6 +10,7 @@
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/gate"
 	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/trail"
 	"celeryreach.example/celeryreach/tried"
 )
 
@@ -43,6 +44,8 @@
 	Homes func(region string) bool
 	// Tried are the backend servers that it was sent to.
 	Tried *tried.Tried
+	// Trail keeps the decisions on the request for the log.
+	Trail *trail.Trail
 	// Method is the HTTP method.
 	Method string
 	// Target is the path and query.
--- a/result/result.go
+++ b/result/result.go
@@ -19,3 +19,8 @@
 	// Unused is a slot that no request was sent on.
 	Unused
 )
+
+// String returns the result's name, for logs.
+func (r Result) String() string {
+	return [...]string{"Succeeded", "Shed", "Failed", "Canceled", "Refused", "Unused"}[r]
+}
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -94,22 +94,23 @@
 	t.accounts = m
 }
 
-// Take admits one request of an account, or tells when to come back.
-func (t *Tokens) Take(name string) (retryAfter time.Duration, ok bool) {
+// Take admits one request of an account, or tells when to come back. Left is
+// what the bucket holds then.
+func (t *Tokens) Take(name string) (left float64, retryAfter time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.accounts[name]
 	if e == nil {
-		return retry, false
+		return 0, retry, false
 	}
 	if e.account.Rate == 0 {
-		return 0, true
+		return 0, 0, true
 	}
 	n := t.Clock.Now()
 	t.fit(e, n)
 	ok = e.bucket.Take(n)
 	t.ask(e, n)
-	return retry, ok
+	return e.bucket.Tokens(), retry, ok
 }
 
 // Return gives back the token of a request that did not run.
--- a/tokens/tokens_test.go
+++ b/tokens/tokens_test.go
@@ -67,7 +67,7 @@
 }
 
 func (m *model) take(i int) {
-	if _, ok := m.hosts[i].Take(unity); ok {
+	if _, _, ok := m.hosts[i].Take(unity); ok {
 		m.admitted = append(m.admitted, m.clock.Now())
 	}
 }
@@ -131,7 +131,7 @@
 	m.seen[0] = 0
 	m.hosts[0] = m.host(0)
 	m.clock.Advance(time.Hour)
-	_, ok := m.hosts[0].Take(unity)
+	_, _, ok := m.hosts[0].Take(unity)
 	must.False(t, ok)
 	m.seen[0] = 2
 	m.take(0)
@@ -152,7 +152,7 @@
 	}
 	m.clock.Advance(time.Hour)
 	for range 16 {
-		_, ok := m.hosts[0].Take(unity)
+		_, _, ok := m.hosts[0].Take(unity)
 		must.True(t, ok)
 	}
 	must.Positive(t, asked)
@@ -160,7 +160,7 @@
 	must.Positive(t, n)
 	m.hosts[0].Receive(unity, n)
 	for range 16 {
-		_, ok := m.hosts[0].Take(unity)
+		_, _, ok := m.hosts[0].Take(unity)
 		must.True(t, ok)
 	}
 }
