Mirror: copies of others only when the own way fails

Now a read tells of its newest row, and a host whose own way seems open waits 700 ms for it. Ruled out: following nothing but the own way, since a feed that fell silent shows after 6.5 s only.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -61,7 +61,7 @@
 func (c *Copier) Heard(address string, l []*wire.Version) {
 	for _, v := range l {
 		for _, m := range c.Mirrors {
-			if m.Name != v.GetKind() || !m.Behind(v.GetVersion()) {
+			if m.Name != v.GetKind() || !m.Wants(v.GetVersion()) {
 				continue
 			}
 			select {
@@ -100,7 +100,7 @@
 }
 
 func (c *Copier) fetch(ctx context.Context, w wanted) {
-	if !w.mirror.Behind(w.version) {
+	if !w.mirror.Wants(w.version) {
 		return
 	}
 	x, f := deadline.With(ctx, c.Clock, fetchTimeout)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,6 +31,9 @@
 	// gatherFor is the pause after a change, a tenth of the time in which a
 	// change must be in force.
 	gatherFor = 250 * time.Millisecond
+	// ownWay is how long a change that others have may take on the own way: the
+	// pause after the change before, and the way from the farthest region.
+	ownWay = 700 * time.Millisecond
 	// doubtFor is how long after the store's return rows may be missing: those
 	// that lapsed in the outage are back within two seconds.
 	doubtFor = 2 * time.Second
@@ -67,8 +70,9 @@
 
 	mu       sync.Mutex
 	rows     map[string]row.Row
-	seen     uint64 // the copy shows the table as of this version
-	changed  uint64 // the last change in the copy
+	seen     uint64    // the copy shows the table as of this version
+	changed  uint64    // the last change in the copy
+	lagging  time.Time // since when another host is known to have more
 	failing  bool
 	doubtful time.Time // until when rows may be missing
 }
@@ -129,6 +133,24 @@
 	return version > m.seen
 }
 
+// Wants reports whether to take another host's copy. While the own way to the
+// store seems open, the change is about to come by it, and a copy of the whole
+// table would only cost bytes; if it has not come in time, the way has fallen
+// silent and nothing has shown it yet.
+func (m *Mirror) Wants(version uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if version <= m.seen {
+		m.lagging = time.Time{}
+		return false
+	}
+	n := m.Clock.Now()
+	if m.lagging.IsZero() {
+		m.lagging = n
+	}
+	return m.failing || m.seen == 0 || n.Sub(m.lagging) >= ownWay
+}
+
 // Content returns the copy for another host.
 func (m *Mirror) Content() (uint64, []byte, error) {
 	m.mu.Lock()
@@ -185,10 +207,26 @@
 		return err
 	}
 	m.open()
-	m.replace(r, v, v, 0)
+	m.replace(r, v, m.changedBy(r, v), 0)
 	return nil
 }
 
+// changedBy returns the last change that a read of the whole table shows. A row
+// that is missing now went at some time up to the read; without a copy from
+// before, only the rows tell, and hosts that have seen more do not ask for less.
+func (m *Mirror) changedBy(l []row.Row, version uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.changed
+	for _, r := range l {
+		c = max(c, r.Version)
+	}
+	if m.seen > 0 && (c > m.changed || len(l) != len(m.rows)) {
+		return version
+	}
+	return c
+}
+
 // apply takes changes of the feed.
 func (m *Mirror) apply(l []row.Row, version uint64) {
 	m.telling.Lock()
@@ -199,6 +237,7 @@
 		return // a copy that was adopted meanwhile has them
 	}
 	m.seen = version
+	m.lagging = time.Time{}
 	if len(l) == 0 {
 		m.mu.Unlock()
 		return
@@ -228,6 +267,7 @@
 		return
 	}
 	m.seen, m.changed = seen, changed
+	m.lagging = time.Time{}
 	c := make(map[string]row.Row, len(l))
 	for _, r := range l {
 		c[r.Key] = r
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -87,3 +87,35 @@
 		}
 	}
 }
+
+// Another host tells of a change. While the own way to the store is open, the
+// change comes by it, and no copy of the whole table crosses regions for it. When
+// it does not come, the way has fallen silent, and callers whose key was taken
+// away must not be served until a timeout shows it.
+func TestWantsACopyInTimeOnly(t *testing.T) {
+	k := clockwork.NewFakeClock()
+	m := &mirror.Mirror{
+		Clock: k, Log: log.New(io.Discard), Name: "Config", Wait: time.Hour, Changed: func(map[string]row.Row, time.Time) {},
+		Read: func(context.Context) ([]row.Row, uint64, error) { return []row.Row{{Key: "a", Version: 3}}, 9, nil },
+	}
+	must.True(t, m.Wants(1)) // it knows nothing yet
+	feeds := make(chan struct{}, 1)
+	m.Feed = func(ctx context.Context, _ uint64, _ time.Duration) ([]row.Row, uint64, error) {
+		feeds <- struct{}{}
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	ctx, f := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	go func() { d <- m.Run(ctx) }()
+	must.NoError(t, k.BlockUntilContext(ctx, 1)) // the pause after the first read
+	k.Advance(time.Second)
+	<-feeds
+	must.EqOp(t, 3, m.Version())
+	must.False(t, m.Wants(9))
+	must.False(t, m.Wants(10))
+	k.Advance(time.Second)
+	must.True(t, m.Wants(10))
+	f()
+	must.NoError(t, <-d)
+}
