--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -20,6 +20,8 @@
 	sent     chan struct{}
 	cancels  []context.CancelFunc
 	running  int
+	// unsure tells that a try which ended without an answer may have run.
+	unsure bool
 }
 
 // race runs an idempotent request. A connection that has gone silent looks like
@@ -32,6 +34,7 @@
 	o := d.finish(ctx, r, a.run(ctx), w)
 	// An answer that broke off while it was held back can be asked for again.
 	for o.Outcome == outcome.BackendFailed && a.more() && d.again(o, r) {
+		a.unsure = true
 		a.start(ctx, true)
 		o = d.finish(ctx, r, a.run(ctx), w)
 	}
@@ -62,10 +65,12 @@
 				return t
 			}
 			a.cancels[t.index]()
+			a.unsure = a.unsure || t.outcome.Ran != outcome.RanNo
 			if a.running > 0 {
 				continue
 			}
 			if !a.more() || !a.dispatch.again(t.outcome, a.request) {
+				t.outcome = a.honest(t.outcome)
 				return t
 			}
 			a.start(ctx, true)
@@ -73,6 +78,15 @@
 	}
 }
 
+// honest makes the outcome of the last try that of the whole request: a try before
+// it may have run, and then nobody may be told that the request did not.
+func (a *race) honest(o outcome.Outcome) outcome.Outcome {
+	if !a.unsure || o.Ran != outcome.RanNo {
+		return o
+	}
+	return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: "a try may have run; then: " + o.Message}
+}
+
 func (a *race) more() bool {
 	return len(a.cancels) < tries(a.request)
 }
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -14,8 +14,8 @@
 const (
 	// buffered is how many lines wait for a slow reader.
 	buffered = 2048
-	// perSecond bounds the lines of a second: at 40 µs a line that is 1% of a
-	// core.
+	// perSecond bounds the lines of a second: at 5 µs a line (go test -bench
+	// Line ./logsink) they take 0.13% of a core.
 	perSecond = 250
 )
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -60,6 +60,9 @@
 	// TooLarge is a request with an id whose body is too large to be compared
 	// with that of a repetition.
 	TooLarge = "TooLarge"
+	// HeaderTooLarge is a request whose header is longer than the configuration
+	// allows.
+	HeaderTooLarge = "HeaderTooLarge"
 	// Broken is an answer that broke off after its head had been sent; the
 	// caller's connection is cut, so it is counted, never sent.
 	Broken = "Broken"
