--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -17,7 +17,7 @@
 	var b strings.Builder
 	c := &capacity.Capacity{Clock: clockwork.NewRealClock(), Target: target.New(), Out: &b, Short: true}
 	must.NoError(t, c.Run(t.Context()))
-	for _, r := range []string{"look-up", "admission", "queue", "balancer", "membership", "quota", "configuration", "planner", "idempotency", "burn report"} {
+	for _, r := range []string{"look-up", "admission", "queue", "balancer", "membership", "quota", "configuration", "planner", "idempotency", "burn report", "placement", "tokens"} {
 		must.StrContains(t, b.String(), "\n| "+r+" |")
 	}
 	must.StrNotContains(t, b.String(), "NaN")
--- a/capacity/measurements.go
+++ b/capacity/measurements.go
@@ -94,6 +94,12 @@
 		{Name: waitTime, Unit: "ns", Per: "requests", Sizes: m, Measure: c.waitTime},
 		{Name: pickTime, Unit: "ns", Per: "backend servers", Sizes: c.sizes(12, 40, 120), Measure: c.pickTime},
 		{Name: countBytes, Unit: "B", Per: "accounts", Sizes: f, Measure: countSize},
+		{Name: placeTime, Unit: "ns", Per: "backend servers", Sizes: c.sizes(12, 40, 120), Measure: c.placeTime},
+		{Name: listTime, Unit: "ns", Per: "backend servers", Sizes: f, Measure: c.listTime},
+		{Name: tokenBytes, Unit: "B", Per: "accounts", Sizes: f, Measure: func(n int) float64 {
+			return measurement.Bytes(func() any { return c.newTokens(n) })
+		}},
+		{Name: tokenTime, Unit: "ns", Per: "accounts", Sizes: f, Measure: c.tokenTime},
 		{Name: recordBytes, Unit: "B", Per: "answer bytes", Sizes: f, Measure: func(n int) float64 { return float64(len(encode(newRecord(n)))) }},
 	}
 }
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -63,6 +63,7 @@
 func (c *Capacity) roles() []role.Role {
 	return []role.Role{
 		c.lookup(), c.admission(), c.queue(), c.balancer(), c.membership(), c.quota(), c.configuration(), c.planner(), c.idempotency(), c.burn(),
+		c.placement(), c.tokens(),
 	}
 }
 
