--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
 	"celeryreach.example/celeryreach/mirror"
+	"celeryreach.example/celeryreach/partners"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/placement"
@@ -157,7 +158,7 @@
 	e.client = &peerclient.Peerclient{Dial: e.dial}
 	e.membership = &membership.Membership{
 		Clock: e.Clock, Log: e.Log, Self: e.self, Seeds: e.Seeds, Listed: e.list(),
-		Interval: beatEvery, Hold: hold, Beat: e.client.Beat, Compose: e.compose, Heard: e.heard,
+		Partners: partners.Partners, Interval: beatEvery, Hold: hold, Beat: e.client.Beat, Compose: e.compose, Heard: e.heard,
 	}
 	e.borrower = borrower.New()
 	e.borrower.Clock, e.borrower.Self, e.borrower.Hosts = e.Clock, e.self, e.membership.Alive
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -36,6 +36,8 @@
 	Seeds []string
 	// Listed returns the platform's list of hosts.
 	Listed func(ctx context.Context) ([]member.Member, error)
+	// Partners chooses whom to send heartbeats to; nil means all hosts.
+	Partners func(self member.Member, all []member.Member, alive func(name string) bool) []member.Member
 	// Interval is the time between two heartbeats to a peer.
 	Interval time.Duration
 	// Hold is the silence after which a peer counts as gone.
@@ -266,11 +268,25 @@
 	}
 }
 
-// addresses returns every address that may be a peer's.
+// addresses returns the addresses to send heartbeats to: the partners', and those
+// of whom nothing but the address is known.
 func (m *Membership) addresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := map[string]bool{m.Self().PeerAddress: true}
+	self := m.Self()
+	l := m.everybody()
+	known := map[string]bool{self.PeerAddress: true}
+	for _, v := range l {
+		known[v.PeerAddress] = true
+	}
+	if m.Partners != nil {
+		n := m.Clock.Now()
+		l = m.Partners(self, l, func(name string) bool {
+			p := m.peers[name]
+			return p != nil && n.Sub(p.heard) <= m.Hold
+		})
+	}
+	s := map[string]bool{self.PeerAddress: true}
 	var r []string
 	d := func(a string) {
 		if a != "" && !s[a] {
@@ -279,17 +295,37 @@
 		}
 	}
 	for _, a := range m.Seeds {
-		d(a)
+		if m.Partners == nil || !known[a] {
+			d(a)
+		}
 	}
-	for _, v := range m.listed {
+	for _, v := range l {
 		d(v.PeerAddress)
 	}
+	return r
+}
+
+// everybody returns all hosts that were heard or heard of, what they say of
+// themselves first, ordered by name.
+func (m *Membership) everybody() []member.Member {
+	s := make(map[string]member.Member)
 	for _, p := range m.peers {
-		d(p.member.PeerAddress)
 		for _, k := range p.beat.GetKnown() {
-			d(k.PeerAddress)
+			s[k.Name] = fromHost(k)
 		}
 	}
+	for _, v := range m.listed {
+		s[v.Name] = v
+	}
+	for n, p := range m.peers {
+		s[n] = p.member
+	}
+	delete(s, m.Self().Name)
+	r := make([]member.Member, 0, len(s))
+	for _, v := range s {
+		r = append(r, v)
+	}
+	sort.Slice(r, func(i, j int) bool { return r[i].Name < r[j].Name })
 	return r
 }
 
