--- a/deadline/deadline.go
+++ b/deadline/deadline.go
@@ -40,3 +40,11 @@
 func Exceeded(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
 }
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/deadline"
 )
 
 const (
@@ -98,7 +99,7 @@
 		// of them can have said so.
 		for _, k := range d.known {
 			if k.backend.Domain == v {
-				k.cold = later(k.cold, n.Add(d.WarmUp(k.backend.Service)+coldMargin))
+				k.cold = deadline.Later(k.cold, n.Add(d.WarmUp(k.backend.Service)+coldMargin))
 			}
 		}
 	}
@@ -121,7 +122,7 @@
 	}
 	if k.backend.Revision != b.Revision && b.ColdFor > 0 {
 		d.Log.Info("backend server is cold", "Backend", b.Name, "For", b.ColdFor)
-		k.cold = later(k.cold, n.Add(b.ColdFor+coldMargin))
+		k.cold = deadline.Later(k.cold, n.Add(b.ColdFor+coldMargin))
 	}
 	if b.Draining && !k.backend.Draining {
 		d.Log.Info("backend server leaves", "Backend", b.Name, "Service", b.Service)
@@ -160,10 +161,3 @@
 	}
 	d.Changed(l, func(n string) time.Time { return d.known[n].cold })
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -94,10 +94,10 @@
 		_, err := fmt.Fprintf(w, "no line of request %s: it went well and was not sampled, or the lines were dropped, or no host had it\n", e.Request)
 		return errors.Wrap(err, "explain")
 	}
-	done := make(map[string]bool)
+	d := make(map[string]bool)
 	for _, v := range l {
-		if !done[v.source] {
-			done[v.source] = true
+		if !d[v.source] {
+			d[v.source] = true
 			if err := e.before(w, v, backends(l, v.source)); err != nil {
 				return err
 			}
@@ -111,16 +111,16 @@
 
 // before tells what the host of a line believed when it came.
 func (e *Explain) before(w io.Writer, first line, about map[string]bool) error {
-	last := make(map[string]line)
+	m := make(map[string]line)
 	for _, v := range e.lines[:first.order] {
 		f, ok := believed[v.msg]
 		if v.source != first.source || !ok || f != "" && !about[v.fields[f]] {
 			continue
 		}
-		last[v.msg+v.fields["Table"]+v.fields["Backend"]] = v
+		m[v.msg+v.fields["Table"]+v.fields["Backend"]] = v
 	}
 	var l []line
-	for _, v := range last {
+	for _, v := range m {
 		l = append(l, v)
 	}
 	sort.Slice(l, func(i, j int) bool { return l[i].order < l[j].order })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,12 +100,12 @@
 	}
 	g.describe(b, r, i, a)
 	if a != nil {
-		left, d, ok := g.Tokens.Take(a.Name)
+		n, d, ok := g.Tokens.Take(a.Name)
 		if !ok {
-			r.Trail.Add(r.Admitted, "request over its rate", "Account", a.Name, "Tokens", left, "Rate", a.Rate, "Version", b.Config.Version)
+			r.Trail.Add(r.Admitted, "request over its rate", "Account", a.Name, "Tokens", n, "Rate", a.Rate, "Version", b.Config.Version)
 			return i, refuse(outcome.OverRate, "the account's rate is used up", d)
 		}
-		r.Trail.Add(r.Admitted, "request admitted", "Route", i.Name, "Account", a.Name, "Tokens", left, "Version", b.Config.Version)
+		r.Trail.Add(r.Admitted, "request admitted", "Route", i.Name, "Account", a.Name, "Tokens", n, "Version", b.Config.Version)
 	}
 	return i, outcome.Outcome{}
 }
@@ -165,13 +165,13 @@
 	u := r.Admitted.Add(r.Patience)
 	for {
 		c := g.Placement.Freed()
-		b, ok, wait := g.Placement.Take(r)
+		b, ok, m := g.Placement.Take(r)
 		if ok {
 			return g.slot(r, b), outcome.Outcome{}
 		}
 		d := u.Sub(g.Clock.Now())
-		if !wait || d <= 0 {
-			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", wait, "Patience", r.Patience, "Priority", r.Priority)
+		if !m || d <= 0 {
+			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", m, "Patience", r.Patience, "Priority", r.Priority)
 			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", retryAfter)
 		}
 		select {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -273,20 +273,20 @@
 func (m *Membership) addresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	self := m.Self()
+	o := m.Self()
 	l := m.everybody()
-	known := map[string]bool{self.PeerAddress: true}
+	k := map[string]bool{o.PeerAddress: true}
 	for _, v := range l {
-		known[v.PeerAddress] = true
+		k[v.PeerAddress] = true
 	}
 	if m.Partners != nil {
 		n := m.Clock.Now()
-		l = m.Partners(self, l, func(name string) bool {
+		l = m.Partners(o, l, func(name string) bool {
 			p := m.peers[name]
 			return p != nil && n.Sub(p.heard) <= m.Hold
 		})
 	}
-	s := map[string]bool{self.PeerAddress: true}
+	s := map[string]bool{o.PeerAddress: true}
 	var r []string
 	d := func(a string) {
 		if a != "" && !s[a] {
@@ -295,7 +295,7 @@
 		}
 	}
 	for _, a := range m.Seeds {
-		if m.Partners == nil || !known[a] {
+		if m.Partners == nil || !k[a] {
 			d(a)
 		}
 	}
--- a/partners/partners.go
+++ b/partners/partners.go
@@ -20,17 +20,17 @@
 // others, so that no host is everybody's partner.
 func Partners(self member.Member, all []member.Member, alive func(name string) bool) []member.Member {
 	var l []member.Member
-	far := make(map[string][]member.Member)
+	f := make(map[string][]member.Member)
 	for _, m := range all {
 		switch {
 		case m.Name == self.Name:
 		case m.Region == self.Region:
 			l = append(l, m)
 		default:
-			far[m.Region] = append(far[m.Region], m)
+			f[m.Region] = append(f[m.Region], m)
 		}
 	}
-	for _, r := range far {
+	for _, r := range f {
 		sort.Slice(r, func(i, j int) bool {
 			a, b := alive(r[i].Name), alive(r[j].Name)
 			if a != b {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,7 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/coldpace"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/outlier"
 	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/request"
@@ -82,7 +83,7 @@
 			s = new(server)
 		}
 		s.backend = b
-		s.cold = later(s.cold, cold(b.Name))
+		s.cold = deadline.Later(s.cold, cold(b.Name))
 		p.servers[b.Name] = s
 		v := p.services[b.Service]
 		if v == nil {
@@ -171,7 +172,7 @@
 		if r == result.Refused {
 			// It may be about to start anew, and is cold then.
 			_, w := p.Rate(s.backend.Service)
-			s.cold = later(s.cold, now.Add(w+ejection))
+			s.cold = deadline.Later(s.cold, now.Add(w+ejection))
 		}
 	case result.Canceled, result.Unused:
 	}
@@ -187,7 +188,7 @@
 // candidates returns the backend servers that r may go to now, those that have
 // its object first.
 func (p *Placement) candidates(g *group, r *request.Request, now time.Time) []candidate {
-	rate, _ := p.Rate(r.Service.Name)
+	q, _ := p.Rate(r.Service.Name)
 	k := r.Service.Name + "\x00" + r.Object
 	if r.Object == "" {
 		k = r.ID
@@ -198,7 +199,7 @@
 		if r.Homes != nil && !r.Homes(b.Region) || r.Tried.Has(b.Name) || g.outlier.Ejected(b.Name, now) {
 			continue
 		}
-		if s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, rate), now) {
+		if s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now) {
 			continue
 		}
 		w := float64(b.Slots)
@@ -218,13 +219,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // decay is what is left of a report after some time: requests that others had
 // there have ended meanwhile.
 func decay(age time.Duration) float64 {
