--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -131,13 +131,20 @@
 		return 0
 	}
 	t.fit(e, t.Clock.Now())
-	n = min(n, int64(e.bucket.Tokens()-spare*e.bucket.Capacity()))
+	n = min(n, int64(e.bucket.Tokens()-keeps(e.bucket.Capacity())))
 	if n <= 0 || !e.bucket.TakeMany(n) {
 		return 0
 	}
 	return n
 }
 
+// keeps is what a bucket keeps from others. With many hosts a bucket holds one
+// token, and half of it could not be given: the host gives its one, and asks for
+// another when it needs it.
+func keeps(capacity float64) float64 {
+	return min(spare*capacity, max(capacity-1, 0))
+}
+
 // Receive puts tokens that another host gave into the bucket.
 func (t *Tokens) Receive(name string, n int64) {
 	t.mu.Lock()
--- a/tokens/tokens_test.go
+++ b/tokens/tokens_test.go
@@ -164,3 +164,23 @@
 		must.True(t, ok)
 	}
 }
+
+// There are so many hosts that each bucket holds one token, and callers come
+// unevenly. A host whose token is used gets another host's, so that callers inside
+// the rate are not refused for where they are.
+func TestSmallPartsAreHandedOver(t *testing.T) {
+	m := newModel(50, 50, 50)
+	m.clock.Advance(time.Hour)
+	for _, h := range m.hosts {
+		h.Give(unity, 0) // it refills the bucket
+	}
+	for i := 1; i < 50; i++ {
+		m.take(0)
+		m.hosts[0].Receive(unity, m.hosts[i].Give(unity, 1))
+	}
+	m.take(0)
+	must.Len(t, 50, m.admitted)
+	m.take(0)
+	must.Len(t, 50, m.admitted)
+	must.EqOp(t, "", m.over())
+}
