--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -28,12 +28,13 @@
 	// call costs the store something, also one that it refuses.
 	firstPause = 150 * time.Millisecond
 	lastPause  = 600 * time.Millisecond
-	// gatherFor is the pause after a change, a tenth of the time in which a
-	// change must be in force.
-	gatherFor = 250 * time.Millisecond
+	// gatherFor is the pause after a change, a fifth of the time in which a
+	// change must be in force. Changes
+	// come in series, and one call then brings several.
+	gatherFor = 500 * time.Millisecond
 	// ownWay is how long a change that others have may take on the own way: the
 	// pause after the change before, and the way from the farthest region.
-	ownWay = 700 * time.Millisecond
+	ownWay = 950 * time.Millisecond
 	// doubtFor is how long after the store's return rows may be missing: those
 	// that lapsed in the outage are back within two seconds.
 	doubtFor = 2 * time.Second
