Callers: the operator's header and idle limits hold on open connections; log lines

Cause: both limits of the configuration were fixed at the start (5 s and 2 min), so an operator's change had no effect. 'peer silent' was also logged of hosts that only have other partners now, and a caller that left had no log line ever.

Change: a guard for each connection asks for the limits at each wait. 'peer has other partners' is a line of its own. One in 100 requests whose caller left has its lines.

Ruled out: changing the server's fields while it serves, which is a data race.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,8 @@
 )
 
 const (
-	// sampled is how many answered requests have their lines in the log once.
+	// sampled is how many requests that were answered, or whose caller left, have
+	// their lines in the log once.
 	sampled = 100
 	// patienceParts is the part of the objective that a request may wait for a
 	// slot. A caller that is refused after that can still be served in time
@@ -63,8 +64,8 @@
 	// Counted is told how each request ended.
 	Counted func(o string)
 
-	split  split.Split
-	served atomic.Uint64
+	split split.Split
+	usual atomic.Uint64 // requests that were answered or whose caller left
 }
 
 // Serve runs r, of which the caller has said what it is, and which it is sent
@@ -226,7 +227,7 @@
 	if o.Outcome == outcome.Answered {
 		g.Latency.Observe(r.Route, d)
 	}
-	if o.Outcome == outcome.Answered && g.served.Add(1)%sampled != 0 || o.Outcome == outcome.Left {
+	if (o.Outcome == outcome.Answered || o.Outcome == outcome.Left) && g.usual.Add(1)%sampled != 0 {
 		return
 	}
 	n := ""
--- /dev/null
+++ b/httplisten/guard_test.go
@@ -0,0 +1,108 @@
+package httplisten_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/httplisten"
+)
+
+// world is one server and one caller's connection to it.
+type world struct {
+	clock  *clockwork.FakeClock
+	header atomic.Int64
+	idle   atomic.Int64
+	conn   net.Conn
+	answer *bufio.Reader
+}
+
+func start(t *testing.T) *world {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	w := &world{clock: clockwork.NewFakeClock()}
+	w.header.Store(int64(3 * time.Second))
+	w.idle.Store(int64(15 * time.Second))
+	s := &httplisten.Httplisten{
+		Listener: l, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Clock: w.clock,
+		Limits: func() (header, idle time.Duration) {
+			return time.Duration(w.header.Load()), time.Duration(w.idle.Load())
+		},
+		DrainTimeout: time.Second,
+	}
+	x, f := context.WithCancel(context.Background())
+	e := make(chan error, 1)
+	go func() { e <- s.Run(x) }()
+	w.conn, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	must.NoError(t, err)
+	w.answer = bufio.NewReader(w.conn)
+	t.Cleanup(func() {
+		_ = w.conn.Close()
+		f()
+		must.NoError(t, <-e)
+	})
+	return w
+}
+
+// call sends a request, reads its answer, and returns when the server waits for
+// the next one.
+func (w *world) call(t *testing.T) {
+	_, err := io.WriteString(w.conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	p, err := http.ReadResponse(w.answer, nil)
+	must.NoError(t, err)
+	must.NoError(t, p.Body.Close())
+	w.waits(t)
+}
+
+func (w *world) waits(t *testing.T) {
+	must.NoError(t, w.clock.BlockUntilContext(t.Context(), 1))
+}
+
+func (w *world) closed(t *testing.T) {
+	_, err := w.answer.ReadByte()
+	must.Error(t, err)
+}
+
+// A caller keeps its connection and sends nothing for longer than the operator
+// allows. It is closed; a caller that comes back sooner is served on it.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	w := start(t)
+	w.call(t)
+	w.clock.Advance(14 * time.Second)
+	w.call(t)
+	w.clock.Advance(15 * time.Second)
+	w.closed(t)
+}
+
+// An operator allows connections to be idle for longer. That holds for those that
+// are open already, from their next request on.
+func TestNewLimitHoldsForOpenConnections(t *testing.T) {
+	w := start(t)
+	w.call(t)
+	w.idle.Store(int64(time.Minute))
+	w.call(t)
+	w.clock.Advance(30 * time.Second)
+	w.call(t)
+	w.clock.Advance(time.Minute)
+	w.closed(t)
+}
+
+// A caller connects and never completes a header. Its connection is closed, so that
+// such callers cannot use up all descriptors.
+func TestSlowHeaderIsClosed(t *testing.T) {
+	w := start(t)
+	_, err := io.WriteString(w.conn, "GET / HTTP/1.1\r\n")
+	must.NoError(t, err)
+	w.waits(t)
+	w.clock.Advance(3 * time.Second)
+	w.closed(t)
+}
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
 
@@ -28,6 +29,12 @@
 	Handler http.Handler
 	// Leave, if set, runs after ctx has ended and before the listener closes.
 	Leave func(ctx context.Context)
+	// Limits, if set, returns how long a caller may take for the header of the first
+	// request on a connection, and how long until that of a next one is complete;
+	// zero means 5 s and 2 min. It is asked anew for each wait, by Clock.
+	Limits func() (header, idle time.Duration)
+	// Clock times what Limits says.
+	Clock clockwork.Clock
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout time.Duration
 }
@@ -35,6 +42,13 @@
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
 	s := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout}
+	if l.Limits != nil {
+		g := &guards{clock: l.Clock, limits: l.Limits, conns: make(map[net.Conn]*guard)}
+		s.ConnState = g.changed
+		// The guards take the place of the server's own timeouts, which could be
+		// shorter than what an operator allows.
+		s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
+	}
 	e := make(chan error, 1)
 	go func() { e <- s.Serve(l.Listener) }()
 	select {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -67,7 +67,7 @@
 	digest uint64       // of known
 	has    uint64       // the digest of the list that it has from this host
 	full   time.Time    // when a full heartbeat was last composed for it
-	silent bool         // it was logged as silent
+	silent bool         // that nothing is heard of it was logged
 }
 
 // Run sends heartbeats until ctx ends.
@@ -251,13 +251,17 @@
 	}
 }
 
-// notice logs peers that fell silent, and those that are heard again.
-func (m *Membership) notice() {
+// notice logs peers that fell silent, and those that are heard again. A peer to
+// which this host sends no heartbeats is not silent: it has other partners now.
+func (m *Membership) notice(talks map[string]*talk) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := m.Clock.Now()
 	for k, p := range m.peers {
 		switch s := n.Sub(p.heard) > m.Hold; {
+		case s && !p.silent && talks[p.member.PeerAddress] == nil:
+			m.Log.Info("peer has other partners", "Host", k, "Heard", n.Sub(p.heard))
+			p.silent = true
 		case s && !p.silent:
 			m.Log.Warn("peer silent", "Host", k, "Leaving", p.member.Leaving, "Heard", n.Sub(p.heard))
 			p.silent = true
--- a/membership/talk.go
+++ b/membership/talk.go
@@ -26,7 +26,7 @@
 // adjust starts and stops exchanges so that there is one for each address.
 func (m *Membership) adjust(ctx context.Context, t map[string]*talk) {
 	m.forget()
-	m.notice()
+	m.notice(t)
 	s := make(map[string]bool)
 	for _, a := range m.addresses() {
 		s[a] = true
