--- a/capacity/edge.go
+++ b/capacity/edge.go
@@ -109,7 +109,7 @@
 	t := c.Target
 	return role.Role{
 		Name: "tokens", State: c.at(tokenBytes, siteAccounts), Core: t.Lookups / t.Nodes * c.at(tokenTime, siteAccounts) / nanos,
-		Carries: "a bucket an account of the site; tokens handed over between hosts when one runs low",
-		Breaks:  "parts are equal over all hosts: 1/7,900 of a rate each, nearly all of it lent; parts have to follow the sites that an account uses",
+		Carries: "a bucket an account of the site on a few holders, which other hosts ask when a request waits",
+		Breaks:  "holders are drawn from all hosts: most requests would borrow from another region; holders have to follow the sites that an account uses",
 	}
 }
--- a/fleetscript/fleetscript.go
+++ b/fleetscript/fleetscript.go
@@ -24,10 +24,8 @@
 package fleetscript
 
 import (
-	"bytes"
 	"context"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +33,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"celeryreach.example/celeryreach/fleet"
+	"celeryreach.example/celeryreach/logbuffer"
 )
 
 const scriptTimeout = 40 * time.Second
@@ -74,7 +73,7 @@
 	clock   clockwork.Clock
 	work    string
 	fleet   *fleet.Fleet
-	log     buffer
+	log     logbuffer.Logbuffer
 	session strings.Builder
 	issued  []string
 }
@@ -91,23 +90,3 @@
 	}
 	return f
 }
-
-// buffer takes the log lines of all parts.
-type buffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write appends a line.
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Write(p)
-}
-
-// String returns all lines so far.
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.String()
-}
--- a/membership/notice_test.go
+++ b/membership/notice_test.go
@@ -1,45 +1,26 @@
 package membership_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/logbuffer"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/wire"
 )
 
-// buffer is a log that is read while it is written.
-type buffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // Two hosts are heard for a while, and then no more. This one goes on sending
 // heartbeats to the first, which does not answer: it is silent, and on-call engineers
 // look for it. The other one has only chosen other partners, and is well.
 func TestPeersWithOtherPartnersAreNotSilent(t *testing.T) {
 	c := clockwork.NewFakeClock()
-	b := new(buffer)
+	b := new(logbuffer.Logbuffer)
 	m := newMembership(c)
 	m.Log = log.New(b)
 	m.Partners = func(_ member.Member, l []member.Member, _ func(string) bool) []member.Member {
