--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -18,12 +18,13 @@
 // second to a few seconds; what its rate makes after that is lost.
 const refillEvery = 100 * time.Millisecond
 
-// Tokens holds this host's bucket of each client account. Each host's bucket
-// has an equal part of rate and burst. A host with many of an account's callers
-// gets tokens from others; a token leaves the one bucket before it enters the
-// other, so that none is ever used twice, and one that is lost on the way is
-// only lost. This needs no clock that agrees, no lease and no store: hosts that
-// are cut off, frozen or started anew keep the sum below the limit.
+// Tokens holds this host's bucket of each client account. The hosts that hold an
+// account's limits, all of a small deployment, have equal parts of rate and burst.
+// A host with many of its callers gets tokens from others; a token leaves the one
+// bucket before it enters the other, so that none is ever used twice, and one that
+// is lost on the way is only lost. This needs no clock that agrees, no lease and no
+// store: hosts that are cut off, frozen or started anew keep the sum below the
+// limit.
 type Tokens struct {
 	// Clock refills the buckets.
 	Clock clockwork.Clock
