Fleet: the ports of stopped hosts are kept for them

Ruled out: the host itself; its listeners were closed in time, and the message names a port of the range from which connections get theirs.

Change: a socket that never listens keeps each port, for scripts and for real processes. TestPortsOfStoppedHostsAreKept opens a connection from the port of a stopped host: it succeeds without the change, and is refused now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/reservation"
 	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/standin"
 )
@@ -74,6 +75,7 @@
 	network  network
 	platform *platformclient.Platformclient
 	hosts    []*site
+	reserved []*reservation.Reservation // the ports of the hosts
 	backends []*server
 	parts    []*part
 }
@@ -127,6 +129,9 @@
 	}
 	f.platform.Close()
 	f.network.close()
+	for _, v := range f.reserved {
+		v.Release()
+	}
 	return r
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -137,3 +137,21 @@
 	must.Len(t, 1, s.Peers)
 	must.Eq(t, "s1-a", s.Peers[0].Name)
 }
+
+// A host is stopped, and another program on the machine opens a connection from the
+// port on which the host's callers are served. The port is kept for the host: else
+// it could not start again, and its script would wait for it in vain.
+func TestPortsOfStoppedHostsAreKept(t *testing.T) {
+	ctx, f := newFleet(t)
+	a, err := net.ResolveTCPAddr("tcp", f.Settings("n1-a").CallerAddress)
+	must.NoError(t, err)
+	must.NoError(t, f.StopHost("n1-a"))
+	d := net.Dialer{LocalAddr: a}
+	c, err := d.DialContext(ctx, "tcp", f.Settings("s1-a").CallerAddress)
+	if err == nil {
+		must.NoError(t, c.Close())
+	}
+	must.Error(t, err)
+	f.StartHost("n1-a")
+	must.NoError(t, f.Ready(ctx))
+}
--- a/fleet/listener.go
+++ b/fleet/listener.go
@@ -35,9 +35,8 @@
 	}
 }
 
-// listen hands out the listener that was bound when the port was drawn, so
-// that no other process can take the port in between. A replacement binds the
-// same port again.
+// listen hands out the listener that was bound when the port was drawn. A
+// replacement binds the same port again, which the reservation has kept for it.
 func (h *site) listen(ctx context.Context, address string) (net.Listener, error) {
 	if l := h.listeners[address]; l != nil {
 		return l, nil
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -17,6 +17,7 @@
 	"celeryreach.example/celeryreach/host"
 	"celeryreach.example/celeryreach/httplisten"
 	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/reservation"
 	"celeryreach.example/celeryreach/settings"
 	"celeryreach.example/celeryreach/standin"
 	"celeryreach.example/celeryreach/table"
@@ -131,11 +132,16 @@
 	s.DrainTimeout = drainTimeout
 	h := &site{listeners: make(map[string]*listener), counter: &counter.Counter{Prefix: "Requests." + s.Name + "."}}
 	for _, a := range []*string{&s.CallerAddress, &s.PeerAddress, &s.OperatorAddress} {
-		l, err := bind(ctx, "127.0.0.1:0")
+		r, err := reservation.New()
+		if err != nil {
+			return errors.Wrap(err, "free port")
+		}
+		f.reserved = append(f.reserved, r)
+		*a = r.Address
+		l, err := bind(ctx, *a)
 		if err != nil {
 			return errors.Wrap(err, "free port")
 		}
-		*a = l.Addr().String()
 		h.listeners[*a] = &listener{Listener: l}
 	}
 	if f.Adjust != nil {
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec" //nolint:depguard // only tests start processes
@@ -24,6 +23,7 @@
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/reservation"
 )
 
 const (
@@ -101,7 +101,7 @@
 	}`, b.String(), rate, burst)
 }
 
-// add starts a host on addresses that were free a moment ago.
+// add starts a host on addresses that are kept for it.
 func (d *deployment) add(name, region string) {
 	h := &host{callers: d.free(), operator: d.free()}
 	h.file = d.write(name+".hujson", fmt.Sprintf(
@@ -153,12 +153,12 @@
 	return p
 }
 
+// free draws an address and keeps it for the host's processes.
 func (d *deployment) free() string {
-	var c net.ListenConfig
-	l, err := c.Listen(d.ctx, "tcp", "127.0.0.1:0")
+	r, err := reservation.New()
 	must.NoError(d.t, err)
-	defer l.Close()
-	return l.Addr().String()
+	d.t.Cleanup(r.Release)
+	return r.Address
 }
 
 func (d *deployment) await(what string, f func() bool) {
