Store: a call that waits is doubted by all hosts together

Cause: a call of the feed that was open when the store fell silent, or opened while it was, ended only after its wait of 10 s and 1.5 s more, and in an outage each try waited as long. All hosts hung alike, so none had a newer copy. After a silence of 9 s hosts served by old routes and keys for 4.3 to 6 s.

Hosts now tell each other in heartbeats when the store last answered any of them. One host of each region asks often; when nobody has had an answer for contact - 0.8 s, or another host has a change that the own call has not brought in 250 ms, the call is given up and asked again without a wait, as are all calls while the store is away.

Weighed: waits of 2.2 s at every host (9 calls/s more on the small deployments, 69 on 76 hosts); one reader a region that relays (a region with a frozen reader needs a bound of its own; left for the larger size); keep-alive probes (the store's kernel answers them).

Latency: hosts that start together in one process published one name twice, which ends the process (seen once in the platform's scripts); test added.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/discovery"
 	"celeryreach.example/celeryreach/dispatch"
+	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/gateway"
 	"celeryreach.example/celeryreach/ingressbook"
 	"celeryreach.example/celeryreach/latency"
@@ -85,6 +86,9 @@
 	Upstream *upstream.Upstream
 	// Gateway serves requests. Its Load is set before Run, the rest by Edge.
 	Gateway *gateway.Gateway
+	// Contact is how long after the end of a trouble a host must again know what
+	// is in force.
+	Contact time.Duration
 	// ColdOverage and ColdSlack make the bound of a cold backend server's rate.
 	ColdOverage, ColdSlack float64
 	// RetryRatio and RetrySlack bound second tries over all hosts: so many for
@@ -102,6 +106,7 @@
 	discovery  *discovery.Discovery
 	borrower   *borrower.Borrower
 	copier     *copier.Copier
+	store      *freshness.Freshness // when the store last answered any host
 }
 
 // Run works until ctx ends, and serves the branch of children that serve
@@ -176,6 +181,7 @@
 	e.copier = copier.New()
 	e.copier.Clock, e.copier.Log, e.copier.Fetch = e.Clock, e.Log, e.client.Fetch
 	e.copier.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
+	e.watchStore()
 	e.Config.Changed = e.configured
 	e.Backends.Changed = func(m map[string]row.Row, doubt time.Time) { e.discovery.Backends(e.DecodeBackends(m), doubt) }
 	g := e.Gateway
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -1,5 +1,5 @@
-// Package freshness measures how long a failure domain has been unable to hear
-// of withdrawn keys.
+// Package freshness measures for how long hosts together have heard nothing of
+// something that they depend on.
 package freshness
 
 import (
@@ -11,8 +11,9 @@
 	"celeryreach.example/celeryreach/staleness"
 )
 
-// Freshness remembers the last sign of life from outside the failure domain:
-// an answer of the platform, or a message of a host of another failure domain.
+// Freshness remembers the last sign of life: of what is outside the failure
+// domain, for keys that may have been withdrawn there, or of the store, for calls
+// to it that wait.
 type Freshness struct {
 	// Clock is the host's monotonic clock.
 	Clock clockwork.Clock
@@ -21,15 +22,15 @@
 	heard time.Time
 }
 
-// Outside notes a sign of life from outside the failure domain.
-func (f *Freshness) Outside() {
+// Seen notes a sign of life that reached this host.
+func (f *Freshness) Seen() {
 	f.note(f.Clock.Now())
 }
 
-// Sibling takes over what a host of the same failure domain has heard. The age
-// was measured when the message left, so the time it was under way makes the
-// estimate younger than it is by one delivery, milliseconds against minutes.
-func (f *Freshness) Sibling(age int64) {
+// Heard takes over what another host has seen or heard. The age was measured when
+// the message left, so the time it was under way makes the estimate younger than
+// it is by one delivery.
+func (f *Freshness) Heard(age int64) {
 	if age > 0 {
 		f.note(f.Clock.Now().Add(-time.Duration(age)))
 	}
@@ -46,6 +47,16 @@
 	return int64(f.Clock.Since(f.heard)) + 1
 }
 
+// Left returns for how much longer the last sign of life is younger than limit,
+// zero if it is older or if there was none.
+func (f *Freshness) Left(limit time.Duration) time.Duration {
+	a := f.Age()
+	if a == 0 {
+		return 0
+	}
+	return max(limit-time.Duration(a), 0)
+}
+
 // Stale reports whether keys may no longer be trusted. A host that never heard
 // anything from outside cannot know how old its configuration is.
 func (f *Freshness) Stale(s staleness.Staleness, nonIdempotent bool) bool {
--- a/host/steering.go
+++ b/host/steering.go
@@ -123,7 +123,7 @@
 	h := x.host
 	return &follower.Follower{
 		Clock: h.Clock, Log: h.Log, Platform: h.Platform, Poll: x.pollEvery, Changed: x.steering.relay.Wake,
-		Polled: x.steering.freshness.Outside,
+		Polled: x.steering.freshness.Seen,
 	}
 }
 
@@ -190,9 +190,9 @@
 func (x *parts) heardSteering(h *wire.Heartbeat) {
 	s := x.steering
 	if h.From.Domain == x.host.Settings.Domain {
-		s.freshness.Sibling(h.KeyAgeNanoseconds)
+		s.freshness.Heard(h.KeyAgeNanoseconds)
 	} else {
-		s.freshness.Outside()
+		s.freshness.Seen()
 	}
 	s.relay.Heard(h.From.Name, h.Versions)
 	s.note(h, x.host.Clock.Now())
--- a/latency/latency.go
+++ b/latency/latency.go
@@ -34,8 +34,14 @@
 	P50, P90, P99, Worst float64
 }
 
+// publishing keeps hosts that start in one process at the same moment from
+// publishing one name twice, at which expvar panics.
+var publishing sync.Mutex
+
 // Publish makes expvar show it, once in a process.
 func (l *Latency) Publish() {
+	publishing.Lock()
+	defer publishing.Unlock()
 	if expvar.Get(l.Name) == nil {
 		expvar.Publish(l.Name, expvar.Func(l.summaries))
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,6 +15,7 @@
 
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/deadline"
+	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/row"
 )
 
@@ -22,8 +23,9 @@
 	// slack is how much later than Wait an answer of the feed may come. A
 	// connection that has gone silent is found out by it.
 	slack = 1500 * time.Millisecond
-	// readTimeout bounds a read of the whole table.
-	readTimeout = 2500 * time.Millisecond
+	// hintGrace is how long a change that another host has may take on a call that
+	// waits: it reaches all hosts at once, and a slow store answers in half of that.
+	hintGrace = 250 * time.Millisecond
 	// firstPause and lastPause space the tries while the store is away. Each
 	// call costs the store something, also one that it refuses.
 	firstPause = 150 * time.Millisecond
@@ -44,6 +46,10 @@
 // version that was asked for.
 var ErrHistoryLost = errors.New("the store has dropped its history")
 
+// errDoubted says that a call which waits for a change was given up: it may have
+// fallen silent.
+var errDoubted = errors.New("the call that waits is in doubt")
+
 // Mirror is the copy.
 type Mirror struct {
 	// Clock measures timeouts.
@@ -58,8 +64,16 @@
 	// those that are gone, and the version up to which it looked. It waits for
 	// the first change, but no longer than wait. ErrHistoryLost asks for Read.
 	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
-	// Wait is the longest wait of one call of Feed.
-	Wait time.Duration
+	// Wait returns the longest wait of one call of Feed.
+	Wait func() time.Duration
+	// Reply bounds a call that does not wait, and a read of the whole table.
+	Reply time.Duration
+	// Store tells when the store last answered any host. A call that waits may
+	// have fallen silent with the store, and nothing but time shows it; a store
+	// that has answered nobody for Trust is asked again at once. Nil waits all the
+	// same.
+	Store *freshness.Freshness
+	Trust time.Duration
 	// Changed is told the rows, by key, after each change. The store may have
 	// been away until just now; then rows may be missing that are back before
 	// doubt ends. It must not keep the map, and may ask the mirror.
@@ -75,7 +89,9 @@
 	changed  uint64    // the last change in the copy
 	lagging  time.Time // since when another host is known to have more
 	failing  bool
+	doubted  bool      // the call that waited was given up
 	doubtful time.Time // until when rows may be missing
+	hints    chan struct{}
 }
 
 // content is a copy on its way to another host.
@@ -96,10 +112,13 @@
 			return nil
 		}
 		d := m.gather(v)
-		if err != nil {
+		switch {
+		case errors.Is(err, errDoubted):
+			d = 0
+		case err != nil:
 			m.fail(err)
 			d, p = p, min(2*p, lastPause)
-		} else {
+		default:
 			p = firstPause
 		}
 		select {
@@ -148,6 +167,10 @@
 	n := m.Clock.Now()
 	if m.lagging.IsZero() {
 		m.lagging = n
+		select {
+		case m.hints <- struct{}{}:
+		default: // no call waits
+		}
 	}
 	return m.failing || m.seen == 0 || n.Sub(m.lagging) >= ownWay
 }
@@ -185,9 +208,7 @@
 	if n == 0 {
 		return m.read(ctx)
 	}
-	x, f := deadline.With(ctx, m.Clock, m.Wait+slack)
-	defer f()
-	r, v, err := m.Feed(x, n, m.Wait)
+	r, v, err := m.ask(ctx, n)
 	if errors.Is(err, ErrHistoryLost) {
 		m.Log.Info("history lost, reading all", "Table", m.Name, "Version", n)
 		return m.read(ctx)
@@ -200,8 +221,80 @@
 	return nil
 }
 
+// ask makes one call of the feed. While the store is in doubt it does not wait: an
+// answer at once shows that the store is back, and what was missed.
+func (m *Mirror) ask(ctx context.Context, after uint64) ([]row.Row, uint64, error) {
+	m.mu.Lock()
+	d := m.failing || m.doubted
+	m.doubted = false
+	m.mu.Unlock()
+	if d {
+		x, f := deadline.With(ctx, m.Clock, m.Reply)
+		defer f()
+		return m.Feed(x, after, 0)
+	}
+	w := m.Wait()
+	x, f := deadline.With(ctx, m.Clock, w+slack)
+	defer f()
+	if m.Store == nil {
+		return m.Feed(x, after, w)
+	}
+	return m.await(x, after, w)
+}
+
+// await makes a call that waits, and gives it up when it is in doubt.
+func (m *Mirror) await(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
+	h := make(chan struct{}, 1)
+	m.mu.Lock()
+	m.hints = h
+	m.mu.Unlock()
+	x, f := context.WithCancel(ctx)
+	d := make(chan bool, 1)
+	go m.watch(x, f, h, d)
+	r, v, err := m.Feed(x, after, wait)
+	f()
+	if <-d && err != nil {
+		m.mu.Lock()
+		m.doubted = true
+		m.mu.Unlock()
+		return nil, 0, errDoubted
+	}
+	return r, v, err
+}
+
+// watch cancels a call that waits once the store has answered nobody for Trust, or
+// once another host is known to have a change that this call has not brought. It
+// reports whether it did.
+func (m *Mirror) watch(ctx context.Context, cancel context.CancelFunc, hints <-chan struct{}, done chan<- bool) {
+	for {
+		var why string
+		select {
+		case <-ctx.Done():
+			done <- false
+			return
+		case <-hints:
+			why = "another host has a change"
+			select {
+			case <-ctx.Done():
+				done <- false
+				return
+			case <-m.Clock.After(hintGrace):
+			}
+		case <-m.Clock.After(m.Store.Left(m.Trust)):
+			if m.Store.Left(m.Trust) > 0 {
+				continue
+			}
+			why = "the store has answered no host"
+		}
+		m.Log.Info("store asked again", "Table", m.Name, "Cause", why, "StoreAge", time.Duration(m.Store.Age()))
+		cancel()
+		done <- true
+		return
+	}
+}
+
 func (m *Mirror) read(ctx context.Context) error {
-	x, f := deadline.With(ctx, m.Clock, readTimeout)
+	x, f := deadline.With(ctx, m.Clock, m.Reply)
 	defer f()
 	r, v, err := m.Read(x)
 	if err != nil {
@@ -292,6 +385,9 @@
 // open notes that the store answers. What comes with the first answer after an
 // outage is already in doubt.
 func (m *Mirror) open() {
+	if m.Store != nil {
+		m.Store.Seen()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failing {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -15,6 +15,8 @@
 	"celeryreach.example/celeryreach/row"
 )
 
+func hour() time.Duration { return time.Hour }
+
 // A backend server's entry goes from the store, and whoever is told of the
 // change asks the copy how new it is. The copy must answer then: when it waited for its own lock, the host learned of no change any
 // more, and callers were sent by a configuration that had long been replaced.
@@ -22,7 +24,7 @@
 	ctx, f := context.WithCancel(context.Background())
 	told := make(chan int, 2)
 	m := &mirror.Mirror{
-		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Name: "Backends", Wait: time.Hour,
+		Clock: clockwork.NewRealClock(), Log: log.New(io.Discard), Name: "Backends", Wait: hour, Reply: time.Minute,
 		Read: func(context.Context) ([]row.Row, uint64, error) {
 			return []row.Row{{Key: "a", Version: 1}, {Key: "b", Version: 1}}, 1, nil
 		},
@@ -64,7 +66,7 @@
 		var doubt time.Time
 		failed := make(chan struct{}, 100)
 		m := &mirror.Mirror{
-			Clock: k, Log: log.New(io.Discard), Name: "Backends", Wait: time.Hour,
+			Clock: k, Log: log.New(io.Discard), Name: "Backends", Wait: hour, Reply: time.Minute,
 			Changed: func(_ map[string]row.Row, d time.Time) { doubt = d },
 			Read: func(context.Context) ([]row.Row, uint64, error) {
 				failed <- struct{}{}
@@ -95,7 +97,7 @@
 func TestWantsACopyInTimeOnly(t *testing.T) {
 	k := clockwork.NewFakeClock()
 	m := &mirror.Mirror{
-		Clock: k, Log: log.New(io.Discard), Name: "Config", Wait: time.Hour, Changed: func(map[string]row.Row, time.Time) {},
+		Clock: k, Log: log.New(io.Discard), Name: "Config", Wait: hour, Reply: time.Minute, Changed: func(map[string]row.Row, time.Time) {},
 		Read: func(context.Context) ([]row.Row, uint64, error) { return []row.Row{{Key: "a", Version: 3}}, 9, nil },
 	}
 	must.True(t, m.Wants(1)) // it knows nothing yet
--- /dev/null
+++ b/mirror/silence_test.go
@@ -0,0 +1,252 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/mirror"
+	"celeryreach.example/celeryreach/row"
+)
+
+// The bounds of a deployment: contact is how long after the end of a trouble hosts
+// must know again what is in force, apply how long a change may take otherwise.
+const (
+	contact = 3 * time.Second
+	apply   = 2500 * time.Millisecond
+	trust   = contact - 800*time.Millisecond
+	beat    = time.Second
+	long    = 10 * time.Second
+)
+
+// silent is a store that takes calls and never answers them, for all hosts or for
+// some. A call that was open at any moment of the silence is never answered either.
+type silent struct {
+	mu      sync.Mutex
+	rows    []row.Row
+	version uint64
+	changed chan struct{}
+	mute    map[int]bool // hosts whose calls are lost now
+	epoch   map[int]int  // counts their silences
+}
+
+func newSilent() *silent {
+	return &silent{changed: make(chan struct{}), mute: make(map[int]bool), epoch: make(map[int]int)}
+}
+
+func (s *silent) set(mute bool, hosts ...int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range hosts {
+		s.mute[h] = mute
+		s.epoch[h]++
+	}
+}
+
+func (s *silent) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.rows = append(s.rows, row.Row{Key: fmt.Sprint(s.version), Version: s.version})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// feed answers one call of a host.
+func (s *silent) feed(ctx context.Context, host int, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
+	s.mu.Lock()
+	e := s.epoch[host]
+	s.mu.Unlock()
+	t := time.After(wait)
+	for {
+		s.mu.Lock()
+		c, v := s.changed, s.version
+		var l []row.Row
+		for _, r := range s.rows {
+			if r.Version > after {
+				l = append(l, r)
+			}
+		}
+		lost := s.mute[host] || s.epoch[host] != e
+		s.mu.Unlock()
+		if lost {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		if len(l) > 0 {
+			return l, v, nil
+		}
+		select {
+		case <-c:
+		case <-t:
+			return nil, v, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// fleet is hosts that follow one store and hear from each other each second.
+type fleet struct {
+	store   *silent
+	mirrors []*mirror.Mirror
+	fresh   []*freshness.Freshness
+	back    []uint64 // the newest version that a host ever showed
+	apart   bool     // hosts do not hear from each other
+}
+
+func newFleet(hosts int, doubting bool) *fleet {
+	f := &fleet{store: newSilent(), back: make([]uint64, hosts)}
+	f.store.change()
+	c := clockwork.NewRealClock()
+	for i := range hosts {
+		w := long
+		if i == 0 && doubting {
+			w = trust - beat - 200*time.Millisecond
+		}
+		m := &mirror.Mirror{
+			Clock: c, Log: log.New(io.Discard), Name: "Config", Wait: func() time.Duration { return w },
+			Reply: contact / 3, Trust: trust, Changed: func(map[string]row.Row, time.Time) {},
+		}
+		f.fresh = append(f.fresh, &freshness.Freshness{Clock: c})
+		if doubting {
+			m.Store = f.fresh[i]
+		}
+		m.Feed = func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
+			return f.store.feed(ctx, i, after, wait)
+		}
+		m.Read = func(ctx context.Context) ([]row.Row, uint64, error) { return f.store.feed(ctx, i, 0, 0) }
+		f.mirrors = append(f.mirrors, m)
+	}
+	return f
+}
+
+func (f *fleet) run(ctx context.Context) (wait func()) {
+	d := make(chan error)
+	for i, m := range f.mirrors {
+		go func() { d <- m.Run(ctx) }()
+		go func() { d <- f.gossip(ctx, i) }()
+	}
+	return func() {
+		for range 2 * len(f.mirrors) {
+			<-d
+		}
+	}
+}
+
+// gossip tells the other hosts once a beat what host i knows.
+func (f *fleet) gossip(ctx context.Context, i int) error {
+	time.Sleep(time.Duration(i) * beat / time.Duration(len(f.mirrors)))
+	for ctx.Err() == nil {
+		for j, m := range f.mirrors {
+			if j == i || f.apart {
+				continue
+			}
+			f.fresh[j].Heard(f.fresh[i].Age())
+			if m.Wants(f.mirrors[i].Version()) {
+				_, b, err := f.mirrors[i].Content()
+				if err == nil {
+					err = m.Adopt(b)
+				}
+				if err != nil {
+					return err
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(beat):
+		}
+	}
+	return nil
+}
+
+// late returns how many hosts lack a version.
+func (f *fleet) late(version uint64) int {
+	n := 0
+	for i, m := range f.mirrors {
+		v := m.Version()
+		if v < version {
+			n++
+		}
+		if v < f.back[i] {
+			n += len(f.mirrors) // it went back
+		}
+		f.back[i] = v
+	}
+	return n
+}
+
+// silence plays one schedule: silences of some hosts or all, of any length, and
+// changes at any moment. It returns how often a host lacked a change when it was due:
+// apply after it was made, and contact after the last silence of that time.
+func silence(seed uint64, doubting, apart bool) int {
+	r := rand.New(rand.NewPCG(seed, 0))
+	n := 1 + r.IntN(8)
+	f := newFleet(n, doubting)
+	f.apart = apart
+	ctx, stop := context.WithCancel(context.Background())
+	wait := f.run(ctx)
+	time.Sleep(time.Duration(r.Int64N(int64(long))))
+	late := 0
+	for range 2 + r.IntN(3) {
+		var h []int
+		for i := range n {
+			if r.IntN(4) > 0 {
+				h = append(h, i)
+			}
+		}
+		f.store.set(true, h...)
+		for range r.IntN(3) {
+			time.Sleep(time.Duration(r.Int64N(int64(6 * time.Second))))
+			f.store.change()
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
+		f.store.set(false, h...)
+		p := time.Duration(r.Int64N(int64(4 * time.Second)))
+		time.Sleep(p)
+		f.store.change()
+		v := f.store.version
+		time.Sleep(max(apply, contact-p))
+		late += f.late(v)
+		time.Sleep(time.Duration(r.Int64N(int64(long))))
+	}
+	stop()
+	wait()
+	return late
+}
+
+// The store falls silent for some hosts or for all: it takes calls and answers none,
+// also those that were open. Callers are then served by what the operator has changed
+// since: withdrawn keys, moved routes. Changes that come during the silence or after
+// it must be in force in time everywhere, however long a call waits when all is well,
+// and nothing goes back. Hosts that trust their waiting calls are caught by it.
+func TestNoHostStaysSilent(t *testing.T) {
+	old := 0
+	for s := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) {
+			must.EqOp(t, 0, silence(s, true, false), must.Sprint("seed ", s))
+		})
+		synctest.Test(t, func(*testing.T) { old += silence(s, false, false) })
+	}
+	must.Positive(t, old)
+}
+
+// The same while hosts do not hear from each other: each must find out by itself.
+func TestAHostAloneDoesNotStaySilent(t *testing.T) {
+	for s := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			must.EqOp(t, 0, silence(s, true, true), must.Sprint("seed ", s))
+		})
+	}
+}
--- a/separation/world_test.go
+++ b/separation/world_test.go
@@ -224,9 +224,9 @@
 func (n *node) receive(h *wire.Heartbeat) {
 	n.heard[h.From.Name] = n.world.clock.Now()
 	if h.From.Domain == n.self.Domain {
-		n.freshness.Sibling(h.KeyAgeNanoseconds)
+		n.freshness.Heard(h.KeyAgeNanoseconds)
 	} else {
-		n.freshness.Outside()
+		n.freshness.Seen()
 	}
 	n.relay.Heard(h.From.Name, h.Versions)
 	if n.keeps {
@@ -262,7 +262,7 @@
 func (n *node) poll() error {
 	err := n.follower.Replica().Poll(context.Background())
 	if err == nil {
-		n.freshness.Outside()
+		n.freshness.Seen()
 	}
 	return err
 }
