Store: answers on another table prove nothing for a call that waits

Cause: after a silence of 0.9 s all calls on the backend servers' table hung, while a series of configurations kept answers of the store coming, so nobody doubted them for 5 s. Ruled out: the host was not among those that the store turned away, and no host had the change before 33.0 s.

The age of the last answer now goes with each table's version in heartbeats, and each table has a watcher a region, which tells its news at once.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -52,7 +52,11 @@
 func (c *Copier) Versions() []*wire.Version {
 	var r []*wire.Version
 	for _, m := range c.Mirrors {
-		r = append(r, &wire.Version{Kind: m.Name, Version: m.Version()})
+		v := &wire.Version{Kind: m.Name, Version: m.Version()}
+		if m.Store != nil {
+			v.AgeNanoseconds = m.Store.Age()
+		}
+		r = append(r, v)
 	}
 	return r
 }
@@ -61,7 +65,13 @@
 func (c *Copier) Heard(address string, l []*wire.Version) {
 	for _, v := range l {
 		for _, m := range c.Mirrors {
-			if m.Name != v.GetKind() || !m.Wants(v.GetVersion()) {
+			if m.Name != v.GetKind() {
+				continue
+			}
+			if m.Store != nil {
+				m.Store.Heard(v.GetAgeNanoseconds())
+			}
+			if !m.Wants(v.GetVersion()) {
 				continue
 			}
 			select {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,7 +22,6 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/discovery"
 	"celeryreach.example/celeryreach/dispatch"
-	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/gateway"
 	"celeryreach.example/celeryreach/ingressbook"
 	"celeryreach.example/celeryreach/latency"
@@ -106,7 +105,6 @@
 	discovery  *discovery.Discovery
 	borrower   *borrower.Borrower
 	copier     *copier.Copier
-	store      *freshness.Freshness // when the store last answered any host
 }
 
 // Run works until ctx ends, and serves the branch of children that serve
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -62,7 +62,6 @@
 
 func (e *Edge) compose(h *wire.Heartbeat) {
 	h.Versions = e.copier.Versions()
-	h.StoreAgeNanoseconds = e.store.Age()
 }
 
 func (e *Edge) heard(h *wire.Heartbeat, _ time.Time) {
@@ -70,7 +69,6 @@
 		// Whoever hears of the other hosts from one of them knows enough to
 		// take its part of the limits.
 		e.listed.Store(e.listed.Load() || len(h.GetKnown()) > 0)
-		e.store.Heard(h.GetStoreAgeNanoseconds())
 		e.copier.Heard(a, h.GetVersions())
 	}
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/mirror"
 	"celeryreach.example/celeryreach/rendezvous"
+	"celeryreach.example/celeryreach/row"
 )
 
 const (
@@ -16,42 +18,55 @@
 	// One that fell silent just before the store's return, the pause and the next
 	// call then end within Contact.
 	replyParts = 3
-	// beatMargin is what a heartbeat may come later than its interval says.
-	beatMargin = 200 * time.Millisecond
+	// news is how long a heartbeat that is sent at once may take inside a region,
+	// with the answer of the store that it tells of.
+	news = 400 * time.Millisecond
 	// leastWatch bounds how often a region's watcher asks.
 	leastWatch = 500 * time.Millisecond
 )
 
 // watchStore lets all hosts together notice that the store has fallen silent. Each
 // host's calls wait for seconds, since calls are paid for, and a call that was open
-// when the store fell silent may never be answered. One host of each region asks
-// often and tells the others by its heartbeats that the store answers. When no host
-// has had an answer for too long, all ask again at once.
+// when the store fell silent may never be answered. For each table one host of each
+// region asks often, and tells the others at once that the store answers. When no
+// host has had an answer for too long, all ask again.
 func (e *Edge) watchStore() {
-	e.store = &freshness.Freshness{Clock: e.Clock}
 	t := e.Contact - settle
 	for _, m := range []*mirror.Mirror{e.Config, e.Backends} {
-		m.Store, m.Trust, m.Reply = e.store, t, e.Contact/replyParts
+		m.Store = &freshness.Freshness{Clock: e.Clock}
+		m.Trust, m.Reply = t, e.Contact/replyParts
+		e.watch(m, max(t-news, leastWatch))
 	}
-	long := e.Config.Wait
-	short := max(t-beatEvery-beatMargin, leastWatch)
-	e.Config.Wait = func() time.Duration {
-		if e.watcher() {
-			return min(short, long())
+}
+
+// watch makes the copy of a table ask often while this host is its watcher.
+func (e *Edge) watch(m *mirror.Mirror, often time.Duration) {
+	wait, feed := m.Wait, m.Feed
+	m.Wait = func() time.Duration {
+		if e.watcher(m.Name) {
+			return min(often, wait())
+		}
+		return wait()
+	}
+	m.Feed = func(ctx context.Context, after uint64, d time.Duration) ([]row.Row, uint64, error) {
+		r, v, err := feed(ctx, after, d)
+		if err == nil && e.watcher(m.Name) {
+			m.Store.Seen()
+			e.membership.Hurry()
 		}
-		return long()
+		return r, v, err
 	}
 }
 
-// watcher reports whether this host is the one of its region that asks the store
+// watcher reports whether this host is the one of its region that asks for a table
 // often. While hosts disagree on who is alive there may be two, or none: then each
 // asks for itself.
-func (e *Edge) watcher() bool {
+func (e *Edge) watcher(table string) bool {
 	l := []string{e.Self.Name}
 	for _, m := range e.membership.Alive() {
 		if m.Region == e.Self.Region && !m.Leaving {
 			l = append(l, m.Name)
 		}
 	}
-	return rendezvous.Rank(e.Self.Region, e.Self.Name, l) == 0
+	return rendezvous.Rank(table, e.Self.Name, l) == 0
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -57,6 +57,7 @@
 	listed   []member.Member
 	sequence uint64
 	replaced map[uint64]bool
+	hurry    chan struct{} // closed when there is news
 }
 
 type peer struct {
@@ -95,6 +96,26 @@
 	return m.compose(h.GetFrom().GetName())
 }
 
+// Hurry sends the next heartbeats now.
+func (m *Membership) Hurry() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hurry != nil {
+		close(m.hurry)
+		m.hurry = nil
+	}
+}
+
+// news returns a channel that Hurry closes.
+func (m *Membership) news() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hurry == nil {
+		m.hurry = make(chan struct{})
+	}
+	return m.hurry
+}
+
 // Alive returns the peers heard within Hold, ordered by name. Leaving peers
 // are included.
 func (m *Membership) Alive() []member.Member {
--- a/membership/talk.go
+++ b/membership/talk.go
@@ -48,9 +48,11 @@
 	defer close(done)
 	for ctx.Err() == nil {
 		t := m.Clock.Now()
+		n := m.news()
 		m.exchange(ctx, address)
 		select {
 		case <-ctx.Done():
+		case <-n:
 		case <-m.Clock.After(max(m.Interval-m.Clock.Since(t), time.Millisecond)):
 		}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -68,10 +68,11 @@
 	Wait func() time.Duration
 	// Reply bounds a call that does not wait, and a read of the whole table.
 	Reply time.Duration
-	// Store tells when the store last answered any host. A call that waits may
-	// have fallen silent with the store, and nothing but time shows it; a store
-	// that has answered nobody for Trust is asked again at once. Nil waits all the
-	// same.
+	// Store tells when the store last answered any host that follows this table. A
+	// call that waits may have fallen silent with the store, and nothing but time
+	// shows it; a store that has answered nobody for Trust is asked again at once.
+	// Answers on another table prove nothing: after a short silence those calls may
+	// be sound and all of these silent. Nil waits all the same.
 	Store *freshness.Freshness
 	Trust time.Duration
 	// Changed is told the rows, by key, after each change. The store may have
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -187,6 +187,77 @@
 	return n
 }
 
+// busy changes another table of the same store all the while. Its calls are answered
+// often, which proves nothing for those that wait on the quiet table.
+func busy(ctx context.Context, f *fleet, done chan<- struct{}) {
+	defer close(done)
+	for ctx.Err() == nil {
+		f.store.change()
+		select {
+		case <-ctx.Done():
+		case <-time.After(700 * time.Millisecond):
+		}
+	}
+}
+
+// shortSilence plays silences shorter than Trust beside a busy table, and returns how
+// many hosts lacked a change of the quiet one when it was due. With shared set hosts
+// take an answer on either table for both.
+func shortSilence(seed uint64, shared bool) int {
+	r := rand.New(rand.NewPCG(seed, 0))
+	n := 1 + r.IntN(8)
+	q, b := newFleet(n, true), newFleet(n, true)
+	if shared {
+		for i, m := range q.mirrors {
+			m.Store = b.fresh[i]
+		}
+		q.fresh = b.fresh
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	wq, wb := q.run(ctx), b.run(ctx)
+	d := make(chan struct{})
+	go busy(ctx, b, d)
+	var all []int
+	for i := range n {
+		all = append(all, i)
+	}
+	late := 0
+	for range 3 {
+		time.Sleep(time.Duration(r.Int64N(int64(long))))
+		q.store.set(true, all...)
+		b.store.set(true, all...)
+		time.Sleep(time.Duration(r.Int64N(int64(trust))))
+		q.store.set(false, all...)
+		b.store.set(false, all...)
+		p := time.Duration(r.Int64N(int64(4 * time.Second)))
+		time.Sleep(p)
+		q.store.change()
+		v := q.store.version
+		time.Sleep(max(apply, contact-p))
+		late += q.late(v)
+	}
+	stop()
+	wq()
+	wb()
+	<-d
+	return late
+}
+
+// The store falls silent for a moment, and calls on one table that were open are never
+// answered. The other table changes often, so that all hosts hear of answers of the
+// store; a backend server that leaves was used for 2.7 s by hosts that took these for
+// a sign that their own calls are sound.
+func TestAnswersOnAnotherTableProveNothing(t *testing.T) {
+	shared := 0
+	for s := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			must.EqOp(t, 0, shortSilence(s, false), must.Sprint("seed ", s))
+		})
+		synctest.Test(t, func(*testing.T) { shared += shortSilence(s, true) })
+	}
+	must.Positive(t, shared)
+}
+
 // silence plays one schedule: silences of some hosts or all, of any length, and
 // changes at any moment. It returns how often a host lacked a change when it was due:
 // apply after it was made, and contact after the last silence of that time.
