Placement: a backend server that rests for a moment keeps its place

Cause: a cold backend server that had had its part of a second, or one that was out of use for failures, was left out of an object's two places, and the third became one of them.

Now places are counted with those that rest; only when all rest the next takes the request.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -31,12 +31,12 @@
 func (p *Placement) choose(c []candidate, r *request.Request, now time.Time) *server {
 	var m *server
 	var b float64
-	for i, v := range c[:min(len(c), p.spread())] {
+	for _, v := range c {
 		s := v.server
 		if s.full.After(now) || p.overdue(s, now) || !p.admits(s, r, now) {
 			continue
 		}
-		if s.load(now) < p.calm(i)*float64(s.backend.Slots) {
+		if s.load(now) < p.calm(v.place)*float64(s.backend.Slots) {
 			return s
 		}
 		if t := s.takes(r, now); m == nil || t < b {
@@ -46,13 +46,31 @@
 	return m
 }
 
-// calm is the part of its slots below which the candidate at place i gets the
+// places returns the few candidates that a request may go to now. One that gets
+// nothing for a moment keeps its place meanwhile: backend servers that come back
+// cold get a request now and then, and if others took their places in between,
+// objects would become known, by a late answer each, at a third and a fourth one,
+// and never go back. Only when all places of an object rest, the next takes it.
+func (p *Placement) places(c []candidate) []candidate {
+	var l []candidate
+	for _, v := range c {
+		if v.place >= p.spread() && len(l) > 0 {
+			break
+		}
+		if !v.resting {
+			l = append(l, v)
+		}
+	}
+	return l
+}
+
+// calm is the part of its slots below which the candidate at a place gets the
 // request whatever others know.
-func (p *Placement) calm(i int) float64 {
+func (p *Placement) calm(place int) float64 {
 	switch {
 	case p.Eager:
 		return 1
-	case i == 0:
+	case place == 0:
 		return calm
 	default:
 		return 0
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -115,7 +115,7 @@
 		return backend.Backend{}, false, false
 	}
 	n := p.Clock.Now()
-	c := p.candidates(g, r, n)
+	c := p.places(p.candidates(g, r, n))
 	s := p.choose(c, r, n)
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0
@@ -197,8 +197,8 @@
 	}
 }
 
-// candidates returns the backend servers that r may go to now, those that have
-// its object first.
+// candidates returns the backend servers that r may go to, in the order in which
+// its object prefers them.
 func (p *Placement) candidates(g *group, r *request.Request, now time.Time) []candidate {
 	q, _ := p.Rate(r.Service.Name)
 	k := r.Service.Name + "\x00" + r.Object
@@ -208,19 +208,22 @@
 	var c []candidate
 	for _, s := range g.servers {
 		b := s.backend
-		if r.Homes != nil && !r.Homes(b.Region) || r.Tried.Has(b.Name) || g.outlier.Ejected(b.Name, now) {
-			continue
-		}
-		if s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now) {
+		if r.Homes != nil && !r.Homes(b.Region) || r.Tried.Has(b.Name) {
 			continue
 		}
 		w := float64(b.Slots)
 		if b.Region != p.Region {
 			w *= p.Far
 		}
-		c = append(c, candidate{server: s, score: rendezvous.Score(k, b.Name, w)})
+		c = append(c, candidate{
+			server: s, score: rendezvous.Score(k, b.Name, w),
+			resting: g.outlier.Ejected(b.Name, now) || s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now),
+		})
 	}
 	sort.Slice(c, func(i, j int) bool { return c[i].score > c[j].score })
+	for i := range c {
+		c[i].place = i
+	}
 	return c
 }
 
--- a/placement/server.go
+++ b/placement/server.go
@@ -55,9 +55,12 @@
 	since     time.Time
 }
 
+// candidate is a backend server that a request may go to.
 type candidate struct {
-	server *server
-	score  float64
+	server  *server
+	score   float64
+	place   int  // how many others the object prefers
+	resting bool // it gets nothing for a moment
 }
 
 // load estimates the requests that run or wait there.
