Tokens: a refused caller is told when there will be a token for it

Cause: every caller over its rate was told 250 ms, whatever the bucket held; after a start, when buckets are empty, all came back at once.

The next token that the bucket makes is promised to the first who is refused, the one after it to the next; no more than 5 s are told. A host that makes no tokens itself still says 250 ms.

Ruled out as a gain: who is far above its rate comes back after a third of its time at most, and is refused again whatever it was told.

--- a/bucket/bucket.go
+++ b/bucket/bucket.go
@@ -83,6 +83,16 @@
 	return true
 }
 
+// Until returns the time in which the rate makes the next token, as of the last
+// refill, and the time for each one after it. It reports false if it makes none.
+func (b *Bucket) Until() (next, each time.Duration, ok bool) {
+	if b.rate <= 0 || b.burst < unit {
+		return 0, 0, false
+	}
+	t := float64(micro) / float64(b.rate)
+	return time.Duration(t * float64(max(unit-b.tokens, 0))), time.Duration(t * float64(unit)), true
+}
+
 // Add adds n tokens as far as the burst allows.
 func (b *Bucket) Add(n int64) {
 	b.tokens = min(b.tokens+n*unit, b.burst)
--- a/tokens/entry.go
+++ b/tokens/entry.go
@@ -7,6 +7,7 @@
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/bucket"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/rendezvous"
 )
 
@@ -32,9 +33,12 @@
 	leastBurst = 4.0
 	// wants is how many hosts in want are kept for one account.
 	wants = 8
-	// retry is when a refused caller may come back: a host's part of a usual
-	// rate makes some tokens in that time, or others have sent some.
+	// retry is when a refused caller may come back to a host that makes no tokens
+	// itself: others may have sent some by then.
 	retry = 250 * time.Millisecond
+	// longestRetry is the longest time that is told. Far above its rate an account
+	// could be told any; what holds in some seconds, nobody knows.
+	longestRetry = 5 * time.Second
 )
 
 // entry is this host's part of one client account's limits.
@@ -47,6 +51,9 @@
 	got     bool        // one of them gave something
 	waiting []chan bool // requests that wait for a token, the oldest first
 	wants   []want      // hosts that asked in vain, the latest last
+	// promised is until when the tokens that the bucket makes are promised to
+	// callers that were refused.
+	promised time.Time
 }
 
 // want is what another host lacks.
@@ -132,6 +139,22 @@
 	w <- ok
 }
 
+// comeBack returns when there will be a token for a refused caller: the next one that
+// the bucket makes and that none refused before it was promised. Told the same time,
+// all would come back at once, one would be served and the others refused again.
+func (e *entry) comeBack(now time.Time) time.Duration {
+	d, each, ok := e.bucket.Until()
+	if !ok {
+		return retry
+	}
+	t := deadline.Later(now.Add(d), e.promised)
+	if t.Sub(now) > longestRetry {
+		return longestRetry
+	}
+	e.promised = t.Add(each)
+	return t.Sub(now)
+}
+
 // receive takes n tokens. A bucket that is full, or that has no part of the
 // limits at all, still passes them to requests that wait.
 func (e *entry) receive(n int64) {
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -119,7 +119,10 @@
 	} else {
 		ok = t.wait(ctx, e, patience)
 	}
-	return e.bucket.Tokens(), retry, ok
+	if !ok {
+		return e.bucket.Tokens(), e.comeBack(t.Clock.Now()), false
+	}
+	return e.bucket.Tokens(), 0, true
 }
 
 // wait asks other hosts for the token of a request, and leaves the lock while it
