Placement: a report counts for as long as requests last there

Cause: a backend server's word on its load faded to a third in one second, whatever its work. Where work lasts a second or more, each host took a full line for gone and sent more; lines ran until the callers' time was over.

A report now fades in three times the time that requests last at that backend server as this host sees it, canceled ones included, and in no less than a second, so nothing changes where work is short.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -155,8 +155,8 @@
 	if s == nil {
 		return
 	}
-	if t, ok := s.end(q); ok && r == result.Succeeded {
-		p.learn(q.Route, p.Clock.Since(t))
+	if t, ok := s.end(q); ok {
+		p.ended(s, q.Route, p.Clock.Since(t), r)
 	}
 	switch r {
 	case result.Shed, result.Refused, result.Failed, result.Unused:
@@ -167,6 +167,17 @@
 	p.wake()
 }
 
+// ended learns from how long a request was at a backend server. One that was canceled
+// tells as well: where lines are so long that time runs out, few others end.
+func (p *Placement) ended(s *server, route string, d time.Duration, r result.Result) {
+	if r == result.Succeeded {
+		p.learn(route, d)
+	}
+	if (r == result.Succeeded || r == result.Canceled) && !p.Eager {
+		s.last(d)
+	}
+}
+
 // judge takes backend servers that fail out of use for a while.
 func (p *Placement) judge(s *server, r result.Result, now time.Time) {
 	g := p.services[s.backend.Service]
@@ -236,6 +247,6 @@
 
 // decay is what is left of a report after some time: requests that others had
 // there have ended meanwhile.
-func decay(age time.Duration) float64 {
-	return math.Exp(-float64(age) / float64(reportLife))
+func decay(age, life time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(life))
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// reportLife is the time in which a report of other hosts' load fades to
-	// a third, a few times the usual work of a request.
-	reportLife = time.Second
+	// A report of other hosts' load fades to a third in reportLives times the time
+	// that requests last at the backend server, and no less than leastLife. Until
+	// then most of the requests that it counted are still there.
+	reportLives = 3
+	leastLife   = time.Second
+	// lifeSamples is over how many requests that time is taken.
+	lifeSamples = 16
 	// shedLife is how long a backend server that refused a request for want
 	// of room counts as full.
 	shedLife = 200 * time.Millisecond
@@ -31,11 +35,12 @@
 // server is what this host knows of one backend server.
 type server struct {
 	backend backend.Backend
-	running []flight  // requests of this host
-	others  float64   // requests of other hosts, when last reported
-	seen    time.Time // when that was
-	full    time.Time // until when it counts as full
-	cold    time.Time // until when it is cold
+	running []flight      // requests of this host
+	others  float64       // requests of other hosts, when last reported
+	seen    time.Time     // when that was
+	lasting time.Duration // how long requests of this host last there, waits included
+	full    time.Time     // until when it counts as full
+	cold    time.Time     // until when it is cold
 	sent    []time.Time
 	// objects are those that it has lately worked on for this host.
 	objects *simplelru.LRU[string, struct{}]
@@ -65,7 +70,17 @@
 
 // load estimates the requests that run or wait there.
 func (s *server) load(now time.Time) float64 {
-	return float64(len(s.running)) + s.others*decay(now.Sub(s.seen))
+	return float64(len(s.running)) + s.others*decay(now.Sub(s.seen), max(reportLives*s.lasting, leastLife))
+}
+
+// last notes how long a request was there. A backend server with long work, or with
+// a long line, is as full as it said for longer; by a report that fades too soon each
+// host would send it more, and all that waits there would run out of time.
+func (s *server) last(d time.Duration) {
+	if s.lasting == 0 {
+		s.lasting = d
+	}
+	s.lasting += (d - s.lasting) / lifeSamples
 }
 
 func (s *server) report(total int, now time.Time) {
