--- a/edge/store.go
+++ b/edge/store.go
@@ -41,15 +41,15 @@
 
 // watch makes the copy of a table ask often while this host is its watcher.
 func (e *Edge) watch(m *mirror.Mirror, often time.Duration) {
-	wait, feed := m.Wait, m.Feed
+	w, f := m.Wait, m.Feed
 	m.Wait = func() time.Duration {
 		if e.watcher(m.Name) {
-			return min(often, wait())
+			return min(often, w())
 		}
-		return wait()
+		return w()
 	}
 	m.Feed = func(ctx context.Context, after uint64, d time.Duration) ([]row.Row, uint64, error) {
-		r, v, err := feed(ctx, after, d)
+		r, v, err := f(ctx, after, d)
 		if err == nil && e.watcher(m.Name) {
 			m.Store.Seen()
 			e.membership.Hurry()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,18 +14,11 @@
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/codec"
-	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/row"
 )
 
 const (
-	// slack is how much later than Wait an answer of the feed may come. A
-	// connection that has gone silent is found out by it.
-	slack = 1500 * time.Millisecond
-	// hintGrace is how long a change that another host has may take on a call that
-	// waits: it reaches all hosts at once, and a slow store answers in half of that.
-	hintGrace = 250 * time.Millisecond
 	// firstPause and lastPause space the tries while the store is away. Each
 	// call costs the store something, also one that it refuses.
 	firstPause = 150 * time.Millisecond
@@ -46,10 +39,6 @@
 // version that was asked for.
 var ErrHistoryLost = errors.New("the store has dropped its history")
 
-// errDoubted says that a call which waits for a change was given up: it may have
-// fallen silent.
-var errDoubted = errors.New("the call that waits is in doubt")
-
 // Mirror is the copy.
 type Mirror struct {
 	// Clock measures timeouts.
@@ -202,110 +191,6 @@
 	return nil
 }
 
-func (m *Mirror) step(ctx context.Context) error {
-	m.mu.Lock()
-	n := m.seen
-	m.mu.Unlock()
-	if n == 0 {
-		return m.read(ctx)
-	}
-	r, v, err := m.ask(ctx, n)
-	if errors.Is(err, ErrHistoryLost) {
-		m.Log.Info("history lost, reading all", "Table", m.Name, "Version", n)
-		return m.read(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	m.open()
-	m.apply(r, v)
-	return nil
-}
-
-// ask makes one call of the feed. While the store is in doubt it does not wait: an
-// answer at once shows that the store is back, and what was missed.
-func (m *Mirror) ask(ctx context.Context, after uint64) ([]row.Row, uint64, error) {
-	m.mu.Lock()
-	d := m.failing || m.doubted
-	m.doubted = false
-	m.mu.Unlock()
-	if d {
-		x, f := deadline.With(ctx, m.Clock, m.Reply)
-		defer f()
-		return m.Feed(x, after, 0)
-	}
-	w := m.Wait()
-	x, f := deadline.With(ctx, m.Clock, w+slack)
-	defer f()
-	if m.Store == nil {
-		return m.Feed(x, after, w)
-	}
-	return m.await(x, after, w)
-}
-
-// await makes a call that waits, and gives it up when it is in doubt.
-func (m *Mirror) await(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
-	h := make(chan struct{}, 1)
-	m.mu.Lock()
-	m.hints = h
-	m.mu.Unlock()
-	x, f := context.WithCancel(ctx)
-	d := make(chan bool, 1)
-	go m.watch(x, f, h, d)
-	r, v, err := m.Feed(x, after, wait)
-	f()
-	if <-d && err != nil {
-		m.mu.Lock()
-		m.doubted = true
-		m.mu.Unlock()
-		return nil, 0, errDoubted
-	}
-	return r, v, err
-}
-
-// watch cancels a call that waits once the store has answered nobody for Trust, or
-// once another host is known to have a change that this call has not brought. It
-// reports whether it did.
-func (m *Mirror) watch(ctx context.Context, cancel context.CancelFunc, hints <-chan struct{}, done chan<- bool) {
-	for {
-		var why string
-		select {
-		case <-ctx.Done():
-			done <- false
-			return
-		case <-hints:
-			why = "another host has a change"
-			select {
-			case <-ctx.Done():
-				done <- false
-				return
-			case <-m.Clock.After(hintGrace):
-			}
-		case <-m.Clock.After(m.Store.Left(m.Trust)):
-			if m.Store.Left(m.Trust) > 0 {
-				continue
-			}
-			why = "the store has answered no host"
-		}
-		m.Log.Info("store asked again", "Table", m.Name, "Cause", why, "StoreAge", time.Duration(m.Store.Age()))
-		cancel()
-		done <- true
-		return
-	}
-}
-
-func (m *Mirror) read(ctx context.Context) error {
-	x, f := deadline.With(ctx, m.Clock, m.Reply)
-	defer f()
-	r, v, err := m.Read(x)
-	if err != nil {
-		return err
-	}
-	m.open()
-	m.replace(r, v, m.changedBy(r, v), 0)
-	return nil
-}
-
 // changedBy returns the last change that a read of the whole table shows. A row
 // that is missing now went at some time up to the read; without a copy from
 // before, only the rows tell, and hosts that have seen more do not ask for less.
--- a/tokens/entry.go
+++ b/tokens/entry.go
@@ -143,7 +143,7 @@
 // the bucket makes and that none refused before it was promised. Told the same time,
 // all would come back at once, one would be served and the others refused again.
 func (e *entry) comeBack(now time.Time) time.Duration {
-	d, each, ok := e.bucket.Until()
+	d, i, ok := e.bucket.Until()
 	if !ok {
 		return retry
 	}
@@ -151,7 +151,7 @@
 	if t.Sub(now) > longestRetry {
 		return longestRetry
 	}
-	e.promised = t.Add(each)
+	e.promised = t.Add(i)
 	return t.Sub(now)
 }
 
