--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -19,6 +19,9 @@
 	"celeryreach.example/celeryreach/row"
 )
 
+// wall is the time of the bubble in which a test runs.
+var wall = clockwork.NewRealClock()
+
 // The bounds of a deployment: contact is how long after the end of a trouble hosts
 // must know again what is in force, apply how long a change may take otherwise.
 const (
@@ -67,7 +70,7 @@
 	s.mu.Lock()
 	e := s.epoch[host]
 	s.mu.Unlock()
-	t := time.After(wait)
+	t := wall.After(wait)
 	for {
 		s.mu.Lock()
 		c, v := s.changed, s.version
@@ -108,7 +111,7 @@
 func newFleet(hosts int, doubting bool) *fleet {
 	f := &fleet{store: newSilent(), back: make([]uint64, hosts)}
 	f.store.change()
-	c := clockwork.NewRealClock()
+	c := wall
 	for i := range hosts {
 		w := long
 		if i == 0 && doubting {
@@ -139,14 +142,16 @@
 	}
 	return func() {
 		for range 2 * len(f.mirrors) {
-			<-d
+			if err := <-d; err != nil {
+				panic(err) // a copy of plain data did not pass
+			}
 		}
 	}
 }
 
 // gossip tells the other hosts once a beat what host i knows.
 func (f *fleet) gossip(ctx context.Context, i int) error {
-	time.Sleep(time.Duration(i) * beat / time.Duration(len(f.mirrors)))
+	wall.Sleep(time.Duration(i) * beat / time.Duration(len(f.mirrors)))
 	for ctx.Err() == nil {
 		for j, m := range f.mirrors {
 			if j == i || f.apart {
@@ -165,7 +170,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(beat):
+		case <-wall.After(beat):
 		}
 	}
 	return nil
@@ -195,7 +200,7 @@
 		f.store.change()
 		select {
 		case <-ctx.Done():
-		case <-time.After(700 * time.Millisecond):
+		case <-wall.After(700 * time.Millisecond):
 		}
 	}
 }
@@ -223,17 +228,17 @@
 	}
 	late := 0
 	for range 3 {
-		time.Sleep(time.Duration(r.Int64N(int64(long))))
+		wall.Sleep(time.Duration(r.Int64N(int64(long))))
 		q.store.set(true, all...)
 		b.store.set(true, all...)
-		time.Sleep(time.Duration(r.Int64N(int64(trust))))
+		wall.Sleep(time.Duration(r.Int64N(int64(trust))))
 		q.store.set(false, all...)
 		b.store.set(false, all...)
 		p := time.Duration(r.Int64N(int64(4 * time.Second)))
-		time.Sleep(p)
+		wall.Sleep(p)
 		q.store.change()
 		v := q.store.version
-		time.Sleep(max(apply, contact-p))
+		wall.Sleep(max(apply, contact-p))
 		late += q.late(v)
 	}
 	stop()
@@ -268,7 +273,7 @@
 	f.apart = apart
 	ctx, stop := context.WithCancel(context.Background())
 	wait := f.run(ctx)
-	time.Sleep(time.Duration(r.Int64N(int64(long))))
+	wall.Sleep(time.Duration(r.Int64N(int64(long))))
 	late := 0
 	for range 2 + r.IntN(3) {
 		var h []int
@@ -279,18 +284,18 @@
 		}
 		f.store.set(true, h...)
 		for range r.IntN(3) {
-			time.Sleep(time.Duration(r.Int64N(int64(6 * time.Second))))
+			wall.Sleep(time.Duration(r.Int64N(int64(6 * time.Second))))
 			f.store.change()
 		}
-		time.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
+		wall.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
 		f.store.set(false, h...)
 		p := time.Duration(r.Int64N(int64(4 * time.Second)))
-		time.Sleep(p)
+		wall.Sleep(p)
 		f.store.change()
 		v := f.store.version
-		time.Sleep(max(apply, contact-p))
+		wall.Sleep(max(apply, contact-p))
 		late += f.late(v)
-		time.Sleep(time.Duration(r.Int64N(int64(long))))
+		wall.Sleep(time.Duration(r.Int64N(int64(long))))
 	}
 	stop()
 	wait()
