Mirror: bubble tests on one processor, and waits for what they need

Found beside it: 2 of 24 runs hung in TestWantsACopyInTimeOnly. Its wait for one timer was met by that of the read, so the clock went on before the pause began; TestDoubtOfOthers had the same hole. Both now wait until all is blocked.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,37 +57,38 @@
 // would reach it after it has ended. A host that is cut off itself shares the doubt.
 func TestDoubtOfOthers(t *testing.T) {
 	for _, cut := range []bool{false, true} {
-		k := clockwork.NewFakeClock()
-		b, err := codec.Marshal(struct {
-			Seen, Changed uint64
-			Doubt         time.Duration
-			Rows          []row.Row
-		}{Seen: 2, Changed: 2, Doubt: time.Second, Rows: []row.Row{{Key: "a", Version: 1}}})
-		must.NoError(t, err)
-		var doubt time.Time
-		failed := make(chan struct{}, 100)
-		m := &mirror.Mirror{
-			Clock: k, Log: log.New(io.Discard), Name: "Backends", Wait: hour, Reply: time.Minute,
-			Changed: func(_ map[string]row.Row, d time.Time) { doubt = d },
-			Read: func(context.Context) ([]row.Row, uint64, error) {
-				failed <- struct{}{}
-				return nil, 0, io.EOF
-			},
-		}
-		ctx, f := context.WithCancel(context.Background())
-		d := make(chan error, 1)
-		if cut {
-			go func() { d <- m.Run(ctx) }()
-			<-failed
-			must.NoError(t, k.BlockUntilContext(ctx, 1))
-		}
-		must.NoError(t, m.Adopt(b))
-		must.EqOp(t, cut, doubt.Equal(k.Now().Add(time.Second)))
-		must.EqOp(t, !cut, doubt.IsZero())
-		f()
-		if cut {
-			must.NoError(t, <-d)
-		}
+		synctest.Test(t, func(t *testing.T) { testDoubtOfOthers(t, cut) })
+	}
+}
+
+func testDoubtOfOthers(t *testing.T, cut bool) {
+	k := clockwork.NewFakeClock()
+	b, err := codec.Marshal(struct {
+		Seen, Changed uint64
+		Doubt         time.Duration
+		Rows          []row.Row
+	}{Seen: 2, Changed: 2, Doubt: time.Second, Rows: []row.Row{{Key: "a", Version: 1}}})
+	must.NoError(t, err)
+	var doubt time.Time
+	m := &mirror.Mirror{
+		Clock: k, Log: log.New(io.Discard), Name: "Backends", Wait: hour, Reply: time.Minute,
+		Changed: func(_ map[string]row.Row, d time.Time) { doubt = d },
+		Read: func(context.Context) ([]row.Row, uint64, error) {
+			return nil, 0, io.EOF
+		},
+	}
+	ctx, f := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	if cut {
+		go func() { d <- m.Run(ctx) }()
+		synctest.Wait() // until the read has failed
+	}
+	must.NoError(t, m.Adopt(b))
+	must.EqOp(t, cut, doubt.Equal(k.Now().Add(time.Second)))
+	must.EqOp(t, !cut, doubt.IsZero())
+	f()
+	if cut {
+		must.NoError(t, <-d)
 	}
 }
 
@@ -94,7 +96,9 @@
 // change comes by it, and no copy of the whole table crosses regions for it. When
 // it does not come, the way has fallen silent, and callers whose key was taken
 // away must not be served until a timeout shows it.
-func TestWantsACopyInTimeOnly(t *testing.T) {
+func TestWantsACopyInTimeOnly(t *testing.T) { synctest.Test(t, testWantsACopyInTimeOnly) }
+
+func testWantsACopyInTimeOnly(t *testing.T) {
 	k := clockwork.NewFakeClock()
 	m := &mirror.Mirror{
 		Clock: k, Log: log.New(io.Discard), Name: "Config", Wait: hour, Reply: time.Minute, Changed: func(map[string]row.Row, time.Time) {},
@@ -110,7 +114,7 @@
 	ctx, f := context.WithCancel(context.Background())
 	d := make(chan error, 1)
 	go func() { d <- m.Run(ctx) }()
-	must.NoError(t, k.BlockUntilContext(ctx, 1)) // the pause after the first read
+	synctest.Wait() // until the pause after the first read
 	k.Advance(time.Second)
 	<-feeds
 	must.EqOp(t, 3, m.Version())
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,16 @@
 // wall is the time of the bubble in which a test runs.
 var wall = clockwork.NewRealClock()
 
+// oneProcessor keeps a test on one processor. The race detector of the Go runtime
+// crashes, with a segmentation violation or a failed check of its own, when timers of
+// a bubble fire on several at once. It finds races by what happens before what, not by
+// what runs beside what, so it still finds them on one.
+func oneProcessor(t *testing.T) {
+	t.Helper()
+	n := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(n) })
+}
+
 // The bounds of a deployment: contact is how long after the end of a trouble hosts
 // must know again what is in force, apply how long a change may take otherwise.
 const (
@@ -253,6 +264,7 @@
 // store; a backend server that leaves was used for 2.7 s by hosts that took these for
 // a sign that their own calls are sound.
 func TestAnswersOnAnotherTableProveNothing(t *testing.T) {
+	oneProcessor(t)
 	shared := 0
 	for s := range uint64(100) {
 		synctest.Test(t, func(t *testing.T) {
@@ -308,6 +320,7 @@
 // it must be in force in time everywhere, however long a call waits when all is well,
 // and nothing goes back. Hosts that trust their waiting calls are caught by it.
 func TestNoHostStaysSilent(t *testing.T) {
+	oneProcessor(t)
 	old := 0
 	for s := range uint64(300) {
 		synctest.Test(t, func(t *testing.T) {
@@ -320,6 +333,7 @@
 
 // The same while hosts do not hear from each other: each must find out by itself.
 func TestAHostAloneDoesNotStaySilent(t *testing.T) {
+	oneProcessor(t)
 	for s := range uint64(100) {
 		synctest.Test(t, func(t *testing.T) {
 			must.EqOp(t, 0, silence(s, true, true), must.Sprint("seed ", s))
