--- a/binding/binding.go
+++ b/binding/binding.go
@@ -28,6 +28,9 @@
 // Binding counts the requests for one service, as this host sees them. It is not safe
 // for use by several goroutines: its owner's lock guards it.
 type Binding struct {
+	// Changed is told when another part of a region is left; nil means nobody is.
+	Changed func(region string, left float64)
+
 	regions map[string]*region
 	slots   float64 // of all regions
 	all     float64 // requests
@@ -53,9 +56,7 @@
 		b.regions[n] = r
 		b.slots += r.slots
 	}
-	for _, r := range b.regions {
-		b.weigh(r)
-	}
+	b.weigh()
 }
 
 // Count takes a request that may be served in the regions of homes; nil means all.
@@ -63,9 +64,7 @@
 	b.age(now)
 	b.all++
 	b.bind(homes)
-	for _, r := range b.regions {
-		b.weigh(r)
-	}
+	b.weigh()
 }
 
 // bind counts a request for the regions that may serve it, unless all may.
@@ -112,14 +111,20 @@
 	b.counted = now
 }
 
-// weigh compares a region's part of the requests, those that are bound to it, with its
-// part of the slots.
-func (b *Binding) weigh(r *region) {
-	l := 1.0
-	if r.bound > 0 {
-		l = max(1-(r.bound/b.all)/(r.slots/b.slots), least)
-	}
-	if math.Abs(l-r.left) > step {
+// weigh compares each region's part of the requests, those that are bound to it, with
+// its part of the slots.
+func (b *Binding) weigh() {
+	for n, r := range b.regions {
+		l := 1.0
+		if r.bound > 0 {
+			l = max(1-(r.bound/b.all)/(r.slots/b.slots), least)
+		}
+		if math.Abs(l-r.left) <= step {
+			continue
+		}
 		r.left = l
+		if b.Changed != nil {
+			b.Changed(n, l)
+		}
 	}
 }
--- a/cmd/experimentplacement.go
+++ b/cmd/experimentplacement.go
@@ -34,7 +34,9 @@
 	d := c.Duration("for")
 	l := placementplot.New()
 	fmt.Fprintln(t, "trouble\tway\tin time, all\tin the trouble\tafter it")
-	for _, x := range []string{placementtrial.Calm, placementtrial.Lost, placementtrial.Short, placementtrial.Slow, placementtrial.Burst, placementtrial.Bound} {
+	for _, x := range []string{
+		placementtrial.Calm, placementtrial.Lost, placementtrial.Short, placementtrial.Slow, placementtrial.Burst, placementtrial.Bound,
+	} {
 		for _, w := range []string{
 			placementtrial.Random, placementtrial.LeastLoaded, placementtrial.Affinity, placementtrial.Anywhere, placementtrial.Eager, placementtrial.Product,
 		} {
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -86,34 +86,41 @@
 	return r, v, err
 }
 
-// watch cancels a call that waits once the store has answered nobody for Trust, or
-// once another host is known to have a change that this call has not brought. It
-// reports whether it did.
+// watch cancels a call that waits once that is in doubt. It reports whether it did.
 func (m *Mirror) watch(ctx context.Context, cancel context.CancelFunc, hints <-chan struct{}, done chan<- bool) {
+	c, ok := m.doubt(ctx, hints)
+	if ok {
+		m.Log.Info("store asked again", "Table", m.Name, "Cause", c, "StoreAge", time.Duration(m.Store.Age()))
+		cancel()
+	}
+	done <- ok
+}
+
+// doubt waits until the store has answered nobody for Trust, or another host is known
+// to have a change that the call has not brought, and says which. It reports false
+// when ctx ends before.
+func (m *Mirror) doubt(ctx context.Context, hints <-chan struct{}) (cause string, ok bool) {
 	for {
-		var why string
 		select {
 		case <-ctx.Done():
-			done <- false
-			return
+			return "", false
 		case <-hints:
-			why = "another host has a change"
-			select {
-			case <-ctx.Done():
-				done <- false
-				return
-			case <-m.Clock.After(hintGrace):
-			}
+			return "another host has a change", m.pause(ctx, hintGrace)
 		case <-m.Clock.After(m.Store.Left(m.Trust)):
-			if m.Store.Left(m.Trust) > 0 {
-				continue
+			if m.Store.Left(m.Trust) <= 0 {
+				return "the store has answered no host", true
 			}
-			why = "the store has answered no host"
 		}
-		m.Log.Info("store asked again", "Table", m.Name, "Cause", why, "StoreAge", time.Duration(m.Store.Age()))
-		cancel()
-		done <- true
-		return
+	}
+}
+
+// pause reports false when ctx ends before d has passed.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-m.Clock.After(d):
+		return true
 	}
 }
 
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -203,6 +203,18 @@
 	return n
 }
 
+// changeAfterSilence makes a change at a random moment after a silence, and returns how
+// many hosts lack it when it is due: apply after it was made, and contact after the
+// silence.
+func (f *fleet) changeAfterSilence(r *rand.Rand) int {
+	p := time.Duration(r.Int64N(int64(4 * time.Second)))
+	wall.Sleep(p)
+	f.store.change()
+	v := f.store.version
+	wall.Sleep(max(apply, contact-p))
+	return f.late(v)
+}
+
 // busy changes another table of the same store all the while. Its calls are answered
 // often, which proves nothing for those that wait on the quiet table.
 func busy(ctx context.Context, f *fleet, done chan<- struct{}) {
@@ -245,12 +257,7 @@
 		wall.Sleep(time.Duration(r.Int64N(int64(trust))))
 		q.store.set(false, all...)
 		b.store.set(false, all...)
-		p := time.Duration(r.Int64N(int64(4 * time.Second)))
-		wall.Sleep(p)
-		q.store.change()
-		v := q.store.version
-		wall.Sleep(max(apply, contact-p))
-		late += q.late(v)
+		late += q.changeAfterSilence(r)
 	}
 	stop()
 	wq()
@@ -301,12 +308,7 @@
 		}
 		wall.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
 		f.store.set(false, h...)
-		p := time.Duration(r.Int64N(int64(4 * time.Second)))
-		wall.Sleep(p)
-		f.store.change()
-		v := f.store.version
-		wall.Sleep(max(apply, contact-p))
-		late += f.late(v)
+		late += f.changeAfterSilence(r)
 		wall.Sleep(time.Duration(r.Int64N(int64(long))))
 	}
 	stop()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,8 +36,8 @@
 type Placement struct {
 	// Clock measures the age of reports.
 	Clock clockwork.Clock
-	// Log receives one line for each backend server that is ejected; nil means
-	// none.
+	// Log receives one line for each backend server that is ejected, and for each
+	// change of what bound requests leave of a region; nil means none.
 	Log *log.Logger
 	// Region is the region of this host.
 	Region string
@@ -95,10 +95,8 @@
 		p.servers[b.Name] = s
 		v := p.services[b.Service]
 		if v == nil {
-			v = &group{outlier: outlier.Outlier{Consecutive: consecutive, For: ejection, Fraction: ejected}}
-			if w := g[b.Service]; w != nil {
-				v.outlier, v.binding = w.outlier, w.binding
-			}
+			v = g[b.Service].renew()
+			v.binding.Changed = func(region string, left float64) { p.tellLeft(b.Service, region, left) }
 			p.services[b.Service] = v
 		}
 		v.servers = append(v.servers, s)
@@ -110,6 +108,22 @@
 	p.wake()
 }
 
+// renew returns a group without backend servers that knows what this one does; nil
+// knows nothing.
+func (g *group) renew() *group {
+	if g == nil {
+		return &group{outlier: outlier.Outlier{Consecutive: consecutive, For: ejection, Fraction: ejected}}
+	}
+	return &group{outlier: g.outlier, binding: g.binding}
+}
+
+// tellLeft logs that requests which may go anywhere use more or less of a region.
+func (p *Placement) tellLeft(service, region string, left float64) {
+	if p.Log != nil {
+		p.Log.Info("region left to free requests", "Service", service, "Region", region, "Part", left)
+	}
+}
+
 // fit tells which regions the service has backend servers in.
 func (g *group) fit() {
 	n := make(map[string]int)
