Edge: whole deployments in virtual time; keys around a silence of the store

What was missing is a test above package mirror: the stand-in of the adapter's tests answers or cuts every call when a fault ends, so that no call of a host stayed lost after it.

The stand-in of mirror's tests is now package feedstandin, and stricter: a call whose wait ends in a silence is lost too; before it was answered. Edge takes Dial as a seam.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,6 +68,8 @@
 	Log *log.Logger
 	// Peers accepts the connections of other hosts.
 	Peers net.Listener
+	// Dial opens a connection to another host; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Config and Backends are the copies of the store's tables. Their Changed
 	// is set by Edge.
 	Config, Backends *mirror.Mirror
@@ -159,7 +161,10 @@
 
 func (e *Edge) assemble() {
 	e.left = make(chan struct{})
-	e.client = &peerclient.Peerclient{Dial: e.dial}
+	e.client = &peerclient.Peerclient{Dial: e.Dial}
+	if e.Dial == nil {
+		e.client.Dial = dial
+	}
 	e.membership = &membership.Membership{
 		Clock: e.Clock, Log: e.Log, Self: e.self, Seeds: e.Seeds, Listed: e.list(),
 		Partners: partners.Partners, Interval: beatEvery, Hold: hold, Beat: e.client.Beat, Compose: e.compose, Heard: e.heard,
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,361 @@
+package edge_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/codec"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/edge"
+	"celeryreach.example/celeryreach/feedstandin"
+	"celeryreach.example/celeryreach/gateway"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/mirror"
+	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/upstream"
+)
+
+const (
+	feedWait = 10 * time.Second
+	// shifts is how many plays of a script are spread over one wait of a call.
+	shifts = 12
+	// startSpread is between the starts of two hosts.
+	startSpread = 83 * time.Millisecond
+	rowKey      = "config"
+)
+
+// wall is the time of the bubble in which a test runs.
+var wall = clockwork.NewRealClock()
+
+// network connects hosts without sockets, which virtual time does not wait for.
+type network struct {
+	way time.Duration // one way between regions
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	region string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *network) listen(address, region string) *listener {
+	l := &listener{region: region, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+// dial opens a connection from a region.
+func (n *network) dial(ctx context.Context, region, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.Errorf("nobody listens at %s", address)
+	}
+	d := time.Duration(0)
+	if l.region != region {
+		d = n.way
+	}
+	a, b := net.Pipe()
+	select {
+	case l.conns <- delay(b, d):
+		return delay(a, d), nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return nil }
+
+// delayed is a connection whose bytes are under way for a while.
+type delayed struct {
+	net.Conn
+	way  time.Duration
+	sent chan segment
+	end  chan struct{}
+	once sync.Once
+}
+
+type segment struct {
+	due   time.Time
+	bytes []byte
+}
+
+func delay(c net.Conn, way time.Duration) net.Conn {
+	if way == 0 {
+		return c
+	}
+	d := &delayed{Conn: c, way: way, sent: make(chan segment, 1024), end: make(chan struct{})}
+	go d.carry()
+	return d
+}
+
+func (d *delayed) carry() {
+	for {
+		select {
+		case <-d.end:
+			return
+		case s := <-d.sent:
+			select {
+			case <-d.end:
+				return
+			case <-wall.After(s.due.Sub(wall.Now())):
+			}
+			if _, err := d.Conn.Write(s.bytes); err != nil {
+				return // the reader has closed
+			}
+		}
+	}
+}
+
+func (d *delayed) Write(b []byte) (int, error) {
+	select {
+	case <-d.end:
+		return 0, net.ErrClosed
+	case d.sent <- segment{due: wall.Now().Add(d.way), bytes: slices.Clone(b)}:
+		return len(b), nil
+	}
+}
+
+func (d *delayed) Close() error {
+	d.once.Do(func() { close(d.end) })
+	return d.Conn.Close()
+}
+
+// world is a deployment in one process: the store's tables and the hosts.
+type world struct {
+	config, backends *feedstandin.Feedstandin
+	network          *network
+	contact          time.Duration
+	hosts            map[string]*edge.Edge
+	members          []member.Member
+}
+
+func (w *world) host(name, domain, region string) *edge.Edge {
+	m := member.Member{Name: name, Incarnation: uint64(len(w.members) + 1), Domain: domain, Region: region, CallerAddress: name, PeerAddress: name}
+	w.members = append(w.members, m)
+	l := log.New(io.Discard)
+	return &edge.Edge{
+		Self: m, Seeds: []string{w.members[0].PeerAddress}, Clock: wall, Log: l, Peers: w.network.listen(name, region),
+		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, region, a) },
+		Config: w.mirror("Config", w.config, m, l), Backends: w.mirror("Backends", w.backends, m, l),
+		Decode:         decode,
+		DecodeBackends: func(map[string]row.Row) []backend.Backend { return nil },
+		Announce:       func(context.Context, member.Member) error { return nil },
+		Withdraw:       func(context.Context, member.Member) error { return nil },
+		Listed:         func(context.Context) ([]member.Member, error) { return w.members, nil },
+		Upstream:       upstream.New(wall, time.Second), Gateway: &gateway.Gateway{},
+		Contact: w.contact, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
+	}
+}
+
+// mirror follows a table of the store, which stands in the first host's region.
+func (w *world) mirror(name string, s *feedstandin.Feedstandin, m member.Member, l *log.Logger) *mirror.Mirror {
+	d := time.Duration(0)
+	if m.Region != w.members[0].Region {
+		d = w.network.way
+	}
+	f := func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
+		wall.Sleep(d)
+		r, v, err := s.Feed(ctx, m.Name, after, wait)
+		wall.Sleep(d)
+		return r, v, err
+	}
+	return &mirror.Mirror{
+		Clock: wall, Log: l, Name: name, Wait: func() time.Duration { return feedWait }, Feed: f,
+		Read: func(ctx context.Context) ([]row.Row, uint64, error) { return f(ctx, 0, 0) },
+	}
+}
+
+func decode(m map[string]row.Row) (*config.Config, map[string]bool) {
+	var c config.Config
+	if err := codec.Unmarshal(m[rowKey].Value, &c); err != nil {
+		panic(err) // the test wrote it
+	}
+	return &c, nil
+}
+
+// run plays one line, and returns what is wrong.
+func (w *world) run(command string, a []string) (string, error) {
+	h := a
+	if len(h) == 0 {
+		for _, m := range w.members {
+			h = append(h, m.Name)
+		}
+	}
+	switch command {
+	case "silent", "answers":
+		w.config.Mute(command == "silent", h...)
+		w.backends.Mute(command == "silent", h...)
+	case "configuration":
+		return "", w.configure(a)
+	case "works", "fails":
+		return w.expect(command == "works", a[0]), nil
+	default:
+		return "", errors.Errorf("no such command: %s", command)
+	}
+	return "", nil
+}
+
+// configure writes a version that has the keys of one client account.
+func (w *world) configure(a []string) error {
+	v, err := strconv.ParseUint(a[0], 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "version")
+	}
+	c := config.Config{Version: v, Accounts: []account.Account{{Name: "unity", Rate: 100, Burst: 100}}}
+	for _, k := range a[1:] {
+		c.Keys = append(c.Keys, credential.Credential{Account: "unity", Hash: credential.Hash(k)})
+	}
+	b, err := codec.Marshal(c)
+	w.config.Put(rowKey, b)
+	return err
+}
+
+// expect names the hosts at which a key does not do what it should.
+func (w *world) expect(works bool, key string) string {
+	var l []string
+	for n, e := range w.hosts {
+		if (e.Book() != nil && e.Book().Account(key) != nil) != works {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return strings.Join(l, " ")
+}
+
+// line is one command of a script.
+type line struct {
+	at   time.Duration
+	text string
+	word []string
+}
+
+func parse(t *testing.T, script string) []line {
+	var l []line
+	for _, s := range strings.Split(script, "\n") {
+		f := strings.Fields(s)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		d, err := time.ParseDuration(f[0] + "s")
+		must.NoError(t, err)
+		l = append(l, line{at: d, text: s, word: f[1:]})
+	}
+	return l
+}
+
+// begin plays the lines before time starts: the deployment and its hosts. It returns
+// the others.
+func (w *world) begin(t *testing.T, l []line) []line {
+	for l[0].at == 0 {
+		a := l[0].word
+		l = l[1:]
+		var err error
+		switch a[0] {
+		case "contact":
+			w.contact, err = time.ParseDuration(a[1])
+		case "way":
+			w.network.way, err = time.ParseDuration(a[1])
+		case "host":
+			w.hosts[a[1]] = w.host(a[1], a[2], a[3])
+		default:
+			_, err = w.run(a[0], a[1:])
+		}
+		must.NoError(t, err)
+	}
+	return l
+}
+
+// play runs a script, with what follows its start later by shift.
+func play(t *testing.T, script string, shift time.Duration) {
+	w := &world{
+		config: feedstandin.New(wall), backends: feedstandin.New(wall), hosts: make(map[string]*edge.Edge),
+		network: &network{listeners: make(map[string]*listener)},
+	}
+	w.backends.Put("c1", nil)
+	l := w.begin(t, parse(t, script))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error)
+	begun := wall.Now()
+	for i, m := range w.members {
+		go func() {
+			wall.Sleep(time.Duration(i) * startSpread) // heartbeats are not in step
+			done <- w.hosts[m.Name].Run(ctx)
+		}()
+	}
+	defer func() { // also after a failure: a bubble lasts as long as its goroutines
+		stop()
+		for range w.hosts {
+			test.NoError(t, <-done)
+		}
+	}()
+	for _, v := range l {
+		wall.Sleep(v.at + shift - wall.Since(begun))
+		wrong, err := w.run(v.word[0], v.word[1:])
+		must.NoError(t, err)
+		must.EqOp(t, "", wrong, must.Sprintf("%s, later by %s", v.text, shift))
+	}
+}
+
+// plays runs a script with all that follows its start later by parts of one wait of a
+// call.
+func plays(t *testing.T, name string) {
+	// The race detector crashes when timers of a bubble fire on several processors.
+	n := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(n) })
+	b, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
+	must.NoError(t, err)
+	for i := range shifts {
+		synctest.Test(t, func(t *testing.T) { play(t, string(b), time.Duration(i)*feedWait/shifts) })
+	}
+}
+
+// A host that waits for an answer which the store will never give goes on refusing
+// good keys after the store is back.
+func TestKeysGivenAfterASilence(t *testing.T) { plays(t, "given-after-silence") }
+
+// A host that the store turns away goes on serving a withdrawn key.
+func TestKeyWithdrawnInASilence(t *testing.T) { plays(t, "withdrawn-in-silence") }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -93,7 +93,7 @@
 	return errors.New("this host takes no requests from other hosts")
 }
 
-func (e *Edge) dial(ctx context.Context, address string) (net.Conn, error) {
+func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
 }
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"runtime"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/feedstandin"
 	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/mirror"
 	"celeryreach.example/celeryreach/row"
@@ -43,85 +43,19 @@
 	long    = 10 * time.Second
 )
 
-// silent is a store that takes calls and never answers them, for all hosts or for
-// some. A call that was open at any moment of the silence is never answered either.
-type silent struct {
-	mu      sync.Mutex
-	rows    []row.Row
-	version uint64
-	changed chan struct{}
-	mute    map[int]bool // hosts whose calls are lost now
-	epoch   map[int]int  // counts their silences
-}
-
-func newSilent() *silent {
-	return &silent{changed: make(chan struct{}), mute: make(map[int]bool), epoch: make(map[int]int)}
-}
-
-func (s *silent) set(mute bool, hosts ...int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, h := range hosts {
-		s.mute[h] = mute
-		s.epoch[h]++
-	}
-}
-
-func (s *silent) change() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.rows = append(s.rows, row.Row{Key: fmt.Sprint(s.version), Version: s.version})
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// feed answers one call of a host.
-func (s *silent) feed(ctx context.Context, host int, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
-	s.mu.Lock()
-	e := s.epoch[host]
-	s.mu.Unlock()
-	t := wall.After(wait)
-	for {
-		s.mu.Lock()
-		c, v := s.changed, s.version
-		var l []row.Row
-		for _, r := range s.rows {
-			if r.Version > after {
-				l = append(l, r)
-			}
-		}
-		lost := s.mute[host] || s.epoch[host] != e
-		s.mu.Unlock()
-		if lost {
-			<-ctx.Done()
-			return nil, 0, ctx.Err()
-		}
-		if len(l) > 0 {
-			return l, v, nil
-		}
-		select {
-		case <-c:
-		case <-t:
-			return nil, v, nil
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
-	}
-}
-
 // fleet is hosts that follow one store and hear from each other each second.
 type fleet struct {
-	store   *silent
+	store   *feedstandin.Feedstandin
 	mirrors []*mirror.Mirror
 	fresh   []*freshness.Freshness
 	back    []uint64 // the newest version that a host ever showed
 	apart   bool     // hosts do not hear from each other
+	puts    int
 }
 
 func newFleet(hosts int, doubting bool) *fleet {
-	f := &fleet{store: newSilent(), back: make([]uint64, hosts)}
-	f.store.change()
+	f := &fleet{store: feedstandin.New(wall), back: make([]uint64, hosts)}
+	f.store.Put("0", nil)
 	c := wall
 	for i := range hosts {
 		w := long
@@ -137,9 +71,9 @@
 			m.Store = f.fresh[i]
 		}
 		m.Feed = func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
-			return f.store.feed(ctx, i, after, wait)
+			return f.store.Feed(ctx, fmt.Sprint(i), after, wait)
 		}
-		m.Read = func(ctx context.Context) ([]row.Row, uint64, error) { return f.store.feed(ctx, i, 0, 0) }
+		m.Read = func(ctx context.Context) ([]row.Row, uint64, error) { return f.store.Feed(ctx, fmt.Sprint(i), 0, 0) }
 		f.mirrors = append(f.mirrors, m)
 	}
 	return f
@@ -187,6 +121,12 @@
 	return nil
 }
 
+// change writes a row that was not there.
+func (f *fleet) change() uint64 {
+	f.puts++
+	return f.store.Put(fmt.Sprint(f.puts), nil)
+}
+
 // late returns how many hosts lack a version.
 func (f *fleet) late(version uint64) int {
 	n := 0
@@ -209,8 +149,7 @@
 func (f *fleet) changeAfterSilence(r *rand.Rand) int {
 	p := time.Duration(r.Int64N(int64(4 * time.Second)))
 	wall.Sleep(p)
-	f.store.change()
-	v := f.store.version
+	v := f.change()
 	wall.Sleep(max(apply, contact-p))
 	return f.late(v)
 }
@@ -220,7 +159,7 @@
 func busy(ctx context.Context, f *fleet, done chan<- struct{}) {
 	defer close(done)
 	for ctx.Err() == nil {
-		f.store.change()
+		f.change()
 		select {
 		case <-ctx.Done():
 		case <-wall.After(700 * time.Millisecond):
@@ -245,18 +184,18 @@
 	wq, wb := q.run(ctx), b.run(ctx)
 	d := make(chan struct{})
 	go busy(ctx, b, d)
-	var all []int
+	var all []string
 	for i := range n {
-		all = append(all, i)
+		all = append(all, fmt.Sprint(i))
 	}
 	late := 0
 	for range 3 {
 		wall.Sleep(time.Duration(r.Int64N(int64(long))))
-		q.store.set(true, all...)
-		b.store.set(true, all...)
+		q.store.Mute(true, all...)
+		b.store.Mute(true, all...)
 		wall.Sleep(time.Duration(r.Int64N(int64(trust))))
-		q.store.set(false, all...)
-		b.store.set(false, all...)
+		q.store.Mute(false, all...)
+		b.store.Mute(false, all...)
 		late += q.changeAfterSilence(r)
 	}
 	stop()
@@ -295,19 +234,19 @@
 	wall.Sleep(time.Duration(r.Int64N(int64(long))))
 	late := 0
 	for range 2 + r.IntN(3) {
-		var h []int
+		var h []string
 		for i := range n {
 			if r.IntN(4) > 0 {
-				h = append(h, i)
+				h = append(h, fmt.Sprint(i))
 			}
 		}
-		f.store.set(true, h...)
+		f.store.Mute(true, h...)
 		for range r.IntN(3) {
 			wall.Sleep(time.Duration(r.Int64N(int64(6 * time.Second))))
-			f.store.change()
+			f.change()
 		}
 		wall.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
-		f.store.set(false, h...)
+		f.store.Mute(false, h...)
 		late += f.changeAfterSilence(r)
 		wall.Sleep(time.Duration(r.Int64N(int64(long))))
 	}
