Edge: a failing test of a change before a short silence of the store

go test -run TestChangeBeforeAShortSilence ./edge: one host lacks a key 4 s after the silence, in one of the plays.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -359,3 +359,7 @@
 
 // A host that the store turns away goes on serving a withdrawn key.
 func TestKeyWithdrawnInASilence(t *testing.T) { plays(t, "withdrawn-in-silence") }
+
+// Hosts of distant regions tell each other of the store's last answer until it seems
+// young for ever, so that none doubts its lost calls.
+func TestChangeBeforeAShortSilence(t *testing.T) { plays(t, "change-before-silence") }
