Store: hosts tell the age of its last answer at first hand only

What callers saw: after a silence of the store of 0.35 s, keys and routes that changed just after it were not in force for 4 to 5 s at some hosts (401, old routes), on the deployment with the longest ways between regions.

Cause: heartbeats carried the youngest age that a host had heard, not only the one it had measured. Each host that passed it on made it younger by the time under way, and in circles it never grew as old as it was: 3.2 s were told when 4.4 s had passed (go test ./edge), so that nobody doubted the calls that had been lost. Key staleness of the product's own domains took ages in the same way.

Ruled out: a call's own limit, and copies of other hosts (all calls hung alike).

Why it works: an age at first hand is younger by one delivery at most. A host hears the watcher of its region, and hosts of a domain hear each other, without a relay.

Evidence: TestChangeBeforeAShortSilence failed before and passes now.

--- a/copier/copier.go
+++ b/copier/copier.go
@@ -54,7 +54,7 @@
 	for _, m := range c.Mirrors {
 		v := &wire.Version{Kind: m.Name, Version: m.Version()}
 		if m.Store != nil {
-			v.AgeNanoseconds = m.Store.Age()
+			v.AgeNanoseconds = m.Store.Own()
 		}
 		r = append(r, v)
 	}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -20,16 +20,22 @@
 
 	mu    sync.Mutex
 	heard time.Time
+	seen  time.Time // of heard, what reached this host itself
 }
 
 // Seen notes a sign of life that reached this host.
 func (f *Freshness) Seen() {
-	f.note(f.Clock.Now())
+	n := f.Clock.Now()
+	f.mu.Lock()
+	f.seen = n
+	f.mu.Unlock()
+	f.note(n)
 }
 
-// Heard takes over what another host has seen or heard. The age was measured when
-// the message left, so the time it was under way makes the estimate younger than
-// it is by one delivery.
+// Heard takes over what another host has seen itself. The age was measured when the
+// message left, so the time it was under way makes the estimate younger than it is by
+// one delivery. An age that was heard must not be passed on: it would lose a delivery
+// at each host, and in circles never grow old.
 func (f *Freshness) Heard(age int64) {
 	if age > 0 {
 		f.note(f.Clock.Now().Add(-time.Duration(age)))
@@ -37,14 +43,19 @@
 }
 
 // Age returns the time since the last sign of life plus one nanosecond, zero
-// when there was none: the form in which heartbeats carry it.
+// when there was none.
 func (f *Freshness) Age() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.heard.IsZero() {
-		return 0
-	}
-	return int64(f.Clock.Since(f.heard)) + 1
+	return f.since(f.heard)
+}
+
+// Own returns the age of what reached this host itself, in the form of Age. It is
+// what heartbeats carry.
+func (f *Freshness) Own() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.since(f.seen)
 }
 
 // Left returns for how much longer the last sign of life is younger than limit,
@@ -68,6 +79,13 @@
 	return a == 0 || time.Duration(a) > l
 }
 
+func (f *Freshness) since(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return int64(f.Clock.Since(t)) + 1
+}
+
 func (f *Freshness) note(t time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/host/steering.go
+++ b/host/steering.go
@@ -180,7 +180,7 @@
 		v.Hash = accepted.Short(v.Hash)
 		h.Versions = append(h.Versions, v)
 	}
-	h.KeyAgeNanoseconds = x.steering.freshness.Age()
+	h.KeyAgeNanoseconds = x.steering.freshness.Own()
 	x.steering.meter.Fill(h)
 	x.steering.failover.Each(func(service, region string, points int) {
 		h.Evacuations = append(h.Evacuations, &wire.Evacuation{Service: service, Region: region, PartsPerMillion: uint32(points)})
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -102,7 +102,7 @@
 			if j == i || f.apart {
 				continue
 			}
-			f.fresh[j].Heard(f.fresh[i].Age())
+			f.fresh[j].Heard(f.fresh[i].Own())
 			if m.Wants(f.mirrors[i].Version()) {
 				_, b, err := f.mirrors[i].Content()
 				if err == nil {
--- a/separation/world_test.go
+++ b/separation/world_test.go
@@ -217,7 +217,7 @@
 	m := n.self
 	return &wire.Heartbeat{
 		From:     &wire.Host{Name: m.Name, Domain: m.Domain, Region: m.Region, PeerAddress: m.PeerAddress},
-		Versions: []*wire.Version{n.follower.Replica().Digest(), n.plans.Replica().Digest()}, KeyAgeNanoseconds: n.freshness.Age(),
+		Versions: []*wire.Version{n.follower.Replica().Digest(), n.plans.Replica().Digest()}, KeyAgeNanoseconds: n.freshness.Own(),
 	}
 }
 
