Store: a slow store is heard

Cause: since each call to a store in doubt ended after a third of the contact time, and the next one asked anew: an answer that takes longer never came through, at any host.

A call now stays open four times as long, while the next ones are made beside it at the same pace. What a silence has lost is found out as fast as before, and no call is added.

Evidence: TestASlowStoreIsHeard fails without the change.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -236,6 +236,7 @@
 //
 //	configuration VERSION KEY...   the operator writes a version with these keys
 //	silent [HOST...], answers [HOST...]   the store to these hosts, or to all
+//	slow DURATION                  each answer of the store takes that long
 //	works KEY, fails KEY           at all hosts
 //	never TEXT                     no host has logged it
 func (w *world) run(command string, a []string) (string, error) {
@@ -249,6 +250,11 @@
 	case "silent", "answers":
 		w.config.Mute(command == "silent", h...)
 		w.backends.Mute(command == "silent", h...)
+	case "slow":
+		d, err := time.ParseDuration(a[0])
+		w.config.Slow(d)
+		w.backends.Slow(d)
+		return "", err
 	case "configuration":
 		return "", w.configure(a)
 	case "works", "fails":
@@ -401,3 +407,7 @@
 // A store that answers is asked again by all hosts after each change, since the answers
 // of the watchers come further apart than hosts trust them for.
 func TestNoDoubtOfAStoreThatAnswers(t *testing.T) { plays(t, "changes") }
+
+// Hosts whose calls end before a slow store answers never hear of a change, and one
+// that starts has no configuration, although the store answers every call.
+func TestASlowStoreIsHeard(t *testing.T) { plays(t, "slow") }
--- a/feedstandin/feedstandin.go
+++ b/feedstandin/feedstandin.go
@@ -23,6 +23,7 @@
 	changed chan struct{}
 	mute    map[string]bool // callers whose calls are lost now
 	epoch   map[string]int  // counts their silences
+	slow    time.Duration   // how long each answer takes
 }
 
 // New returns an empty table.
@@ -40,6 +41,13 @@
 	}
 }
 
+// Slow makes each answer take d.
+func (s *Feedstandin) Slow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
 // Put writes a row and returns the table's new version.
 func (s *Feedstandin) Put(key string, value []byte) uint64 {
 	s.mu.Lock()
@@ -64,7 +72,7 @@
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
 		case len(l) > 0 || last:
-			return l, v, nil
+			return l, v, s.delay(ctx)
 		}
 		select {
 		case <-c:
@@ -76,6 +84,18 @@
 	}
 }
 
+func (s *Feedstandin) delay(ctx context.Context) error {
+	s.mu.Lock()
+	d := s.slow
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.clock.After(d):
+		return nil
+	}
+}
+
 // since returns the changes after a version, the table's version, a channel that the
 // next change closes, and whether a call begun in epoch is lost.
 func (s *Feedstandin) since(caller string, epoch int, after uint64) (l []row.Row, v uint64, c <-chan struct{}, lost bool) {
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -23,47 +23,57 @@
 // fallen silent.
 var errDoubted = errors.New("the call that waits is in doubt")
 
-// step makes one call to the store, of the feed if the copy has a version to go on
-// from.
+// answer is what one call to the store brought.
+type answer struct {
+	rows    []row.Row
+	version uint64
+	whole   bool // rows are the whole table, not changes
+	err     error
+}
+
+// step makes one call to the store, or several if the store is in doubt.
 func (m *Mirror) step(ctx context.Context) error {
-	m.mu.Lock()
-	n := m.seen
-	m.mu.Unlock()
-	if n == 0 {
-		return m.read(ctx)
-	}
-	r, v, err := m.ask(ctx, n)
-	if errors.Is(err, ErrHistoryLost) {
-		m.Log.Info("history lost, reading all", "Table", m.Name, "Version", n)
-		return m.read(ctx)
+	a := m.ask(ctx)
+	if errors.Is(a.err, ErrHistoryLost) {
+		m.mu.Lock()
+		m.reread = true
+		m.Log.Info("history lost, reading all", "Table", m.Name, "Version", m.seen)
+		m.mu.Unlock()
+		a = m.ask(ctx)
 	}
-	if err != nil {
-		return err
+	if a.err != nil {
+		return a.err
 	}
 	m.open()
-	m.apply(r, v)
+	if a.whole {
+		m.replace(a.rows, a.version, m.changedBy(a.rows, a.version), 0)
+	} else {
+		m.apply(a.rows, a.version)
+	}
 	return nil
 }
 
-// ask makes one call of the feed. While the store is in doubt it does not wait: an
+// ask waits for the next change. While the store is in doubt it does not wait: an
 // answer at once shows that the store is back, and what was missed.
-func (m *Mirror) ask(ctx context.Context, after uint64) ([]row.Row, uint64, error) {
+func (m *Mirror) ask(ctx context.Context) answer {
 	m.mu.Lock()
-	d := m.failing || m.doubted
+	d := m.failing || m.doubted || m.reread || m.seen == 0
 	m.doubted = false
+	n := m.seen
 	m.mu.Unlock()
 	if d {
-		x, f := deadline.With(ctx, m.Clock, m.Reply)
-		defer f()
-		return m.Feed(x, after, 0)
+		return m.probe(ctx)
 	}
 	w := m.Wait()
 	x, f := deadline.With(ctx, m.Clock, w+slack)
 	defer f()
+	var a answer
 	if m.Store == nil {
-		return m.Feed(x, after, w)
+		a.rows, a.version, a.err = m.Feed(x, n, w)
+	} else {
+		a.rows, a.version, a.err = m.await(x, n, w)
 	}
-	return m.await(x, after, w)
+	return a
 }
 
 // await makes a call that waits, and gives it up when it is in doubt.
@@ -123,15 +133,3 @@
 		return true
 	}
 }
-
-func (m *Mirror) read(ctx context.Context) error {
-	x, f := deadline.With(ctx, m.Clock, m.Reply)
-	defer f()
-	r, v, err := m.Read(x)
-	if err != nil {
-		return err
-	}
-	m.open()
-	m.replace(r, v, m.changedBy(r, v), 0)
-	return nil
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -55,7 +55,8 @@
 	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
 	// Wait returns the longest wait of one call of Feed.
 	Wait func() time.Duration
-	// Reply bounds a call that does not wait, and a read of the whole table.
+	// Reply is how long a call that does not wait, or a read of the whole table, may
+	// take before the next one is made beside it.
 	Reply time.Duration
 	// Store tells when the store last answered any host that follows this table. A
 	// call that waits may have fallen silent with the store, and nothing but time
@@ -80,6 +81,7 @@
 	lagging  time.Time // since when another host is known to have more
 	failing  bool
 	doubted  bool      // the call that waited was given up
+	reread   bool      // the feed can't go on from the copy
 	doubtful time.Time // until when rows may be missing
 	hints    chan struct{}
 }
@@ -247,6 +249,7 @@
 		return
 	}
 	m.seen, m.changed = seen, changed
+	m.reread = false
 	m.lagging = time.Time{}
 	c := make(map[string]row.Row, len(l))
 	for _, r := range l {
--- /dev/null
+++ b/mirror/probe.go
@@ -0,0 +1,68 @@
+package mirror
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/deadline"
+)
+
+// lateReplies is how many times longer than Reply a call stays open. A slow store then
+// answers it, while newer calls find out whether it was lost in a silence.
+const lateReplies = 4
+
+var errLate = errors.New("no answer in time")
+
+// probe makes calls that do not wait, the next one whenever the last has taken Reply
+// and a pause, and returns what the first of them brings.
+func (m *Mirror) probe(ctx context.Context) answer {
+	x, f := context.WithCancel(ctx)
+	c := make(chan answer)
+	open := 0
+	defer func() {
+		f()
+		for ; open > 0; open-- {
+			<-c
+		}
+	}()
+	for p := firstPause; ; p = min(2*p, lastPause) {
+		open++
+		go func() { c <- m.call(x) }()
+		n := m.Clock.After(m.Reply + p)
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return answer{err: ctx.Err()}
+			case <-n:
+				waiting = false
+			case a := <-c:
+				open--
+				if !errors.Is(a.err, errLate) {
+					return a
+				}
+			}
+		}
+		m.fail(errLate)
+	}
+}
+
+// call makes one call that does not wait, for changes if the feed can go on from the
+// copy, else for the whole table.
+func (m *Mirror) call(ctx context.Context) answer {
+	m.mu.Lock()
+	n := m.seen
+	a := answer{whole: n == 0 || m.reread}
+	m.mu.Unlock()
+	x, f := deadline.With(ctx, m.Clock, lateReplies*m.Reply)
+	defer f()
+	if a.whole {
+		a.rows, a.version, a.err = m.Read(x)
+	} else {
+		a.rows, a.version, a.err = m.Feed(x, n, 0)
+	}
+	if a.err != nil && deadline.Exceeded(x) {
+		a.err = errLate
+	}
+	return a
+}
