Store: an empty store is read with pauses

A store in which nothing was ever written has version zero, from which the feed can't go on; the copy then read the whole table again at once, for as long as that lasted. Seen when the hosts of package edge's tests started on an empty table (the play never ended). TestAnEmptyStoreIsReadWithPauses fails before.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -122,10 +122,16 @@
 }
 
 // gather is the pause before the next call: changes come in series, and one call
-// then brings several.
+// then brings several. A store in which nothing was ever written has no version from
+// which a call could wait.
 func (m *Mirror) gather(before uint64) time.Duration {
-	if m.Version() != before {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.changed != before:
 		return gatherFor
+	case m.seen == 0:
+		return firstPause
 	}
 	return 0
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -125,3 +125,28 @@
 	f()
 	must.NoError(t, <-d)
 }
+
+// Hosts that start before anything was written read the store without a pause.
+func TestAnEmptyStoreIsReadWithPauses(t *testing.T) {
+	synctest.Test(t, testAnEmptyStoreIsReadWithPauses)
+}
+
+func testAnEmptyStoreIsReadWithPauses(t *testing.T) {
+	reads := 0
+	m := &mirror.Mirror{
+		Clock: clockwork.NewFakeClock(), Log: log.New(io.Discard), Name: "Config", Wait: hour, Reply: time.Minute, Changed: func(map[string]row.Row, time.Time) {},
+		Read: func(ctx context.Context) ([]row.Row, uint64, error) {
+			if reads++; reads > 1 {
+				<-ctx.Done()
+			}
+			return nil, 0, ctx.Err()
+		},
+	}
+	ctx, f := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	go func() { d <- m.Run(ctx) }()
+	synctest.Wait()
+	must.EqOp(t, 1, reads)
+	f()
+	must.NoError(t, <-d)
+}
