Metrics: a host tells its version and the ages of the store's last answers

An on-call engineer could not see from outside whether a host on the users' platform hears the store. ConfigVersion, StoreAge.Config and StoreAge.Backends tell it. Ages are taken when the metrics are read; the last host of a process is the one that is shown, for Latency too.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -192,6 +192,7 @@
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
+	e.publish()
 	g.Counted = (&counter.Counter{Prefix: "Requests."}).Add
 }
 
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -239,6 +239,7 @@
 //	slow DURATION                  each answer of the store takes that long
 //	works KEY, fails KEY           at all hosts
 //	never TEXT                     no host has logged it
+//	metric NAME REGEXP             what the metrics of the process show
 func (w *world) run(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -259,6 +260,8 @@
 		return "", w.configure(a)
 	case "works", "fails":
 		return w.expect(command == "works", a[0]), nil
+	case "metric":
+		return metric(a[0], a[1]), nil
 	case "never":
 		return w.logged(strings.Join(a, " ")), nil
 	default:
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"celeryreach.example/celeryreach/ingressbook"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/metric"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -54,6 +55,7 @@
 		if b := e.book.Load(); b == nil || c.Version > b.Config.Version {
 			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
 			e.book.Store(ingressbook.New(c))
+			metric.Metric{Name: gaugeConfig}.Set(float64(c.Version))
 			e.tokens.Set(c.Accounts)
 		}
 	}
--- a/host/metrics_test.go
+++ b/host/metrics_test.go
@@ -15,7 +15,7 @@
 )
 
 // The table of docs/metrics.md names exactly the metrics that the code
-// publishes: a counter for each outcome, and the gauges of this package.
+// publishes: a counter for each outcome, and the gauges of this package and of edge.
 func TestMetricsAreDocumented(t *testing.T) {
 	b, err := os.ReadFile("../docs/metrics.md")
 	must.NoError(t, err)
@@ -30,9 +30,11 @@
 			used = append(used, "Requests."+v)
 		}
 	}
-	for n, v := range constants(t, "metrics.go") {
-		if strings.HasPrefix(n, "gauge") {
-			used = append(used, v)
+	for _, f := range []string{"metrics.go", "../edge/metrics.go"} {
+		for n, v := range constants(t, f) {
+			if strings.HasPrefix(n, "gauge") {
+				used = append(used, v)
+			}
 		}
 	}
 	sort.Strings(used)
--- a/latency/latency.go
+++ b/latency/latency.go
@@ -2,11 +2,12 @@
 package latency
 
 import (
-	"expvar"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"celeryreach.example/celeryreach/metric"
 )
 
 const (
@@ -34,17 +35,9 @@
 	P50, P90, P99, Worst float64
 }
 
-// publishing keeps hosts that start in one process at the same moment from
-// publishing one name twice, at which expvar panics.
-var publishing sync.Mutex
-
-// Publish makes expvar show it, once in a process.
+// Publish makes expvar show it, in the place of one of the same name before.
 func (l *Latency) Publish() {
-	publishing.Lock()
-	defer publishing.Unlock()
-	if expvar.Get(l.Name) == nil {
-		expvar.Publish(l.Name, expvar.Func(l.summaries))
-	}
+	metric.Metric{Name: l.Name}.Follow(l.summaries)
 }
 
 // Observe counts one answered request.
--- /dev/null
+++ b/metric/metric_test.go
@@ -0,0 +1,22 @@
+package metric_test
+
+import (
+	"expvar"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/metric"
+)
+
+// A host that starts after another one in its process goes on showing that one's value.
+func TestFollow(t *testing.T) {
+	n := 1
+	m := metric.Metric{Name: t.Name()}
+	m.Follow(func() any { return n })
+	must.EqOp(t, "1", expvar.Get(t.Name()).String())
+	n = 2
+	must.EqOp(t, "2", expvar.Get(t.Name()).String())
+	m.Follow(func() any { return nil })
+	must.EqOp(t, "null", expvar.Get(t.Name()).String())
+}
