Refusals: the log tells a stale configuration from a lost, missing or late key

A request that the configuration refuses gets a line with the version, how long it has been in force on the host, and how long ago the store last answered; for a key also the version that withdrew it. A request without a key has a cause of its own. A host remembers the last 1,000 withdrawn keys by their hashes, which are never logged.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -189,6 +189,7 @@
 	e.Backends.Changed = func(m map[string]row.Row, doubt time.Time) { e.discovery.Backends(e.DecodeBackends(m), doubt) }
 	g := e.Gateway
 	g.Clock, g.Log, g.Book, g.Tokens, g.Placement = e.Clock, e.Log, e.book.Load, e.tokens, e.placement
+	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	Log *log.Logger
 	// Book returns the configuration in force, nil before the first.
 	Book func() *ingressbook.Ingressbook
+	// StoreAge returns how long ago the store last answered a host that this one
+	// hears on the configuration; ok is false if it never did.
+	StoreAge func() (d time.Duration, ok bool)
 	// Tokens hold the rates of client accounts.
 	Tokens *tokens.Tokens
 	// Placement chooses backend servers.
@@ -96,13 +99,14 @@
 func (g *Gateway) admit(ctx context.Context, b *ingressbook.Ingressbook, r *request.Request, path, key string) (*ingress.Ingress, outcome.Outcome) {
 	i := b.Route(r.Host, path)
 	if i == nil {
+		g.decided(b, r)
 		return nil, refuse(outcome.NoRoute, "no route has this path", 0)
 	}
 	var a *account.Account
 	if !i.Public && b.Keyed() {
 		a = b.Account(key)
 		if a == nil {
-			return i, refuse(outcome.KeyUnknown, "the key is not known", 0)
+			return i, g.unknown(b, r, key)
 		}
 		r.Account = a.Name
 		r.Credential = credential.Credential{Account: a.Name, Hash: credential.Hash(key)}
@@ -119,6 +123,39 @@
 	return i, outcome.Outcome{}
 }
 
+// unknown refuses a request whose key no client account holds.
+func (g *Gateway) unknown(b *ingressbook.Ingressbook, r *request.Request, key string) outcome.Outcome {
+	if key == "" {
+		g.decided(b, r)
+		return refuse(outcome.KeyUnknown, "the request has no key", 0)
+	}
+	g.decided(b, r, withdrawn(b, credential.Hash(key))...)
+	return refuse(outcome.KeyUnknown, "the key is not known", 0)
+}
+
+// decided notes the state of the configuration that refuses r.
+func (g *Gateway) decided(b *ingressbook.Ingressbook, r *request.Request, fields ...any) {
+	n := g.Clock.Now()
+	var a any = "never"
+	if d, ok := g.StoreAge(); ok {
+		a = d
+	}
+	if r.Trail == nil {
+		r.Trail = new(trail.Trail)
+	}
+	r.Trail.Add(n, "request refused by the configuration",
+		append([]any{"Version", b.Config.Version, "ConfigAge", n.Sub(b.Since), "StoreAge", a}, fields...)...)
+}
+
+// withdrawn returns the log fields that tell whether a key was withdrawn.
+func withdrawn(b *ingressbook.Ingressbook, hash string) []any {
+	v, ok := b.Withdrawn(hash)
+	if !ok {
+		return []any{"Withdrawn", false}
+	}
+	return []any{"Withdrawn", true, "WithdrawnBy", v}
+}
+
 // describe puts on r what the route and the account say of it.
 func (g *Gateway) describe(b *ingressbook.Ingressbook, r *request.Request, i *ingress.Ingress, a *account.Account) {
 	n := g.Clock.Now()
@@ -163,6 +200,10 @@
 	defer f()
 	g.Placement.Count(r)
 	o := g.Dispatch(x, r, w)
+	if o.Outcome == outcome.KeyUnknown {
+		b := g.Book()
+		g.decided(b, r, withdrawn(b, r.Credential.Hash)...)
+	}
 	if o.Ran == outcome.RanNo && r.Account != "" {
 		g.Tokens.Return(r.Account)
 	}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,155 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/config"
+	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/gateway"
+	"celeryreach.example/celeryreach/ingress"
+	"celeryreach.example/celeryreach/ingressbook"
+	"celeryreach.example/celeryreach/latency"
+	"celeryreach.example/celeryreach/logbuffer"
+	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/placement"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/scripttest"
+	"celeryreach.example/celeryreach/tokens"
+)
+
+// world is a host that has a configuration and no backend servers.
+type world struct {
+	clock     *clockwork.FakeClock
+	gateway   *gateway.Gateway
+	book      *ingressbook.Ingressbook
+	store     *freshness.Freshness
+	log       *logbuffer.Logbuffer
+	meanwhile func() // happens while a request waits
+}
+
+// The scripts tell what the log says of refused requests.
+//
+//	configuration VERSION KEY...  comes into force, with these keys and the route /listings/
+//	many VERSION N                the same, with the keys key-1 to key-N
+//	answers                       the store answers some host
+//	pass DURATION                 time goes on
+//	meanwhile VERSION KEY...      a configuration that comes while the next request waits
+//	call ID PATH [KEY]            prints the outcome and the request's lines
+func TestGateway(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Values["world"] = newWorld()
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"configuration": configuration, "many": many, "answers": answers, "pass": pass, "meanwhile": meanwhile, "call": call,
+		},
+	})
+}
+
+func newWorld() *world {
+	c := clockwork.NewFakeClock()
+	w := &world{clock: c, store: &freshness.Freshness{Clock: c}, log: new(logbuffer.Logbuffer), meanwhile: func() {}}
+	w.gateway = &gateway.Gateway{
+		Clock: c, Log: log.NewWithOptions(w.log, log.Options{Formatter: log.LogfmtFormatter}),
+		Book: func() *ingressbook.Ingressbook { return w.book },
+		StoreAge: func() (time.Duration, bool) {
+			a := w.store.Age()
+			return time.Duration(max(a-1, 0)), a > 0
+		},
+		Tokens: &tokens.Tokens{
+			Clock: c, Self: "a", Hosts: func() []string { return []string{"a"} },
+			Ask: func(string, int64, int64, []string) bool { return false },
+		},
+		Placement: &placement.Placement{Clock: c}, Latency: new(latency.Latency), Counted: func(string) {},
+		Dispatch: w.dispatch,
+	}
+	return w
+}
+
+// dispatch asks after the wait whether the key still works.
+func (w *world) dispatch(_ context.Context, r *request.Request, _ http.ResponseWriter) outcome.Outcome {
+	w.meanwhile()
+	if !w.gateway.Valid(r.Credential) {
+		return outcome.Outcome{Outcome: outcome.KeyUnknown, Ran: outcome.RanNo, Message: "the key was withdrawn"}
+	}
+	return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
+}
+
+func (w *world) configure(version int, keys []string) {
+	c := &config.Config{
+		Version: uint64(version), Accounts: []account.Account{{Name: "unity", Rate: 100, Burst: 100}},
+		Routes: []ingress.Ingress{{Name: "view", Host: "camps.example", Prefix: "/listings/"}},
+	}
+	for _, k := range keys {
+		c.Keys = append(c.Keys, credential.Credential{Account: "unity", Hash: credential.Hash(k)})
+	}
+	w.book = ingressbook.New(c, w.book, w.clock.Now())
+	w.gateway.Tokens.Set(c.Accounts)
+}
+
+func on(s *testscript.TestScript) *world { return s.Value("world").(*world) }
+
+func number(s *testscript.TestScript, a string) int {
+	return scripttest.Scripttest{Script: s}.Number(a)
+}
+
+func configuration(s *testscript.TestScript, _ bool, a []string) {
+	on(s).configure(number(s, a[0]), a[1:])
+}
+
+func many(s *testscript.TestScript, _ bool, a []string) {
+	var l []string
+	for i := range number(s, a[1]) {
+		l = append(l, fmt.Sprint("key-", i+1))
+	}
+	on(s).configure(number(s, a[0]), l)
+}
+
+func answers(s *testscript.TestScript, _ bool, _ []string) { on(s).store.Seen() }
+
+func pass(s *testscript.TestScript, _ bool, a []string) {
+	on(s).clock.Advance(scripttest.Scripttest{Script: s}.Duration(a[0]))
+}
+
+func meanwhile(s *testscript.TestScript, _ bool, a []string) {
+	w, v := on(s), number(s, a[0])
+	w.meanwhile = func() {
+		w.configure(v, a[1:])
+		w.meanwhile = func() {}
+	}
+}
+
+func call(s *testscript.TestScript, _ bool, a []string) {
+	w := on(s)
+	r := &request.Request{ID: a[0], Host: "camps.example", Method: http.MethodGet, Deadline: w.clock.Now().Add(time.Minute)}
+	k := ""
+	if len(a) > 2 {
+		k = a[2]
+	}
+	o := w.gateway.Serve(context.Background(), r, a[1], k, httptest.NewRecorder())
+	_, err := fmt.Fprintln(s.Stdout(), o.Outcome)
+	s.Check(err)
+	for _, l := range strings.Split(w.log.String(), "\n") {
+		if strings.Contains(l, " Request="+a[0]+" ") {
+			_, err = fmt.Fprintln(s.Stdout(), l)
+			s.Check(err)
+		}
+		if k != "" && (strings.Contains(l, k) || strings.Contains(l, credential.Hash(k))) {
+			s.Fatalf("a key in the log: %s", l)
+		}
+	}
+}
--- a/ingressbook/ingressbook.go
+++ b/ingressbook/ingressbook.go
@@ -3,8 +3,10 @@
 package ingressbook
 
 import (
+	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/config"
@@ -13,23 +15,36 @@
 	"celeryreach.example/celeryreach/service"
 )
 
+// maxWithdrawn bounds the withdrawn keys that are remembered.
+const maxWithdrawn = 1000
+
 // Ingressbook is one version of the configuration, arranged for look-ups. It is
 // never changed after New, so that every decision on a request is taken from
 // one version.
 type Ingressbook struct {
 	// Config is the version that the look-ups answer from.
 	Config *config.Config
+	// Since is when this version came into force on this host.
+	Since time.Time
 
 	routes   map[string][]*ingress.Ingress
 	accounts map[string]*account.Account
 	keys     map[string]*account.Account
 	services map[string]*service.Service
+	// withdrawn are keys of versions before, the last withdrawn at the end.
+	withdrawn []withdrawal
+}
+
+type withdrawal struct {
+	hash    string
+	version uint64
 }
 
-// New arranges a configuration.
-func New(c *config.Config) *Ingressbook {
+// New arranges a configuration that comes into force in the place of the one
+// before, nil if it is the first.
+func New(c *config.Config, before *Ingressbook, since time.Time) *Ingressbook {
 	b := &Ingressbook{
-		Config: c, routes: make(map[string][]*ingress.Ingress), accounts: make(map[string]*account.Account),
+		Config: c, Since: since, routes: make(map[string][]*ingress.Ingress), accounts: make(map[string]*account.Account),
 		keys: make(map[string]*account.Account), services: make(map[string]*service.Service),
 	}
 	for i := range c.Routes {
@@ -50,9 +65,28 @@
 	for i := range c.Services {
 		b.services[c.Services[i].Name] = &c.Services[i]
 	}
+	if before != nil {
+		b.withdrawn = b.withdraw(before)
+	}
 	return b
 }
 
+// withdraw returns the keys that this version or one before took away.
+func (b *Ingressbook) withdraw(before *Ingressbook) []withdrawal {
+	var l []withdrawal
+	for _, w := range before.withdrawn {
+		if !b.Holds(w.hash) {
+			l = append(l, w)
+		}
+	}
+	for _, k := range before.Config.Keys {
+		if before.Holds(k.Hash) && !b.Holds(k.Hash) {
+			l = append(l, withdrawal{hash: k.Hash, version: b.Config.Version})
+		}
+	}
+	return slices.Clone(l[max(len(l)-maxWithdrawn, 0):])
+}
+
 // Route returns the route with the longest prefix that begins the path, nil if
 // there is none.
 func (b *Ingressbook) Route(host, path string) *ingress.Ingress {
@@ -74,6 +108,17 @@
 	return b.keys[hash] != nil
 }
 
+// Withdrawn returns the version that withdrew the key with this hash. It knows the
+// last keys only, and those only that a version on this host had.
+func (b *Ingressbook) Withdrawn(hash string) (version uint64, ok bool) {
+	for _, w := range b.withdrawn {
+		if w.hash == hash {
+			return w.version, true
+		}
+	}
+	return 0, false
+}
+
 // Service returns a service by name, nil if there is none.
 func (b *Ingressbook) Service(name string) *service.Service {
 	return b.services[name]
