--- a/explain/explain.go
+++ b/explain/explain.go
@@ -39,6 +39,7 @@
 	"configuration in force":       "",
 	"store lost":                   "",
 	"store regained":               "",
+	"store asked again":            "",
 	"copy taken from another host": "",
 	"host started":                 "",
 	"host leaves":                  "",
