--- a/feedstandin/feedstandin.go
+++ b/feedstandin/feedstandin.go
@@ -65,19 +65,19 @@
 	e := s.epoch[caller]
 	s.mu.Unlock()
 	t := s.clock.After(wait)
-	for last := false; ; {
-		l, v, c, lost := s.since(caller, e, after)
+	for o := false; ; {
+		l, v, c, ok := s.since(caller, e, after)
 		switch {
-		case lost:
+		case !ok:
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
-		case len(l) > 0 || last:
+		case len(l) > 0 || o:
 			return l, v, s.delay(ctx)
 		}
 		select {
 		case <-c:
 		case <-t:
-			last = true
+			o = true
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		}
@@ -97,8 +97,8 @@
 }
 
 // since returns the changes after a version, the table's version, a channel that the
-// next change closes, and whether a call begun in epoch is lost.
-func (s *Feedstandin) since(caller string, epoch int, after uint64) (l []row.Row, v uint64, c <-chan struct{}, lost bool) {
+// next change closes, and whether a call begun in epoch can be answered.
+func (s *Feedstandin) since(caller string, epoch int, after uint64) (l []row.Row, v uint64, c <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.rows {
@@ -106,5 +106,5 @@
 			l = append(l, r)
 		}
 	}
-	return l, s.version, s.changed, s.mute[caller] || s.epoch[caller] != epoch
+	return l, s.version, s.changed, !s.mute[caller] && s.epoch[caller] == epoch
 }
--- a/mirror/probe.go
+++ b/mirror/probe.go
@@ -19,31 +19,32 @@
 func (m *Mirror) probe(ctx context.Context) answer {
 	x, f := context.WithCancel(ctx)
 	c := make(chan answer)
-	open := 0
+	o := 0 // calls that are open
 	defer func() {
 		f()
-		for ; open > 0; open-- {
+		for ; o > 0; o-- {
 			<-c
 		}
 	}()
-	for p := firstPause; ; p = min(2*p, lastPause) {
-		open++
-		go func() { c <- m.call(x) }()
-		n := m.Clock.After(m.Reply + p)
-		for waiting := true; waiting; {
-			select {
-			case <-ctx.Done():
-				return answer{err: ctx.Err()}
-			case <-n:
-				waiting = false
-			case a := <-c:
-				open--
-				if !errors.Is(a.err, errLate) {
-					return a
-				}
+	t := m.Clock.After(0)
+	for p := firstPause; ; {
+		select {
+		case <-ctx.Done():
+			return answer{err: ctx.Err()}
+		case a := <-c:
+			o--
+			if !errors.Is(a.err, errLate) {
+				return a
 			}
+		case <-t:
+			if o > 0 {
+				m.fail(errLate)
+			}
+			o++
+			go func() { c <- m.call(x) }()
+			t = m.Clock.After(m.Reply + p)
+			p = min(2*p, lastPause)
 		}
-		m.fail(errLate)
 	}
 }
 
