Store: a call after a doubt goes on a new connection

What callers could see: when all connections go silent at once, also those to the store, changes that follow were in force up to a second and more later than needed.

Cause: the call that a host makes after a doubt took a kept connection, which had gone silent as well, and its loss showed after a third of the contact time.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -53,6 +53,9 @@
 	// those that are gone, and the version up to which it looked. It waits for
 	// the first change, but no longer than wait. ErrHistoryLost asks for Read.
 	Feed func(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error)
+	// Renew closes the connections to the store that are kept and not in use: when a
+	// call falls silent, they may have too. Nil keeps them.
+	Renew func()
 	// Wait returns the longest wait of one call of Feed.
 	Wait func() time.Duration
 	// Reply is how long a call that does not wait, or a read of the whole table, may
--- a/mirror/probe.go
+++ b/mirror/probe.go
@@ -41,6 +41,9 @@
 				m.fail(errLate)
 			}
 			o++
+			if m.Renew != nil {
+				m.Renew()
+			}
 			go func() { c <- m.call(x) }()
 			t = m.Clock.After(m.Reply + p)
 			p = min(2*p, lastPause)
