--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +35,7 @@
 )
 
 const (
+	// feedWait is the longest wait of a call of the feed.
 	feedWait = 10 * time.Second
 	// shifts is how many plays of a script are spread over one wait of a call.
 	shifts = 8
@@ -47,137 +47,6 @@
 // wall is the time of the bubble in which a test runs.
 var wall = clockwork.NewRealClock()
 
-// network connects hosts without sockets, which virtual time does not wait for.
-type network struct {
-	way time.Duration // one way between regions
-
-	mu        sync.Mutex
-	listeners map[string]*listener
-	conns     []net.Conn
-}
-
-type listener struct {
-	region string
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (n *network) listen(address, region string) *listener {
-	l := &listener{region: region, conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.listeners[address] = l
-	return l
-}
-
-// dial opens a connection from a region.
-func (n *network) dial(ctx context.Context, region, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, errors.Errorf("nobody listens at %s", address)
-	}
-	d := time.Duration(0)
-	if l.region != region {
-		d = n.way
-	}
-	a, b := net.Pipe()
-	x, y := delay(a, d), delay(b, d)
-	n.mu.Lock()
-	n.conns = append(n.conns, x, y)
-	n.mu.Unlock()
-	select {
-	case l.conns <- y:
-		return x, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// close ends what hosts have left open, as the end of their processes would.
-func (n *network) close() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range n.conns {
-		_ = c.Close()
-	}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return nil }
-
-// delayed is a connection whose bytes are under way for a while.
-type delayed struct {
-	net.Conn
-	way  time.Duration
-	sent chan segment
-	end  chan struct{}
-	once sync.Once
-}
-
-type segment struct {
-	due   time.Time
-	bytes []byte
-}
-
-func delay(c net.Conn, way time.Duration) net.Conn {
-	if way == 0 {
-		return c
-	}
-	d := &delayed{Conn: c, way: way, sent: make(chan segment, 1024), end: make(chan struct{})}
-	go d.carry()
-	return d
-}
-
-func (d *delayed) carry() {
-	for {
-		select {
-		case <-d.end:
-			return
-		case s := <-d.sent:
-			select {
-			case <-d.end:
-				return
-			case <-wall.After(s.due.Sub(wall.Now())):
-			}
-			if _, err := d.Conn.Write(s.bytes); err != nil {
-				return // the reader has closed
-			}
-		}
-	}
-}
-
-func (d *delayed) Write(b []byte) (int, error) {
-	select {
-	case <-d.end:
-		return 0, net.ErrClosed
-	case d.sent <- segment{due: wall.Now().Add(d.way), bytes: slices.Clone(b)}:
-		return len(b), nil
-	}
-}
-
-func (d *delayed) Close() error {
-	d.once.Do(func() { close(d.end) })
-	return d.Conn.Close()
-}
-
 // world is a deployment in one process: the store's tables and the hosts.
 type world struct {
 	config, backends *feedstandin.Feedstandin
@@ -234,12 +103,12 @@
 
 // run plays one line, and returns what is wrong.
 //
-//	configuration VERSION KEY...   the operator writes a version with these keys
-//	silent [HOST...], answers [HOST...]   the store to these hosts, or to all
-//	slow DURATION                  each answer of the store takes that long
-//	works KEY, fails KEY           at all hosts
-//	never TEXT                     no host has logged it
-//	metric NAME REGEXP             what the metrics of the process show
+//	configuration VERSION KEY...        the operator writes a version with these keys
+//	silent [HOST...], answers [HOST...] the store to these hosts, or to all
+//	slow DURATION                       each answer of the store takes that long
+//	works KEY, fails KEY                at all hosts
+//	never TEXT                          no host has logged it
+//	metric NAME REGEXP                  what the metrics of the process show
 func (w *world) run(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -329,8 +198,11 @@
 	return l
 }
 
-// begin plays the lines before time starts: the deployment and its hosts. It returns
-// the others.
+// begin plays the lines before time starts, and returns the others. Beside those of run:
+//
+//	contact DURATION            the bound of the same name
+//	way DURATION                one way between regions
+//	host NAME DOMAIN REGION     the store stands in the first one's region
 func (w *world) begin(t *testing.T, l []line) []line {
 	for l[0].at == 0 {
 		a := l[0].word
