Edge: limits that backend servers name are logged and counted

What on-call saw: nothing. No log line and no metric told that a host had been given a limit (Server-Limit), when, or whether hosts differ, so that the hypotheses of docs/incidents/limits-of-backend-servers.md could not be told apart.

Each host now logs a limit that is named, withdrawn or changed by a tenth, and each other value once ('backend server limited', 'limit withdrawn', 'limit ignored'), and has two gauges. An answer without the header withdraws the limit only if its request ran. What holds no finite number of at least zero is ignored, logged and counted. Nothing heeds the limit yet.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/borrower"
 	"celeryreach.example/celeryreach/budget"
 	"celeryreach.example/celeryreach/child"
@@ -85,6 +87,9 @@
 	Listed   func(ctx context.Context) ([]member.Member, error)
 	// Upstream reaches backend servers.
 	Upstream *upstream.Upstream
+	// Limit returns the values of the header in which a backend server names how many
+	// requests a second it takes from all hosts together.
+	Limit func(h http.Header) []string
 	// Gateway serves requests. Its Load is set before Run, the rest by Edge.
 	Gateway *gateway.Gateway
 	// Contact is how long after the end of a trouble a host must again know what
@@ -104,6 +109,7 @@
 	client     *peerclient.Peerclient
 	tokens     *tokens.Tokens
 	placement  *placement.Placement
+	limits     *backendlimit.Backendlimit
 	discovery  *discovery.Discovery
 	borrower   *borrower.Borrower
 	copier     *copier.Copier
@@ -174,6 +180,10 @@
 	e.borrower.Log, e.borrower.Borrow, e.borrower.Bring = e.Log, e.client.Borrow, e.client.Lend
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.hosts, Ask: e.borrower.Ask, Lend: e.borrower.Lend}
 	e.borrower.Received, e.borrower.Asked = e.tokens.Receive, e.tokens.Asked
+	e.limits = &backendlimit.Backendlimit{Clock: e.Clock, Log: e.Log}
+	e.Upstream.Heard = func(b backend.Backend, sent time.Time, h http.Header, ran bool) {
+		e.limits.Answered(b, sent, e.Limit(h), ran)
+	}
 	e.placement = &placement.Placement{
 		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, Far: far, Rate: e.rate,
 		Pace: &coldpace.Coldpace{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -12,12 +12,17 @@
 	gaugeConfig        = "ConfigVersion"
 	gaugeConfigStore   = "StoreAge.Config"
 	gaugeBackendsStore = "StoreAge.Backends"
+	gaugeLimited       = "BackendLimits.Limited"
+	gaugeIgnored       = "BackendLimits.Ignored"
 )
 
-// publish makes the metrics show the ages of the store's last answers.
+// publish makes the metrics show the ages of the store's last answers, and the limits
+// of backend servers.
 func (e *Edge) publish() {
 	metric.Metric{Name: gaugeConfigStore}.Follow(seconds(e.Config))
 	metric.Metric{Name: gaugeBackendsStore}.Follow(seconds(e.Backends))
+	metric.Metric{Name: gaugeLimited}.Follow(func() any { return e.limits.Limited() })
+	metric.Metric{Name: gaugeIgnored}.Follow(func() any { return e.limits.Ignored() })
 }
 
 // seconds returns the age of the store's last answer on a table, nil before the
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -59,6 +59,12 @@
 	Verdict func(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error)
 	// Keep sends non-idempotent requests on kept connections too.
 	Keep bool
+	// Dial opens a connection to a backend server; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Heard is told the header of each answer that is proven to be from b, and when
+	// its request went out. Ran is false if b refused the request unrun. Nil means
+	// that nobody is told.
+	Heard func(b backend.Backend, sent time.Time, h http.Header, ran bool)
 
 	reused http.Transport
 	fresh  http.Transport
@@ -106,12 +112,16 @@
 	if fresh || r.NonIdempotent && !u.Keep {
 		t = &u.fresh
 	}
+	s := u.Clock.Now()
 	p, err = t.RoundTrip(q)
 	if err != nil {
 		y.seal()
 		return nil, o || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.judge(p, r, b)
+	if u.Heard != nil && (err == nil || errors.Is(err, ErrNotRun)) {
+		u.Heard(b, s, p.Header, ran)
+	}
 	if err != nil {
 		p.Body.Close()
 		return nil, ran, err
@@ -177,6 +187,13 @@
 }
 
 func (u *Upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if u.Dial != nil {
+		c, err := u.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &sealconn.Sealconn{Conn: c}, nil
+	}
 	d := net.Dialer{Timeout: u.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	}}
