Tests, failing: limits of backend servers, over all hosts that were told

Eight scripts, three loads each: one limited backend server; a limit that falls, rises and comes back; zero; values that are none; second tries; connections that break and are used again; 42 hosts; a whole service. Upstream has a seam to dial through the test's network.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -20,7 +20,6 @@
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/account"
-	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/credential"
@@ -31,7 +30,6 @@
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/mirror"
 	"celeryreach.example/celeryreach/row"
-	"celeryreach.example/celeryreach/upstream"
 )
 
 const (
@@ -55,6 +53,10 @@
 	hosts            map[string]*edge.Edge
 	log              *logbuffer.Logbuffer
 	members          []member.Member
+	servers          map[string]*server
+	seed             uint64 // of the callers
+	asked            int    // how many requests callers sent
+	quit             func() // ends the callers
 }
 
 func (w *world) host(name, domain, region string) *edge.Edge {
@@ -66,11 +68,11 @@
 		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, region, a) },
 		Config: w.mirror("Config", w.config, m, l), Backends: w.mirror("Backends", w.backends, m, l),
 		Decode:         decode,
-		DecodeBackends: func(map[string]row.Row) []backend.Backend { return nil },
+		DecodeBackends: decodeBackends,
 		Announce:       func(context.Context, member.Member) error { return nil },
 		Withdraw:       func(context.Context, member.Member) error { return nil },
 		Listed:         func(context.Context) ([]member.Member, error) { return w.members, nil },
-		Upstream:       upstream.New(wall, time.Second), Gateway: &gateway.Gateway{},
+		Upstream:       w.upstream(name, region), Limit: limitOf, Gateway: &gateway.Gateway{Load: noReport},
 		Contact: w.contact, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
 	}
 }
@@ -101,13 +103,13 @@
 	return &c, nil
 }
 
-// run plays one line, and returns what is wrong.
+// run plays one line, and returns what is wrong. Serve has those on backend servers.
 //
 //	configuration VERSION KEY...        the operator writes a version with these keys
 //	silent [HOST...], answers [HOST...] the store to these hosts, or to all
 //	slow DURATION                       each answer of the store takes that long
 //	works KEY, fails KEY                at all hosts
-//	never TEXT                          no host has logged it
+//	never TEXT, some TEXT               no host has logged it, one has
 //	metric NAME REGEXP                  what the metrics of the process show
 func (w *world) run(command string, a []string) (string, error) {
 	h := a
@@ -133,8 +135,12 @@
 		return metric(a[0], a[1]), nil
 	case "never":
 		return w.logged(strings.Join(a, " ")), nil
+	case "some":
+		if w.logged(strings.Join(a, " ")) == "" {
+			return "no host has logged it", nil
+		}
 	default:
-		return "", errors.Errorf("no such command: %s", command)
+		return w.serve(command, a)
 	}
 	return "", nil
 }
@@ -146,6 +152,7 @@
 		return errors.Wrap(err, "version")
 	}
 	c := config.Config{Version: v, Accounts: []account.Account{{Name: "unity", Rate: 100, Burst: 100}}}
+	withRoutes(&c)
 	for _, k := range a[1:] {
 		c.Keys = append(c.Keys, credential.Credential{Account: "unity", Hash: credential.Hash(k)})
 	}
@@ -224,8 +231,9 @@
 }
 
 // play runs a script, with what follows its start later by shift.
-func play(t *testing.T, script string, shift time.Duration) {
+func play(t *testing.T, script string, shift time.Duration, seed uint64) {
 	w := &world{
+		servers: make(map[string]*server), seed: seed, quit: func() {},
 		config: feedstandin.New(wall), backends: feedstandin.New(wall), hosts: make(map[string]*edge.Edge),
 		log: new(logbuffer.Logbuffer), network: &network{listeners: make(map[string]*listener)},
 	}
@@ -241,6 +249,7 @@
 		}()
 	}
 	defer func() { // also after a failure: a bubble lasts as long as its goroutines
+		w.endServers()
 		stop()
 		for range w.hosts {
 			test.NoError(t, <-done)
@@ -251,20 +260,31 @@
 		wall.Sleep(v.at + shift - wall.Since(begun))
 		wrong, err := w.run(v.word[0], v.word[1:])
 		must.NoError(t, err)
-		must.EqOp(t, "", wrong, must.Sprintf("%s, later by %s", v.text, shift))
+		must.EqOp(t, "", wrong, must.Sprintf("%s, later by %s, seed %d", v.text, shift, seed))
 	}
+	must.EqOp(t, "", w.excess(), must.Sprintf("at the end, seed %d", seed))
 }
 
 // plays runs a script with all that follows its start later by parts of one wait of a
 // call.
 func plays(t *testing.T, name string) {
+	bubbles(t, name, shifts, func(t *testing.T, script string, i int) { play(t, script, time.Duration(i)*feedWait/shifts, 0) })
+}
+
+// playsLoads runs a script with different callers.
+func playsLoads(t *testing.T, name string) {
+	bubbles(t, name, limitSeeds, func(t *testing.T, script string, i int) { play(t, script, 0, uint64(i)) })
+}
+
+// bubbles plays a script n times, each in virtual time of its own.
+func bubbles(t *testing.T, name string, n int, play func(t *testing.T, script string, i int)) {
 	// The race detector crashes when timers of a bubble fire on several processors.
-	n := runtime.GOMAXPROCS(1)
-	t.Cleanup(func() { runtime.GOMAXPROCS(n) })
+	c := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(c) })
 	b, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
 	must.NoError(t, err)
-	for i := range shifts {
-		synctest.Test(t, func(t *testing.T) { play(t, string(b), time.Duration(i)*feedWait/shifts) })
+	for i := range n {
+		synctest.Test(t, func(t *testing.T) { play(t, string(b), i) })
 	}
 }
 
