Edge: requests to a backend server in need stay within the limit that it names

What callers saw: nothing yet. Backend servers that had named a limit (Server-Limit) got two to four times as many requests, and went on to.

The class: a bound that only the backend server tells, over all hosts, which no host can count alone; cold backend servers and rates of accounts are the two others, and each had a division of its own.

Package backendlimit divides a limit between all known hosts as fixed parts, a token bucket each: hosts of the backend server's region first, as most requests come from there. With more hosts than requests some have no part. Hosts tell each other in heartbeats what backend servers told them themselves, never what they heard: passed on, an old word would seem young for ever. An answer withdraws or raises a limit only if its request went out after the one before came in; of answers that overlap the lower one holds. A limit of zero still gets a request every few seconds, or nobody would hear of its end. Placement takes a token where it takes a slot, so first and second tries alike, and what net/http repeats by itself is counted as well. A backend server without a token keeps its place, like a cold one.

A property test plays up to 60 hosts that hear nothing of each other with any limit and any callers.

--- a/backendlimit/backendlimit.go
+++ b/backendlimit/backendlimit.go
@@ -1,28 +1,61 @@
-// Package backendlimit knows how many requests a second backend servers take from
-// all hosts together, as they name it in their answers.
+// Package backendlimit holds the requests to backend servers in need to as many a
+// second as they take from all hosts together, by what they name in their answers.
 package backendlimit
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/member"
 )
 
-// Backendlimit keeps the limits that this host was told.
+const (
+	// divideEvery is how often the parts of a limit follow the list of hosts.
+	divideEvery = 500 * time.Millisecond
+	// forgetAfter is how long a limit is kept of which nothing is heard.
+	forgetAfter = 10 * time.Minute
+	// newsPause is between two calls of News: a limit may change with each answer.
+	newsPause = 100 * time.Millisecond
+)
+
+// Backendlimit keeps the limits of backend servers, as their answers to this host and
+// to others tell them, and this host's part of each. The parts are fixed, as nobody can
+// count all hosts' requests in time, and hosts that are cut off from each other must
+// not send more together than hosts that are not.
 type Backendlimit struct {
 	// Clock tells when an answer came.
 	Clock clockwork.Clock
 	// Log receives one line for each limit that is named, changed or withdrawn, and
 	// for each value that is none.
 	Log *log.Logger
+	// Self is the name of this host.
+	Self string
+	// Hosts returns all hosts that may send, this one included, or nobody before they
+	// are known.
+	Hosts func() []member.Member
+	// Far is how much a host of another region than the backend server's gets of a
+	// limit, relative to one of the same region.
+	Far float64
+	// Overage, Slack and Window make the bound of a limit: the hosts together send at
+	// most limit x Window x Overage + Slack requests in any Window.
+	Overage, Slack float64
+	Window         time.Duration
+	// News is called when other hosts should hear of a limit at once.
+	News func()
+
+	limited atomic.Int64 // backend servers that have a limit
 
 	mu      sync.Mutex
 	limits  map[key]*limit
 	ignored int
+	hurried time.Time
+	hosts   []member.Member
+	hostsAt time.Time
 }
 
 // key names one process of a backend server: one that starts anew has no limit.
@@ -31,52 +64,94 @@
 	started int64
 }
 
-// limit is what is known of one backend server.
-type limit struct {
-	perSecond float64
-	logged    float64 // the limit of the last line in the log
-	ignored   string  // the last value that was no limit
+func keyOf(b backend.Backend) key {
+	return key{name: b.Name, started: b.Started}
 }
 
-// Answered takes what an answer of a backend server has in the header of its limit.
-// An answer without a value withdraws the limit, if its request ran.
-func (l *Backendlimit) Answered(b backend.Backend, _ time.Time, values []string, ran bool) {
+// Answered takes what an answer of a backend server has in the header of its limit, and
+// when its request went out. An answer without a value withdraws the limit, if the
+// request ran.
+func (l *Backendlimit) Answered(b backend.Backend, sent time.Time, values []string, ran bool) {
+	if len(values) == 0 && !ran {
+		return
+	}
+	if l.answered(b, sent, values) {
+		l.News()
+	}
+}
+
+// answered reports whether other hosts should hear of it at once.
+func (l *Backendlimit) answered(b backend.Backend, sent time.Time, values []string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := key{name: b.Name, started: b.Started}
-	m := l.limits[k]
+	m := l.limits[keyOf(b)]
 	if m == nil && len(values) == 0 {
-		return
+		return false
 	}
 	if m == nil {
-		m = &limit{perSecond: none, logged: none}
-		if l.limits == nil {
-			l.limits = make(map[key]*limit)
-		}
-		l.limits[k] = m
+		m = l.add(keyOf(b))
 	}
 	p, ok := parse(values)
-	switch {
-	case !ok:
+	if !ok {
 		l.ignore(b, m, values)
-	case p == none && !ran:
-	default:
-		m.perSecond = p
-		l.tell(b, m)
+		return false
+	}
+	n := l.Clock.Now()
+	w := word{perSecond: p, asked: sent, answered: n}
+	if w.after(m.own) {
+		m.own = w
+	}
+	if !l.take(b.Name, m, w, "") || n.Sub(l.hurried) < newsPause {
+		return false
 	}
+	l.hurried = n
+	return true
 }
 
-// Limited returns how many backend servers have a limit now.
-func (l *Backendlimit) Limited() int {
+// Allow reports whether a backend server may get a request of this host now.
+func (l *Backendlimit) Allow(b backend.Backend) bool {
+	if l.limited.Load() == 0 {
+		return true
+	}
+	h, at := l.known()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for _, m := range l.limits {
-		if m.perSecond < none {
-			n++
-		}
+	l.hosts, l.hostsAt = h, at
+	m := l.limits[keyOf(b)]
+	if m == nil || m.word.perSecond == none {
+		return true
+	}
+	n := l.Clock.Now()
+	l.divide(b, m, n)
+	return m.allows(n)
+}
+
+// Spend counts a request that a backend server gets.
+func (l *Backendlimit) Spend(b backend.Backend) {
+	if l.limited.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := l.limits[keyOf(b)]; m != nil && m.word.perSecond < none {
+		m.spend(l.Clock.Now())
 	}
-	return n
+}
+
+// Until returns in which time a backend server may get a request of this host, as of
+// the last Allow.
+func (l *Backendlimit) Until(b backend.Backend) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := l.limits[keyOf(b)]; m != nil && m.word.perSecond < none {
+		return m.until(l.Clock.Now())
+	}
+	return 0
+}
+
+// Limited returns how many backend servers have a limit now.
+func (l *Backendlimit) Limited() int {
+	return int(l.limited.Load())
 }
 
 // Ignored returns how many answers had a value that is no limit.
@@ -85,3 +160,52 @@
 	defer l.mu.Unlock()
 	return l.ignored
 }
+
+// known returns the hosts, and when that was found out. It is called without the lock:
+// Hosts takes locks of its own.
+func (l *Backendlimit) known() ([]member.Member, time.Time) {
+	n := l.Clock.Now()
+	l.mu.Lock()
+	h, at := l.hosts, l.hostsAt
+	l.mu.Unlock()
+	if n.Sub(at) < divideEvery {
+		return h, at
+	}
+	return l.Hosts(), n
+}
+
+// add returns a new limit, and drops those of which nothing was heard for long.
+func (l *Backendlimit) add(k key) *limit {
+	if l.limits == nil {
+		l.limits = make(map[key]*limit)
+	}
+	for o, m := range l.limits {
+		if l.Clock.Since(m.word.answered) > forgetAfter {
+			l.count(m.word.perSecond, none)
+			delete(l.limits, o)
+		}
+	}
+	m := &limit{word: word{perSecond: none}, own: word{perSecond: none}, logged: none}
+	l.limits[k] = m
+	return m
+}
+
+// take believes a word if it is newer, and reports whether it changes much.
+func (l *Backendlimit) take(backend string, m *limit, w word, from string) bool {
+	if !w.after(m.word) {
+		return false
+	}
+	l.count(m.word.perSecond, w.perSecond)
+	m.believe(w)
+	return l.tell(backend, m, from)
+}
+
+// count keeps the number of backend servers with a limit when one changes.
+func (l *Backendlimit) count(before, now float64) {
+	switch {
+	case before == none && now < none:
+		l.limited.Add(1)
+	case before < none && now == none:
+		l.limited.Add(-1)
+	}
+}
--- a/backendlimit/log.go
+++ b/backendlimit/log.go
@@ -11,17 +11,23 @@
 // that follows the load changes with each answer.
 const loggedChange = 0.1
 
-// tell logs a limit that is named, withdrawn or changed.
-func (l *Backendlimit) tell(b backend.Backend, m *limit) {
-	if m.perSecond == m.logged || math.Abs(m.perSecond-m.logged) < loggedChange*m.logged {
-		return
+// tell logs a limit that is named, withdrawn or changed, and reports whether it did.
+func (l *Backendlimit) tell(backend string, m *limit, from string) bool {
+	p := m.word.perSecond
+	if p == m.logged || math.Abs(p-m.logged) < loggedChange*m.logged {
+		return false
+	}
+	f := []any{"Backend", backend, "Before", m.logged}
+	if from != "" {
+		f = append(f, "ToldBy", from)
 	}
-	if m.perSecond == none {
-		l.Log.Info("backend server limit withdrawn", "Backend", b.Name, "Service", b.Service, "Before", m.logged)
+	if p == none {
+		l.Log.Info("backend server limit withdrawn", f...)
 	} else {
-		l.Log.Warn("backend server limited", "Backend", b.Name, "Service", b.Service, "PerSecond", m.perSecond, "Before", m.logged)
+		l.Log.Warn("backend server limited", append(f, "PerSecond", p)...)
 	}
-	m.logged = m.perSecond
+	m.logged = p
+	return true
 }
 
 // ignore counts a value that is no limit. The same one again is not logged.
--- /dev/null
+++ b/backendlimit/part_test.go
@@ -0,0 +1,157 @@
+package backendlimit
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/member"
+)
+
+const (
+	overage = 1.5
+	slack   = 5.0
+	window  = 4 * time.Second
+	tick    = 20 * time.Millisecond
+)
+
+// fleet is hosts that were told the limit of one backend server, and their callers.
+type fleet struct {
+	clock   *clockwork.FakeClock
+	backend backend.Backend
+	hosts   []*Backendlimit
+	sent    []time.Time
+}
+
+func newFleet(hosts, regions int) *fleet {
+	f := &fleet{clock: clockwork.NewFakeClock(), backend: backend.Backend{Name: "c1", Region: "region-0"}}
+	var l []member.Member
+	for i := range hosts {
+		l = append(l, member.Member{Name: fmt.Sprint("host-", i), Region: fmt.Sprint("region-", i%regions)})
+	}
+	for _, m := range l {
+		f.hosts = append(f.hosts, &Backendlimit{
+			Clock: f.clock, Log: log.New(io.Discard), Self: m.Name, Hosts: func() []member.Member { return l },
+			Far: 0.15, Overage: overage, Slack: slack, Window: window, News: func() {},
+		})
+	}
+	return f
+}
+
+// name tells all hosts a limit.
+func (f *fleet) name(value string) {
+	for _, h := range f.hosts {
+		h.Answered(f.backend, f.clock.Now(), []string{value}, true)
+	}
+	f.clock.Advance(tick)
+}
+
+// ask lets a host send as many requests as it may.
+func (f *fleet) ask(h *Backendlimit) {
+	for h.Allow(f.backend) {
+		h.Spend(f.backend)
+		f.sent = append(f.sent, f.clock.Now())
+	}
+}
+
+// most returns the most requests that were sent in a window.
+func (f *fleet) most() int {
+	n, from := 0, 0
+	for i, t := range f.sent {
+		for t.Sub(f.sent[from]) >= window {
+			from++
+		}
+		n = max(n, i-from+1)
+	}
+	return n
+}
+
+// Hosts that do not hear each other send more together than a limit allows, whenever
+// their callers come.
+func TestSumOfParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.Float64Range(0, 40).Draw(t, "limit")
+		if rapid.Bool().Draw(t, "small") {
+			n = rapid.SampledFrom([]float64{0, 0.01, 0.25, 0.5, 1, 2}).Draw(t, "which")
+		}
+		f := newFleet(rapid.IntRange(1, 60).Draw(t, "hosts"), rapid.IntRange(1, 4).Draw(t, "regions"))
+		f.name(fmt.Sprint(n))
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			f.clock.Advance(time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "all") {
+				for _, h := range f.hosts {
+					f.ask(h)
+				}
+				continue
+			}
+			f.ask(f.hosts[rapid.IntRange(0, len(f.hosts)-1).Draw(t, "host")])
+		}
+		must.LessEq(t, overage*n*window.Seconds()+slack, float64(f.most()), must.Sprint(f.most()))
+	})
+}
+
+// A limit is left unused though callers of its region ask for more.
+func TestLimitIsUsed(t *testing.T) {
+	for _, v := range []struct {
+		hosts, regions int
+		limit, least   float64
+	}{{1, 1, 4.5, 0.95}, {11, 3, 4.5, 0.7}, {11, 3, 1, 0.7}, {80, 3, 3, 0.95}} {
+		f := newFleet(v.hosts, v.regions)
+		f.name(fmt.Sprint(v.limit))
+		for range 100 * time.Second / tick {
+			f.clock.Advance(tick)
+			for i, h := range f.hosts {
+				if i%v.regions == 0 {
+					f.ask(h)
+				}
+			}
+		}
+		u := float64(len(f.sent)) / 100 / v.limit
+		t.Logf("%d hosts in %d regions, limit %g: %.2f of it", v.hosts, v.regions, v.limit, u)
+		must.GreaterEq(t, v.least, u)
+	}
+}
+
+// A limit that wavers with the load leaves hosts without a token for ever.
+func TestWaveringLimit(t *testing.T) {
+	f := newFleet(4, 1)
+	for i := range 1000 {
+		f.name([]string{"4.5", "4.4", "4.6", "4.3"}[i%4])
+		f.clock.Advance(3 * tick)
+		for _, h := range f.hosts {
+			f.ask(h)
+		}
+	}
+	must.GreaterEq(t, 0.8*4.4*1000*4*tick.Seconds(), float64(len(f.sent)))
+}
+
+// A host without a part learns that a limit was withdrawn, though nobody tells it.
+func TestHostWithoutAPartAsks(t *testing.T) {
+	f := newFleet(12, 1)
+	f.name("0")
+	var l []*Backendlimit
+	for _, h := range f.hosts {
+		if f.ask(h); h.limits[keyOf(f.backend)].place >= h.limits[keyOf(f.backend)].holders {
+			l = append(l, h)
+		}
+	}
+	must.Positive(t, len(l))
+	asked := make(map[int]bool)
+	for range 150 {
+		f.clock.Advance(time.Second)
+		for i, h := range l {
+			n := len(f.sent)
+			if f.ask(h); len(f.sent) > n {
+				asked[i] = true
+			}
+		}
+	}
+	must.EqOp(t, len(l), len(asked))
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -97,6 +97,10 @@
 	Contact time.Duration
 	// ColdOverage and ColdSlack make the bound of a cold backend server's rate.
 	ColdOverage, ColdSlack float64
+	// LimitOverage, LimitSlack and LimitWindow make the bound of what a backend server
+	// with a limit gets.
+	LimitOverage, LimitSlack float64
+	LimitWindow              time.Duration
 	// RetryRatio and RetrySlack bound second tries over all hosts: so many for
 	// each first one, and so many besides at any time.
 	RetryRatio, RetrySlack float64
@@ -180,12 +184,9 @@
 	e.borrower.Log, e.borrower.Borrow, e.borrower.Bring = e.Log, e.client.Borrow, e.client.Lend
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.hosts, Ask: e.borrower.Ask, Lend: e.borrower.Lend}
 	e.borrower.Received, e.borrower.Asked = e.tokens.Receive, e.tokens.Asked
-	e.limits = &backendlimit.Backendlimit{Clock: e.Clock, Log: e.Log}
-	e.Upstream.Heard = func(b backend.Backend, sent time.Time, h http.Header, ran bool) {
-		e.limits.Answered(b, sent, e.Limit(h), ran)
-	}
+	e.limitBackends()
 	e.placement = &placement.Placement{
-		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, Far: far, Rate: e.rate,
+		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, Far: far, Rate: e.rate, Limit: e.limits,
 		Pace: &coldpace.Coldpace{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -74,6 +74,7 @@
 		Listed:         func(context.Context) ([]member.Member, error) { return w.members, nil },
 		Upstream:       w.upstream(name, region), Limit: limitOf, Gateway: &gateway.Gateway{Load: noReport},
 		Contact: w.contact, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
+		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow,
 	}
 }
 
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -1,11 +1,15 @@
 package edge
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/hedge"
+	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/whole"
 )
@@ -49,6 +53,26 @@
 	return max(budgetPart*e.RetrySlack/float64(max(len(e.membership.Known()), 1)), 1)
 }
 
+// members returns the hosts between which limits are divided.
+func (e *Edge) members() []member.Member {
+	if !e.listed.Load() {
+		return nil
+	}
+	return e.membership.Hosts()
+}
+
+// limitBackends holds what is sent to backend servers to the limits in their answers.
+func (e *Edge) limitBackends() {
+	e.limits = &backendlimit.Backendlimit{
+		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.members, Far: far,
+		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, News: e.membership.Hurry,
+	}
+	e.Upstream.Heard = func(b backend.Backend, sent time.Time, h http.Header, ran bool) {
+		e.limits.Answered(b, sent, e.Limit(h), ran)
+	}
+	e.Upstream.Repeated = e.limits.Spend
+}
+
 // rate is what a cold backend server of a service bears, and for how long it
 // is cold.
 func (e *Edge) rate(service string) (float64, time.Duration) {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -64,9 +64,11 @@
 
 func (e *Edge) compose(h *wire.Heartbeat) {
 	h.Versions = e.copier.Versions()
+	h.BackendLimits = e.limits.Tell()
 }
 
 func (e *Edge) heard(h *wire.Heartbeat, _ time.Time) {
+	e.limits.Hear(h.GetFrom().GetName(), h.GetBackendLimits())
 	if a := h.GetFrom().GetPeerAddress(); a != "" {
 		// Whoever hears of the other hosts from one of them knows enough to
 		// take its part of the limits.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -161,6 +162,19 @@
 	return r
 }
 
+// Hosts returns what is known of the hosts that Known names, ordered by name.
+func (m *Membership) Hosts() []member.Member {
+	k := m.Known()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := slices.DeleteFunc(append(m.everybody(), m.Self()), func(v member.Member) bool {
+		_, ok := slices.BinarySearch(k, v.Name)
+		return !ok
+	})
+	sort.Slice(l, func(i, j int) bool { return l[i].Name < l[j].Name })
+	return l
+}
+
 // Leaves reports whether the newest word of a host is that it is shutting down.
 func (m *Membership) Leaves(name string) bool {
 	m.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/binding"
 	"celeryreach.example/celeryreach/coldpace"
 	"celeryreach.example/celeryreach/deadline"
@@ -58,6 +59,8 @@
 	Line func(priority int) float64
 	// Pace divides what cold backend servers bear.
 	Pace *coldpace.Coldpace
+	// Limit holds backend servers that name a limit to it; nil means that none does.
+	Limit *backendlimit.Backendlimit
 	// Rate returns what a cold backend server of a service bears, in requests
 	// per second.
 	Rate func(service string) (perSecond float64, warmUp time.Duration)
@@ -162,6 +165,9 @@
 		"ReportAge", n.Sub(s.seen), "Known", s.knows(r), "Candidates", len(c), "Cold", s.cold.After(n))
 	s.take(r, n)
 	s.learn(r)
+	if p.Limit != nil {
+		p.Limit.Spend(s.backend)
+	}
 	return s.backend, true, false
 }
 
@@ -266,7 +272,8 @@
 		}
 		c = append(c, candidate{
 			server: s, score: rendezvous.Score(k, b.Name, w),
-			resting: g.outlier.Ejected(b.Name, now) || s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now),
+			resting: g.outlier.Ejected(b.Name, now) || s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now) ||
+				p.Limit != nil && !p.Limit.Allow(b),
 		})
 	}
 	sort.Slice(c, func(i, j int) bool { return c[i].score > c[j].score })
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -65,6 +65,9 @@
 	// its request went out. Ran is false if b refused the request unrun. Nil means
 	// that nobody is told.
 	Heard func(b backend.Backend, sent time.Time, h http.Header, ran bool)
+	// Repeated is told that net/http sends a request to b once more by itself, on
+	// another connection. Nil means that nobody is told.
+	Repeated func(b backend.Backend)
 
 	reused http.Transport
 	fresh  http.Transport
@@ -94,15 +97,12 @@
 // idempotent. Ran is false only if it is proven that b did not run r: no byte
 // was written and none can be any more, or b itself says so.
 func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend, fresh bool) (p *http.Response, ran bool, err error) {
-	var n *sealconn.Sealconn
-	o := false
-	x := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		// net/http comes here again when it repeats an idempotent request by
-		// itself; what was written on the connection before counts too.
-		o = o || n != nil && !n.Seal()
-		n = i.Conn.(*sealconn.Sealconn)
-		n.Mark()
-	}})
+	c := &connections{again: func() {
+		if u.Repeated != nil {
+			u.Repeated(b)
+		}
+	}}
+	x := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.got})
 	y := &body{reader: r.Body, touched: r.Touched}
 	q, err := u.request(x, r, b, y)
 	if err != nil {
@@ -116,12 +116,10 @@
 	p, err = t.RoundTrip(q)
 	if err != nil {
 		y.seal()
-		return nil, o || n != nil && !n.Seal(), errors.Wrap(err, "upstream")
+		return nil, c.wrote(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.judge(p, r, b)
-	if u.Heard != nil && (err == nil || errors.Is(err, ErrNotRun)) {
-		u.Heard(b, s, p.Header, ran)
-	}
+	u.heard(b, s, p.Header, ran, err)
 	if err != nil {
 		p.Body.Close()
 		return nil, ran, err
@@ -129,6 +127,13 @@
 	return p, true, nil
 }
 
+// heard tells the header of an answer that is proven to be from b.
+func (u *Upstream) heard(b backend.Backend, sent time.Time, h http.Header, ran bool, err error) {
+	if u.Heard != nil && (err == nil || errors.Is(err, ErrNotRun)) {
+		u.Heard(b, sent, h, ran)
+	}
+}
+
 // Close ends all idle connections.
 func (u *Upstream) Close() {
 	u.reused.CloseIdleConnections()
