--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,7 +223,7 @@
 		d := u.Sub(g.Clock.Now())
 		if !m || d <= 0 {
 			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", m, "Patience", r.Patience, "Priority", r.Priority)
-			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", retryAfter)
+			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.comeBack(r, m))
 		}
 		select {
 		case <-c:
@@ -234,6 +234,15 @@
 	}
 }
 
+// comeBack returns when a request that found no place may come back: if no backend
+// server could be used at all, not before one gets a request by its limit again.
+func (g *Gateway) comeBack(r *request.Request, usable bool) time.Duration {
+	if usable {
+		return retryAfter
+	}
+	return max(retryAfter, g.Placement.Again(r))
+}
+
 // slot makes the slot of a request on a backend server.
 func (g *Gateway) slot(r *request.Request, b backend.Backend) slot.Slot {
 	r.Tried.Add(b.Name)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -171,6 +171,24 @@
 	return s.backend, true, false
 }
 
+// Again returns in which time the first of the backend servers that r may go to gets a
+// request by its limit; zero if none of them is held to one.
+func (p *Placement) Again(r *request.Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.services[r.Service.Name]
+	if g == nil || p.Limit == nil {
+		return 0
+	}
+	var d time.Duration
+	for _, c := range p.candidates(g, r, p.Clock.Now()) {
+		if u := p.Limit.Until(c.server.backend); u > 0 && (d == 0 || u < d) {
+			d = u
+		}
+	}
+	return d
+}
+
 // Freed returns a channel that is closed when a backend server may have got
 // room.
 func (p *Placement) Freed() <-chan struct{} {
