--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -28,7 +28,16 @@
 	limitNotice  = 500 * time.Millisecond
 )
 
-// server stands in for a backend server that names limits.
+// What hosts may send to a cold backend server in any second, which may begin before it
+// turned cold.
+const (
+	coldRate    = 10
+	coldOverage = 1.5
+	coldSlack   = 5
+	warmUp      = 3 * time.Second
+)
+
+// server stands in for a backend server that names limits and turns cold.
 type server struct {
 	backend backend.Backend
 	http    http.Server
@@ -39,6 +48,7 @@
 	value    string // the header, empty for none
 	breaks   int    // of so many requests one breaks its connection
 	limits   []named
+	cold     []time.Time // when it turned cold
 	arrivals []arrival
 	told     map[string]time.Time // hosts, by when they first passed a limit on
 }
@@ -132,6 +142,24 @@
 	return ""
 }
 
+// rush describes the first second in which it got more than a cold one may get.
+func (s *server) rush() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := 0
+	for i, a := range s.arrivals {
+		for a.at.Sub(s.arrivals[from].at) >= time.Second {
+			from++
+		}
+		for _, c := range s.cold {
+			if n := i - from + 1; n > coldRate*coldOverage+coldSlack && !a.at.Before(c) && a.at.Before(c.Add(warmUp)) {
+				return fmt.Sprintf("%s got %d requests in a second, %s after it turned cold", s.backend.Name, n, a.at.Sub(c))
+			}
+		}
+	}
+	return ""
+}
+
 // allowed returns how many requests the limits allow between two moments.
 func (s *server) allowed(from, to time.Time) float64 {
 	n := 0.0
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -40,6 +40,7 @@
 	// startSpread is between the starts of two hosts.
 	startSpread = 83 * time.Millisecond
 	rowKey      = "config"
+	evacuated   = "evacuated/" // and the failure domain; an empty value takes it back
 )
 
 // wall is the time of the bubble in which a test runs.
@@ -101,12 +102,19 @@
 	if err := codec.Unmarshal(m[rowKey].Value, &c); err != nil {
 		panic(err) // the test wrote it
 	}
-	return &c, nil
+	z := make(map[string]bool)
+	for k, r := range m {
+		if d, ok := strings.CutPrefix(k, evacuated); ok && len(r.Value) > 0 {
+			z[d] = true
+		}
+	}
+	return &c, z
 }
 
 // run plays one line, and returns what is wrong. Serve has those on backend servers.
 //
 //	configuration VERSION KEY...        the operator writes a version with these keys
+//	evacuate DOMAIN, return DOMAIN      the operator takes a failure domain out of use, and back
 //	silent [HOST...], answers [HOST...] the store to these hosts, or to all
 //	slow DURATION                       each answer of the store takes that long
 //	works KEY, fails KEY                at all hosts
@@ -130,6 +138,10 @@
 		return "", err
 	case "configuration":
 		return "", w.configure(a)
+	case "evacuate":
+		w.config.Put(evacuated+a[0], []byte(a[0]))
+	case "return":
+		w.config.Put(evacuated+a[0], nil)
 	case "works", "fails":
 		return w.expect(command == "works", a[0]), nil
 	case "metric":
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -43,7 +43,7 @@
 	Portions: []portion.Portion{{Service: listings, Weight: 1}}, Attempts: 2, Public: true, Sticky: true,
 }}
 
-var services = []service.Service{{Name: listings, ColdRate: 10, WarmUp: time.Second}}
+var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
 
 // serve plays a line that concerns backend servers and their callers:
 //
@@ -54,7 +54,9 @@
 //	lies NAME VALUE                  it names a limit that is none; its limit stays
 //	load RATE [HOST...]              callers ask for listings, so many a second at these hosts or all
 //	arrive NAME LEAST MOST DURATION  requests a second that it got in that time
-//	limits kept                      no backend server got more than its limit allows
+//	limits kept                      no backend server got more than its limit allows, or a cold one
+//	cold NAME                        it turns cold, and cannot say so
+//	cold-entry NAME                  its entry in the store says that it is cold
 func (w *world) serve(command string, a []string) (string, error) {
 	switch command {
 	case "backend":
@@ -96,6 +98,16 @@
 		s.value = a[1]
 		s.mu.Unlock()
 		return "", nil
+	case "cold":
+		s.mu.Lock()
+		s.cold = append(s.cold, wall.Now())
+		s.mu.Unlock()
+		return "", nil
+	case "cold-entry":
+		b := s.backend
+		b.ColdFor = warmUp
+		b.Revision = uint64(wall.Now().UnixNano())
+		return "", w.list(b)
 	case "arrive":
 		return s.rate(a[1:])
 	default:
@@ -139,8 +151,13 @@
 	l := w.network.listen(s.backend.Address, s.backend.Region)
 	go func() { s.done <- s.http.Serve(l) }()
 	w.servers[s.backend.Name] = s
-	b, err := codec.Marshal(s.backend)
-	w.backends.Put(s.backend.Name, b)
+	return w.list(s.backend)
+}
+
+// list writes the entry of a backend server.
+func (w *world) list(b backend.Backend) error {
+	v, err := codec.Marshal(b)
+	w.backends.Put(b.Name, v)
 	return err
 }
 
@@ -243,12 +260,15 @@
 	}
 }
 
-// excess names the backend servers that got more than their limits allow.
+// excess names the backend servers that got more than their limits allow, or than a
+// cold one may get.
 func (w *world) excess() string {
 	var l []string
 	for _, s := range w.servers {
-		if e := s.excess(w.contact); e != "" {
-			l = append(l, e)
+		for _, e := range []string{s.excess(w.contact), s.rush()} {
+			if e != "" {
+				l = append(l, e)
+			}
 		}
 	}
 	slices.Sort(l)
@@ -297,3 +317,14 @@
 
 // Limits of all backend servers of a service leave what they allow unused.
 func TestLimitsOfAll(t *testing.T) { playsLoads(t, "limit-everywhere") }
+
+// Backend servers of an evacuated domain turn cold while no host hears the store, and get
+// what they did before.
+func TestColdInASilence(t *testing.T) { playsLoads(t, "cold-in-silence") }
+
+// A domain is evacuated and back before any host hears the store again, and its backend
+// servers are cold.
+func TestEvacuationNobodyHeard(t *testing.T) { playsLoads(t, "cold-unheard") }
+
+// A silence in which nothing can have turned cold holds requests back.
+func TestShortSilenceHoldsNothingBack(t *testing.T) { playsLoads(t, "cold-short-silence") }
