Backendlimit: only an answer to a request that was served withdraws a limit

What callers would see: a backend server in need fails a request by an answer that is made before it knows of its limit (500, 504), hosts take the limit for withdrawn, and send all they have until the next answer names it again.

An answer of 5xx without a limit now withdraws none, as a refusal unrun did already.

--- a/backendlimit/backendlimit.go
+++ b/backendlimit/backendlimit.go
@@ -69,10 +69,10 @@
 }
 
 // Answered takes what an answer of a backend server has in the header of its limit, and
-// when its request went out. An answer without a value withdraws the limit, if the
-// request ran.
-func (l *Backendlimit) Answered(b backend.Backend, sent time.Time, values []string, ran bool) {
-	if len(values) == 0 && !ran {
+// when its request went out. An answer without a value withdraws the limit if the request was
+// served: one that fails may be made by what does not know of limits.
+func (l *Backendlimit) Answered(b backend.Backend, sent time.Time, values []string, served bool) {
+	if len(values) == 0 && !served {
 		return
 	}
 	if l.answered(b, sent, values) {
--- a/backendlimit/word_test.go
+++ b/backendlimit/word_test.go
@@ -64,9 +64,9 @@
 	must.Len(t, 0, x.Tell())
 }
 
-// A backend server that refuses a request unrun, without a limit, withdraws none, and
-// one that starts anew under its name has none.
-func TestRefusalWithdrawsNothing(t *testing.T) {
+// A request that was not served, answered without a limit, withdraws the limit, or a
+// backend server that starts anew under its name keeps it.
+func TestFailureWithdrawsNothing(t *testing.T) {
 	f := newFleet(1, 1)
 	f.name("0.5")
 	f.hosts[0].Answered(f.backend, f.clock.Now(), nil, false)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -67,8 +67,8 @@
 		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.members, Far: far,
 		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, News: e.membership.Hurry,
 	}
-	e.Upstream.Heard = func(b backend.Backend, sent time.Time, h http.Header, ran bool) {
-		e.limits.Answered(b, sent, e.Limit(h), ran)
+	e.Upstream.Heard = func(b backend.Backend, sent time.Time, h http.Header, served bool) {
+		e.limits.Answered(b, sent, e.Limit(h), served)
 	}
 	e.Upstream.Repeated = e.limits.Spend
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -62,9 +62,9 @@
 	// Dial opens a connection to a backend server; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Heard is told the header of each answer that is proven to be from b, and when
-	// its request went out. Ran is false if b refused the request unrun. Nil means
-	// that nobody is told.
-	Heard func(b backend.Backend, sent time.Time, h http.Header, ran bool)
+	// its request went out. Served is false if b refused the request unrun or failed.
+	// Nil means that nobody is told.
+	Heard func(b backend.Backend, sent time.Time, h http.Header, served bool)
 	// Repeated is told that net/http sends a request to b once more by itself, on
 	// another connection. Nil means that nobody is told.
 	Repeated func(b backend.Backend)
@@ -119,7 +119,7 @@
 		return nil, c.wrote(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.judge(p, r, b)
-	u.heard(b, s, p.Header, ran, err)
+	u.heard(b, s, p, err)
 	if err != nil {
 		p.Body.Close()
 		return nil, ran, err
@@ -128,9 +128,9 @@
 }
 
 // heard tells the header of an answer that is proven to be from b.
-func (u *Upstream) heard(b backend.Backend, sent time.Time, h http.Header, ran bool, err error) {
+func (u *Upstream) heard(b backend.Backend, sent time.Time, p *http.Response, err error) {
 	if u.Heard != nil && (err == nil || errors.Is(err, ErrNotRun)) {
-		u.Heard(b, sent, h, ran)
+		u.Heard(b, sent, p.Header, err == nil && p.StatusCode < http.StatusInternalServerError)
 	}
 }
 
