--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -318,13 +318,13 @@
 // Limits of all backend servers of a service leave what they allow unused.
 func TestLimitsOfAll(t *testing.T) { playsLoads(t, "limit-everywhere") }
 
-// Backend servers of an evacuated domain turn cold while no host hears the store, and get
-// what they did before.
-func TestColdInASilence(t *testing.T) { playsLoads(t, "cold-in-silence") }
-
-// A domain is evacuated and back before any host hears the store again, and its backend
-// servers are cold.
-func TestEvacuationNobodyHeard(t *testing.T) { playsLoads(t, "cold-unheard") }
+// Backend servers of an evacuated domain turn cold while no host hears the store, also
+// when the domain is back before any does, and get what they did before.
+func TestColdInASilence(t *testing.T) {
+	for _, n := range []string{"cold-in-silence", "cold-unheard"} {
+		t.Run(n, func(t *testing.T) { playsLoads(t, n) })
+	}
+}
 
 // A silence in which nothing can have turned cold holds requests back.
 func TestShortSilenceHoldsNothingBack(t *testing.T) { playsLoads(t, "cold-short-silence") }
