Backendlimit: limits of backend servers that are gone are forgotten

What on-call would see: BackendLimits.Limited counts backend servers that left hours ago, since limits were dropped only when another one was named.

A number from another host that can be no limit is passed over.

--- a/backendlimit/backendlimit.go
+++ b/backendlimit/backendlimit.go
@@ -174,22 +174,27 @@
 	return l.Hosts(), n
 }
 
-// add returns a new limit, and drops those of which nothing was heard for long.
+// add returns a new limit.
 func (l *Backendlimit) add(k key) *limit {
 	if l.limits == nil {
 		l.limits = make(map[key]*limit)
 	}
-	for o, m := range l.limits {
-		if l.Clock.Since(m.word.answered) > forgetAfter {
-			l.count(m.word.perSecond, none)
-			delete(l.limits, o)
-		}
-	}
 	m := &limit{word: word{perSecond: none}, own: word{perSecond: none}, logged: none}
 	l.limits[k] = m
 	return m
 }
 
+// forget drops limits of which nothing was heard for long: those of backend servers that
+// are gone.
+func (l *Backendlimit) forget(now time.Time) {
+	for k, m := range l.limits {
+		if now.Sub(m.word.answered) > forgetAfter {
+			l.count(m.word.perSecond, none)
+			delete(l.limits, k)
+		}
+	}
+}
+
 // take believes a word if it is newer, and reports whether it changes much.
 func (l *Backendlimit) take(backend string, m *limit, w word, from string) bool {
 	if !w.after(m.word) {
--- a/backendlimit/news.go
+++ b/backendlimit/news.go
@@ -19,6 +19,7 @@
 	defer l.mu.Unlock()
 	var r []*wire.BackendLimit
 	n := l.Clock.Now()
+	l.forget(n)
 	for k, m := range l.limits {
 		if m.own.answered.IsZero() || n.Sub(m.own.answered) > tellFor {
 			continue
@@ -43,7 +44,7 @@
 	for _, b := range v {
 		k := key{name: b.GetBackend(), started: b.GetStarted()}
 		m := l.limits[k]
-		if m == nil && b.PerSecond == nil {
+		if m == nil && b.PerSecond == nil || b.PerSecond != nil && !valid(b.GetPerSecond()) {
 			continue
 		}
 		if m == nil {
--- a/backendlimit/parse.go
+++ b/backendlimit/parse.go
@@ -19,5 +19,10 @@
 		return 0, false
 	}
 	v, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-	return v, err == nil && v >= 0 && v < none
+	return v, err == nil && valid(v)
+}
+
+// valid reports whether a number can be a limit.
+func valid(perSecond float64) bool {
+	return perSecond >= 0 && perSecond < none
 }
--- a/backendlimit/word_test.go
+++ b/backendlimit/word_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"io"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/wire"
 )
 
 // An answer that was on its way when a limit was named withdraws it, or one that was
@@ -64,6 +67,19 @@
 	must.Len(t, 0, x.Tell())
 }
 
+// A backend server that is gone counts as limited for ever, or another host's word that is
+// no limit holds requests back.
+func TestLimitIsForgotten(t *testing.T) {
+	f := newFleet(1, 1)
+	f.name("0.5")
+	f.clock.Advance(forgetAfter + time.Second)
+	f.hosts[0].Tell()
+	must.EqOp(t, 0, f.hosts[0].Limited())
+	must.MapEmpty(t, f.hosts[0].limits)
+	f.hosts[0].Hear("b", []*wire.BackendLimit{{Backend: "c1", PerSecond: proto.Float64(math.NaN())}})
+	must.EqOp(t, 0, f.hosts[0].Limited())
+}
+
 // A request that was not served, answered without a limit, withdraws the limit, or a
 // backend server that starts anew under its name keeps it.
 func TestFailureWithdrawsNothing(t *testing.T) {
