--- a/backendlimit/backendlimit.go
+++ b/backendlimit/backendlimit.go
@@ -50,12 +50,12 @@
 
 	limited atomic.Int64 // backend servers that have a limit
 
-	mu      sync.Mutex
-	limits  map[key]*limit
-	ignored int
-	hurried time.Time
-	hosts   []member.Member
-	hostsAt time.Time
+	mu       sync.Mutex
+	limits   map[key]*limit
+	ignored  int
+	hurried  time.Time // when News was last called
+	hosts    []member.Member
+	followed time.Time // when hosts was found out
 }
 
 // key names one process of a backend server: one that starts anew has no limit.
@@ -113,10 +113,9 @@
 	if l.limited.Load() == 0 {
 		return true
 	}
-	h, at := l.known()
+	l.follow()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts, l.hostsAt = h, at
 	m := l.limits[keyOf(b)]
 	if m == nil || m.word.perSecond == none {
 		return true
@@ -161,17 +160,20 @@
 	return l.ignored
 }
 
-// known returns the hosts, and when that was found out. It is called without the lock:
-// Hosts takes locks of its own.
-func (l *Backendlimit) known() ([]member.Member, time.Time) {
+// follow finds out which hosts there are. It is called without the lock: Hosts takes
+// locks of its own.
+func (l *Backendlimit) follow() {
 	n := l.Clock.Now()
 	l.mu.Lock()
-	h, at := l.hosts, l.hostsAt
+	f := n.Sub(l.followed) < divideEvery
 	l.mu.Unlock()
-	if n.Sub(at) < divideEvery {
-		return h, at
+	if f {
+		return
 	}
-	return l.Hosts(), n
+	h := l.Hosts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts, l.followed = h, n
 }
 
 // add returns a new limit.
--- a/backendlimit/part.go
+++ b/backendlimit/part.go
@@ -56,17 +56,17 @@
 	}
 	m.divided = now
 	n, w := max(m.word.perSecond, least), l.Window.Seconds()
-	burst := max(safety*(m.word.perSecond*w*l.Overage+l.Slack)-n*w, 1)
+	u := max(safety*(m.word.perSecond*w*l.Overage+l.Slack)-n*w, 1) // the burst of all hosts
 	h := order(l.hosts, b)
 	m.place = max(slices.IndexFunc(h, func(v member.Member) bool { return v.Name == l.Self }), 0)
 	// Each holder may send one request at once, whatever its part is.
-	m.hosts, m.holders = len(h), min(len(h), int(burst))
+	m.hosts, m.holders = len(h), min(len(h), int(u))
 	if m.place >= m.holders {
 		m.bucket.Set(now, 0, 0)
 		return
 	}
 	s := l.share(h[:m.holders], m.place, b)
-	m.bucket.Set(now, n*s, 1+(burst-float64(m.holders))*s)
+	m.bucket.Set(now, n*s, 1+(u-float64(m.holders))*s)
 }
 
 // order returns the hosts in the order in which they get a part of a limit: those of
