Backendlimit: hosts without a part ask in turns

What callers would see: nothing at once. A backend server that takes nothing would get more requests than its bound when callers come to many hosts after a while without any (6 of 5 in 4 s), and may fall over.

Cause: hosts without a part waited 10, 15, 20 s since the last word on the limit, but a host whose time had passed could ask at any moment after it, and with no callers in between several times had passed at once.

Turns are one second now, 5 s apart, and one request of the bound is kept for them.

--- a/backendlimit/part.go
+++ b/backendlimit/part.go
@@ -7,7 +7,6 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/bucket"
-	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/rendezvous"
 )
@@ -20,9 +19,13 @@
 	// least is the limit that is divided of a lower one, in requests a second. Without
 	// any request nobody would hear that a limit of zero was withdrawn.
 	least = 0.25
-	// quiet is the time between two requests of hosts without a part. They send one to
-	// hear whether the limit holds, if nobody has told them, each in its turn.
+	// quiet is the time between the turns of two hosts without a part, and turn how long
+	// one lasts. In its turn a host may send a request to hear whether the limit holds, if
+	// nobody has told it. No Window holds two turns.
 	quiet = 5 * time.Second
+	turn  = time.Second
+	// spare of the bound is left to them, for hosts whose turns are not quite in step.
+	spare = 1
 )
 
 // limit is what this host knows of the limit of one backend server.
@@ -58,6 +61,9 @@
 	n, w := max(m.word.perSecond, least), l.Window.Seconds()
 	u := max(safety*(m.word.perSecond*w*l.Overage+l.Slack)-n*w, 1) // the burst of all hosts
 	h := order(l.hosts, b)
+	if len(h) > int(u) {
+		u = max(u-spare, 1)
+	}
 	m.place = max(slices.IndexFunc(h, func(v member.Member) bool { return v.Name == l.Self }), 0)
 	// Each holder may send one request at once, whatever its part is.
 	m.hosts, m.holders = len(h), min(len(h), int(u))
@@ -124,9 +130,19 @@
 		d, e, _ := m.bucket.Until()
 		return d + time.Duration(m.debt)*e
 	}
-	t := m.word.answered.Add(time.Duration(m.place-m.holders+2) * quiet)
-	if m.sent.IsZero() {
-		return t.Sub(now)
+	return m.untilTurn(now)
+}
+
+// untilTurn is the time to this host's next turn, zero in it. The first turn of all is
+// after two silent ones.
+func (m *limit) untilTurn(now time.Time) time.Duration {
+	r := time.Duration(max(m.hosts-m.holders, 1)) * quiet // a round of turns
+	d := now.Sub(m.word.answered.Add(time.Duration(m.place-m.holders+2) * quiet))
+	if d < 0 {
+		return -d
+	}
+	if d%r < turn && now.Sub(m.sent) >= turn {
+		return 0
 	}
-	return deadline.Later(t, m.sent.Add(time.Duration(m.hosts-m.holders+2)*quiet)).Sub(now)
+	return r - d%r
 }
--- a/backendlimit/part_test.go
+++ b/backendlimit/part_test.go
@@ -28,10 +28,12 @@
 	backend backend.Backend
 	hosts   []*Backendlimit
 	sent    []time.Time
+	begun   time.Time
 }
 
 func newFleet(hosts, regions int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), backend: backend.Backend{Name: "c1", Region: "region-0"}}
+	f.begun = f.clock.Now()
 	var l []member.Member
 	for i := range hosts {
 		l = append(l, member.Member{Name: fmt.Sprint("host-", i), Region: fmt.Sprint("region-", i%regions)})
@@ -97,6 +99,36 @@
 	})
 }
 
+// Callers come to all hosts at once after a while without any, and each host without a
+// part takes it for its turn to ask whether the limit holds.
+func TestHostsWithoutAPartTakeTurns(t *testing.T) {
+	for _, n := range []int{6, 12, 60} {
+		f := newFleet(n, 1)
+		f.name("0")
+		for range 400 {
+			f.clock.Advance(500 * time.Millisecond)
+			if f.clock.Since(f.begun)%(20*time.Second) < 2*time.Second {
+				for _, h := range f.hosts {
+					f.ask(h)
+				}
+			}
+		}
+		must.LessEq(t, slack, float64(f.most()), must.Sprintf("%d hosts", n))
+	}
+}
+
+// A host that does not know the others yet takes all of a limit for itself.
+func TestNoPartBeforeHostsAreKnown(t *testing.T) {
+	f := newFleet(1, 1)
+	f.hosts[0].Hosts = func() []member.Member { return nil }
+	f.name("20")
+	for range 60 {
+		f.clock.Advance(time.Second)
+		f.ask(f.hosts[0])
+	}
+	must.Between(t, 1, len(f.sent), 20)
+}
+
 // A limit is left unused though callers of its region ask for more.
 func TestLimitIsUsed(t *testing.T) {
 	for _, v := range []struct {
