--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -37,6 +37,14 @@
 	mu        sync.Mutex
 	known     map[string]*known
 	evacuated map[string]bool
+	events    []event // since Changed was last called
+}
+
+// event is a line of the log that is written once what it tells is in force.
+type event struct {
+	level   log.Level
+	message string
+	fields  []any
 }
 
 type known struct {
@@ -78,7 +86,7 @@
 		case !doubt.After(d.Clock.Now()):
 			d.drop(n, k)
 		case k.lapsed.IsZero():
-			d.Log.Warn("backend server is missing after an outage of the store", "Backend", n)
+			d.note(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n)
 			k.lapsed = doubt
 		}
 	}
@@ -94,7 +102,7 @@
 		if z[v] {
 			continue
 		}
-		d.Log.Info("failure domain is back", "Domain", v)
+		d.note(log.InfoLevel, "failure domain is back", "Domain", v)
 		// Its backend servers had nothing to do and may be cold, before any
 		// of them can have said so.
 		for _, k := range d.known {
@@ -105,7 +113,7 @@
 	}
 	for v := range z {
 		if !d.evacuated[v] {
-			d.Log.Info("failure domain is evacuated", "Domain", v)
+			d.note(log.InfoLevel, "failure domain is evacuated", "Domain", v)
 		}
 	}
 	d.evacuated = z
@@ -116,23 +124,23 @@
 	k := d.known[b.Name]
 	n := d.Clock.Now()
 	if k == nil {
-		d.Log.Info("backend server appeared", "Backend", b.Name, "Service", b.Service, "Domain", b.Domain, "ColdFor", b.ColdFor)
+		d.note(log.InfoLevel, "backend server appeared", "Backend", b.Name, "Service", b.Service, "Domain", b.Domain, "ColdFor", b.ColdFor)
 		k = &known{}
 		d.known[b.Name] = k
 	}
 	if k.backend.Revision != b.Revision && b.ColdFor > 0 {
-		d.Log.Info("backend server is cold", "Backend", b.Name, "For", b.ColdFor)
+		d.note(log.InfoLevel, "backend server is cold", "Backend", b.Name, "For", b.ColdFor)
 		k.cold = deadline.Later(k.cold, n.Add(b.ColdFor+coldMargin))
 	}
 	if b.Draining && !k.backend.Draining {
-		d.Log.Info("backend server leaves", "Backend", b.Name, "Service", b.Service)
+		d.note(log.InfoLevel, "backend server leaves", "Backend", b.Name, "Service", b.Service)
 	}
 	k.backend = b
 	k.lapsed = time.Time{}
 }
 
 func (d *Discovery) drop(name string, k *known) {
-	d.Log.Info("backend server is gone", "Backend", name, "Service", k.backend.Service)
+	d.note(log.InfoLevel, "backend server is gone", "Backend", name, "Service", k.backend.Service)
 	delete(d.known, name)
 }
 
@@ -160,4 +168,12 @@
 		}
 	}
 	d.Changed(l, func(n string) time.Time { return d.known[n].cold })
+	for _, e := range d.events {
+		d.Log.Log(e.level, e.message, e.fields...)
+	}
+	d.events = nil
+}
+
+func (d *Discovery) note(l log.Level, message string, fields ...any) {
+	d.events = append(d.events, event{level: l, message: message, fields: fields})
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -53,10 +53,10 @@
 	c, z := e.Decode(m)
 	if c != nil {
 		if b := e.book.Load(); b == nil || c.Version > b.Config.Version {
-			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
 			e.book.Store(ingressbook.New(c, b, e.Clock.Now()))
 			metric.Metric{Name: gaugeConfig}.Set(float64(c.Version))
 			e.tokens.Set(c.Accounts)
+			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
 		}
 	}
 	e.discovery.Evacuated(z)
