Edge: backend servers that may be cold unheard get no more than cold ones bear

Cause: of an evacuation, and of a backend server that turned cold in it, nobody tells hosts but the store. While it answers no host they went on as before.

Fix: from evacuate_s less 1.1 s after the store's last answer to any host, and 2 s after a silence of evacuate_s, each request needs a permit. Package permits: a region's part of the bound follows where placement sends requests, two hosts of it (of the backend server's domain first) count what they give in a sliding window, and the others ask them, in the end one host of the backend server's region. Parts of regions are fixed, so hosts that are cut off keep the sum; a process that has just started gives none for one window. Package silence follows the store's age.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -33,8 +33,10 @@
 	"celeryreach.example/celeryreach/partners"
 	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/peerserver"
+	"celeryreach.example/celeryreach/permits"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/silence"
 	"celeryreach.example/celeryreach/supervisor"
 	"celeryreach.example/celeryreach/tokens"
 	"celeryreach.example/celeryreach/upstream"
@@ -95,6 +97,8 @@
 	// Contact is how long after the end of a trouble a host must again know what
 	// is in force.
 	Contact time.Duration
+	// Evacuate is how long after its evacuation a failure domain may still get requests.
+	Evacuate time.Duration
 	// ColdOverage and ColdSlack make the bound of a cold backend server's rate.
 	ColdOverage, ColdSlack float64
 	// LimitOverage, LimitSlack and LimitWindow make the bound of what a backend server
@@ -114,6 +118,9 @@
 	tokens     *tokens.Tokens
 	placement  *placement.Placement
 	limits     *backendlimit.Backendlimit
+	permits    *permits.Permits
+	silence    *silence.Silence
+	asking     *peerclient.Peerclient // for permits, so that heartbeats do not wait behind them
 	discovery  *discovery.Discovery
 	borrower   *borrower.Borrower
 	copier     *copier.Copier
@@ -125,9 +132,10 @@
 	e.assemble()
 	s := &peerserver.Peerserver{
 		Listener: e.Peers, OnBeat: e.membership.Receive, OnFetch: e.copier.Answer, OnBorrow: e.lend, OnLend: e.take,
-		OnNotify: e.notified, OnForward: refuseForward,
+		OnNotify: e.notified, OnForward: refuseForward, OnPermit: e.permits.Give,
 	}
 	defer e.client.Close()
+	defer e.asking.Close()
 	defer e.Upstream.Close()
 	return e.supervise(
 		e.branch("peers",
@@ -142,6 +150,7 @@
 			child.Child{Name: "config", Run: e.Config.Run},
 			child.Child{Name: "backends", Run: e.Backends.Run},
 			child.Child{Name: "discovery", Run: e.discovery.Run},
+			child.Child{Name: "silence", Run: e.silence.Run},
 		),
 		e.branch("serving", serving...),
 	).Run(ctx)
@@ -185,6 +194,7 @@
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.hosts, Ask: e.borrower.Ask, Lend: e.borrower.Lend}
 	e.borrower.Received, e.borrower.Asked = e.tokens.Receive, e.tokens.Asked
 	e.limitBackends()
+	e.holdUnheard()
 	e.placement = &placement.Placement{
 		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, Far: far, Rate: e.rate, Limit: e.limits,
 		Pace: &coldpace.Coldpace{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
@@ -201,6 +211,7 @@
 	g := e.Gateway
 	g.Clock, g.Log, g.Book, g.Tokens, g.Placement = e.Clock, e.Log, e.book.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
+	g.Permit = e.permit
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -39,8 +39,10 @@
 	shifts = 8
 	// startSpread is between the starts of two hosts.
 	startSpread = 83 * time.Millisecond
-	rowKey      = "config"
-	evacuated   = "evacuated/" // and the failure domain; an empty value takes it back
+	// evacuate is how long an evacuated domain may still get requests.
+	evacuate  = 5 * time.Second
+	rowKey    = "config"
+	evacuated = "evacuated/" // and the failure domain; an empty value takes it back
 )
 
 // wall is the time of the bubble in which a test runs.
@@ -74,7 +76,7 @@
 		Withdraw:       func(context.Context, member.Member) error { return nil },
 		Listed:         func(context.Context) ([]member.Member, error) { return w.members, nil },
 		Upstream:       w.upstream(name, region), Limit: limitOf, Gateway: &gateway.Gateway{Load: noReport},
-		Contact: w.contact, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
+		Contact: w.contact, Evacuate: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
 		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow,
 	}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,8 @@
 var believed = map[string]string{
 	"configuration in force":       "",
 	"store lost":                   "",
+	"changes may be unheard":       "",
+	"changes are heard":            "",
 	"store regained":               "",
 	"store asked again":            "",
 	"copy taken from another host": "",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	Tokens *tokens.Tokens
 	// Placement chooses backend servers.
 	Placement *placement.Placement
+	// Permit asks whether one more request may be sent to a backend server now, and if
+	// not, in which time it may; nil permits all.
+	Permit func(ctx context.Context, b backend.Backend) (again time.Duration, ok bool)
 	// Load reads a backend server's report on itself out of an answer.
 	Load func(h http.Header) (running, waiting int, ok bool)
 	// Dispatch sends a request and passes the answer on.
@@ -217,11 +220,16 @@
 	for {
 		c := g.Placement.Freed()
 		b, ok, m := g.Placement.Take(r)
-		if ok {
+		if ok && g.permitted(ctx, r, b) {
 			return g.slot(r, b), outcome.Outcome{}
 		}
 		d := u.Sub(g.Clock.Now())
-		if !m || d <= 0 {
+		switch {
+		case ctx.Err() != nil:
+			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
+		case ok && d > 0:
+			continue // there may be a permit for another backend server
+		case !m || d <= 0:
 			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", m, "Patience", r.Patience, "Priority", r.Priority)
 			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.comeBack(r, m))
 		}
@@ -234,8 +242,22 @@
 	}
 }
 
+// permitted reports whether r may be sent to the backend server that was taken for it. If
+// not, r no longer counts there.
+func (g *Gateway) permitted(ctx context.Context, r *request.Request, b backend.Backend) bool {
+	if g.Permit == nil {
+		return true
+	}
+	d, ok := g.Permit(ctx, b)
+	if !ok {
+		r.Trail.Add(g.Clock.Now(), "no permit", "Backend", b.Name, "Again", d)
+		g.Placement.Deny(b.Name, r, d)
+	}
+	return ok
+}
+
 // comeBack returns when a request that found no place may come back: if no backend
-// server could be used at all, not before one gets a request by its limit again.
+// server could be used at all, not before one may get a request again.
 func (g *Gateway) comeBack(r *request.Request, usable bool) time.Duration {
 	if usable {
 		return retryAfter
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,8 +12,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/freshness"
@@ -26,7 +28,10 @@
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/scripttest"
+	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/tokens"
+	"celeryreach.example/celeryreach/trail"
+	"celeryreach.example/celeryreach/tried"
 )
 
 // world is a host that has a configuration and no backend servers.
@@ -153,3 +158,32 @@
 		}
 	}
 }
+
+// place lets a host place a request for one of two backend servers, of which some have a
+// permit only after a time.
+func place(again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
+	w := newWorld()
+	p := &placement.Placement{Clock: w.clock, Rate: func(string) (float64, time.Duration) { return 0, 0 }}
+	p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
+	w.gateway.Placement = p
+	w.gateway.Permit = func(_ context.Context, b backend.Backend) (time.Duration, bool) {
+		return again[b.Name], again[b.Name] == 0
+	}
+	return w.gateway.Place(context.Background(), &request.Request{
+		ID: "r1", Admitted: w.clock.Now(), Patience: time.Second, Tried: new(tried.Tried), Trail: new(trail.Trail),
+	})
+}
+
+// A request without a permit for one backend server is refused while another has one, is
+// sent without, or waits in vain.
+func TestPlaceWithoutAPermit(t *testing.T) {
+	for _, n := range []string{"c1", "c2"} {
+		s, o := place(map[string]time.Duration{n: time.Second})
+		must.EqOp(t, "", o.Outcome)
+		must.NotEqOp(t, n, s.Backend.Name)
+	}
+	_, o := place(map[string]time.Duration{"c1": 700 * time.Millisecond, "c2": 400 * time.Millisecond})
+	must.EqOp(t, outcome.NoCapacity, o.Outcome)
+	must.EqOp(t, outcome.RanNo, o.Ran)
+	must.EqOp(t, 400*time.Millisecond, o.RetryAfter)
+}
--- a/peerclient/peerclient.go
+++ b/peerclient/peerclient.go
@@ -78,6 +78,17 @@
 	return errors.Wrap(err, "lend")
 }
 
+// Permit asks a peer for a permit.
+func (p *Peerclient) Permit(ctx context.Context, address string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	r, err := wire.NewDRPCPeerClient(c).Permit(ctx, q)
+	p.check(address, c, err)
+	return r, errors.Wrap(err, "permit")
+}
+
 // Forward opens a stream on a connection of its own, which done closes. A drpc
 // connection carries one call at a time, and a slow answer must not hold up
 // heartbeats.
--- a/peerserver/peerserver.go
+++ b/peerserver/peerserver.go
@@ -26,6 +26,8 @@
 	OnLend func(l *wire.Loan)
 	// OnNotify answers notices of new versions.
 	OnNotify func(n *wire.Notice) *wire.Notice
+	// OnPermit answers requests for permits; nil gives none.
+	OnPermit func(q *wire.PermitRequest) *wire.PermitResponse
 	// OnForward runs forwarded requests.
 	OnForward func(s wire.DRPCPeer_ForwardStream) error
 }
@@ -72,6 +74,14 @@
 	return p.OnNotify(n), nil
 }
 
+// Permit answers a request for a permit.
+func (p *Peerserver) Permit(_ context.Context, q *wire.PermitRequest) (*wire.PermitResponse, error) {
+	if p.OnPermit == nil {
+		return nil, errors.New("this host gives no permits")
+	}
+	return p.OnPermit(q), nil
+}
+
 // Forward runs a forwarded request.
 func (p *Peerserver) Forward(s wire.DRPCPeer_ForwardStream) error {
 	return p.OnForward(s)
--- /dev/null
+++ b/permits/permits_test.go
@@ -0,0 +1,170 @@
+package permits
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/wire"
+)
+
+const (
+	overage = 1.5
+	slack   = 5.0
+	tick    = 20 * time.Millisecond
+)
+
+// fleet is hosts that send to one backend server, and the sum of what they send.
+type fleet struct {
+	clock   *clockwork.FakeClock
+	backend backend.Backend
+	rate    float64
+	members []member.Member
+	hosts   []*Permits
+	cut     func(from, to string) bool // whether two hosts do not reach each other
+	asked   int                        // questions between hosts
+	sent    []time.Time
+}
+
+func newFleet(hosts, regions int, rate float64) *fleet {
+	f := &fleet{
+		clock: clockwork.NewFakeClock(), rate: rate, cut: func(string, string) bool { return false },
+		backend: backend.Backend{Name: "c1", Service: "listings", Domain: "domain-0", Region: "region-0"},
+	}
+	for i := range hosts {
+		f.members = append(f.members, member.Member{
+			Name: fmt.Sprint("host-", i), PeerAddress: fmt.Sprint("host-", i),
+			Domain: fmt.Sprint("domain-", i%(2*regions)), Region: fmt.Sprint("region-", i%regions),
+		})
+	}
+	for _, m := range f.members {
+		f.hosts = append(f.hosts, f.start(m))
+	}
+	f.clock.Advance(window)
+	return f
+}
+
+// start starts the process of a host.
+func (f *fleet) start(m member.Member) *Permits {
+	return &Permits{
+		Clock: f.clock, Log: log.New(io.Discard), Self: m, Begun: f.clock.Now(),
+		Hosts: func() []member.Member { return f.members }, Far: 0.15,
+		Slots:   func(string) map[string]int { return map[string]int{"region-0": 12, "region-1": 36, "region-2": 36} },
+		Rate:    func(string) float64 { return f.rate },
+		Overage: overage, Slack: slack,
+		Ask: func(_ context.Context, a string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
+			f.asked++
+			for i, v := range f.members {
+				if v.PeerAddress == a && !f.cut(m.Name, v.Name) {
+					return f.hosts[i].Give(q), nil
+				}
+			}
+			return nil, errors.New("no answer")
+		},
+	}
+}
+
+// send lets a host send one request if it may.
+func (f *fleet) send(host int) bool {
+	_, ok := f.hosts[host].Get(context.Background(), f.backend)
+	if ok {
+		f.sent = append(f.sent, f.clock.Now())
+	}
+	return ok
+}
+
+// most returns the most requests that were sent in any second.
+func (f *fleet) most() int {
+	n, from := 0, 0
+	for i, t := range f.sent {
+		for t.Sub(f.sent[from]) >= time.Second {
+			from++
+		}
+		n = max(n, i-from+1)
+	}
+	return n
+}
+
+// Hosts send more together than a cold backend server bears, whenever their callers come,
+// whoever is cut off from whom, and also when processes start anew.
+func TestSumOfPermits(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 40).Draw(r, "hosts"), rapid.IntRange(1, 3).Draw(r, "regions"), rapid.Float64Range(0, 30).Draw(r, "rate"))
+		c := rapid.IntRange(1, 4).Draw(r, "sides")
+		f.cut = func(x, y string) bool { return len(x+y)%c != 0 || x[len(x)-1]%byte(c) != y[len(y)-1]%byte(c) }
+		for range rapid.IntRange(20, 150).Draw(r, "ticks") {
+			f.clock.Advance(tick)
+			h := rapid.IntRange(0, len(f.hosts)-1).Draw(r, "host")
+			if rapid.IntRange(0, 30).Draw(r, "restart") == 0 {
+				f.hosts[h] = f.start(f.members[h])
+			}
+			for range rapid.IntRange(0, 25).Draw(r, "requests") {
+				f.send(h)
+			}
+		}
+		must.LessEq(t, f.rate*overage+slack, float64(f.most()))
+	})
+}
+
+// Parts of the bound lie unused at hosts without callers, and callers of others are
+// refused.
+func TestPermitsAreUsed(t *testing.T) {
+	for _, v := range []struct {
+		callers string
+		hosts   func(i int) int
+		least   float64
+	}{
+		{"at all hosts", func(i int) int { return i % 11 }, 0.8},
+		{"in the region", func(i int) int { return 3 * (i % 4) }, 0.7},
+		{"at one host", func(int) int { return 3 }, 0.7},
+		{"in another region", func(i int) int { return 1 + 3*(i%4) }, 0.7},
+	} {
+		f := newFleet(11, 3, 9.8)
+		const span = 20 * time.Second
+		for i := range int(span / tick) {
+			f.clock.Advance(tick)
+			f.send(v.hosts(i))
+		}
+		u := float64(len(f.sent)) / span.Seconds() / (f.rate*overage + slack)
+		t.Logf("callers %s: %.2f of the bound used, %d questions for %d requests", v.callers, u, f.asked, len(f.sent))
+		must.GreaterEq(t, v.least, u)
+	}
+}
+
+// A host that gives no answer delays each request.
+func TestLostHostIsNotAskedAgain(t *testing.T) {
+	f := newFleet(6, 1, 9.8)
+	f.cut = func(string, string) bool { return true }
+	for range 10 {
+		f.clock.Advance(tick)
+		for h := range f.hosts {
+			f.send(h)
+		}
+	}
+	must.LessEq(t, len(f.hosts)*givers, f.asked)
+}
+
+// A host of a domain that is cut off gets no permit for the backend servers there.
+func TestDomainCutOffGoesOn(t *testing.T) {
+	f := newFleet(12, 2, 9.8)
+	in := func(n string) bool { return n == "host-0" || n == "host-4" || n == "host-8" }
+	f.cut = func(x, y string) bool { return in(x) != in(y) }
+	n := 0
+	for range int(5 * time.Second / tick) {
+		f.clock.Advance(tick)
+		if f.send(4) {
+			n++
+		}
+	}
+	must.Greater(t, 5*10, n)
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -46,17 +46,10 @@
 	return m
 }
 
-// places returns the few candidates that a request may go to now. One that gets
-// nothing for a moment keeps its place meanwhile: backend servers that come back
-// cold get a request now and then, and if others took their places in between,
-// objects would become known, by a late answer each, at a third and a fourth one,
-// and never go back. Only when all places of an object rest, the next takes it.
+// places returns the few candidates that a request may go to now.
 func (p *Placement) places(c []candidate) []candidate {
 	var l []candidate
-	for _, v := range c {
-		if v.place >= p.spread() && len(l) > 0 {
-			break
-		}
+	for _, v := range p.reachable(c) {
 		if !v.resting {
 			l = append(l, v)
 		}
@@ -64,6 +57,23 @@
 	return l
 }
 
+// reachable returns the candidates that a request may go to, or could if they got something
+// now. One that gets nothing for a moment keeps its place meanwhile: backend servers that
+// come back cold get a request now and then, and if others took their places in between,
+// objects would become known, by a late answer each, at a third and a fourth one, and never
+// go back. Only when all places of an object rest, the next takes it; and not that when
+// permits are short, since they are short everywhere.
+func (p *Placement) reachable(c []candidate) []candidate {
+	s := false
+	for i, v := range c {
+		if i >= p.spread() && s {
+			return c[:i]
+		}
+		s = s || !v.resting || v.denied
+	}
+	return c
+}
+
 // anyKnows reports whether one of the candidates is known to have worked on the
 // object of r.
 func anyKnows(c []candidate, r *request.Request) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -129,11 +129,27 @@
 
 // fit tells which regions the service has backend servers in.
 func (g *group) fit() {
+	g.binding.Fit(g.slots())
+}
+
+// slots returns the slots of the service by region.
+func (g *group) slots() map[string]int {
 	n := make(map[string]int)
 	for _, s := range g.servers {
 		n[s.backend.Region] += s.backend.Slots
 	}
-	g.binding.Fit(n)
+	return n
+}
+
+// Slots returns the slots of a service by region.
+func (p *Placement) Slots(service string) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.services[service]
+	if g == nil {
+		return nil
+	}
+	return g.slots()
 }
 
 // Count takes a request for one that has come. It is called once for each, however
@@ -163,7 +179,7 @@
 	}
 	r.Trail.Add(n, "request placed", "Backend", s.backend.Name, "Load", s.load(n), "Slots", s.backend.Slots,
 		"ReportAge", n.Sub(s.seen), "Known", s.knows(r), "Candidates", len(c), "Cold", s.cold.After(n))
-	s.take(r, n)
+	s.take(r, n, !s.knows(r))
 	s.learn(r)
 	if p.Limit != nil {
 		p.Limit.Spend(s.backend)
@@ -172,17 +188,22 @@
 }
 
 // Again returns in which time the first of the backend servers that r may go to gets a
-// request by its limit; zero if none of them is held to one.
+// request, by its limit or by a permit; zero if that is not what keeps r.
 func (p *Placement) Again(r *request.Request) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.services[r.Service.Name]
-	if g == nil || p.Limit == nil {
+	if g == nil {
 		return 0
 	}
+	n := p.Clock.Now()
 	var d time.Duration
-	for _, c := range p.candidates(g, r, p.Clock.Now()) {
-		if u := p.Limit.Until(c.server.backend); u > 0 && (d == 0 || u < d) {
+	for _, c := range p.reachable(p.candidates(g, r, n)) {
+		u := c.server.denied.Sub(n)
+		if p.Limit != nil {
+			u = max(u, p.Limit.Until(c.server.backend))
+		}
+		if u > 0 && (d == 0 || u < d) {
 			d = u
 		}
 	}
@@ -200,6 +221,21 @@
 	return p.freed
 }
 
+// Deny ends a request that Take counted and that is not sent, as there is no permit. The
+// backend server gets nothing of this host for a while.
+func (p *Placement) Deny(name string, q *request.Request, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil {
+		return
+	}
+	s.denied = p.Clock.Now().Add(d)
+	if f, ok := s.end(q); ok && f.learned {
+		s.forget(q)
+	}
+}
+
 // Report takes what a backend server said of itself in an answer.
 func (p *Placement) Report(name string, running, waiting int) {
 	p.mu.Lock()
@@ -217,8 +253,8 @@
 	if s == nil {
 		return
 	}
-	if t, ok := s.end(q); ok {
-		p.ended(s, q.Route, p.Clock.Since(t), r)
+	if f, ok := s.end(q); ok {
+		p.ended(s, q.Route, p.Clock.Since(f.since), r)
 	}
 	switch r {
 	case result.Shed, result.Refused, result.Failed, result.Unused:
@@ -290,7 +326,8 @@
 		}
 		c = append(c, candidate{
 			server: s, score: rendezvous.Score(k, b.Name, w),
-			resting: g.outlier.Ejected(b.Name, now) || s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now) ||
+			denied: s.denied.After(now),
+			resting: g.outlier.Ejected(b.Name, now) || s.denied.After(now) || s.cold.After(now) && !s.paced(p.Pace.Part(b.Name, q), now) ||
 				p.Limit != nil && !p.Limit.Allow(b),
 		})
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -39,6 +39,8 @@
 //	at ID NAME                       where it is; [!] same ID OTHER
 //	fill OBJECT COUNT                requests that stay
 //	end ID RESULT                    Succeeded, Shed, Failed, Refused, Canceled
+//	deny ID DURATION                 there is no permit to send it where it is
+//	again ID DURATION                in which time it may be placed
 //	report NAME RUNNING WAITING      what a backend server says of itself
 //	after DURATION
 func TestPlacement(t *testing.T) {
@@ -57,7 +59,7 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"servers": servers, "cold": cold, "take": take, "at": at, "same": same, "fill": fill, "end": end,
+			"servers": servers, "cold": cold, "take": take, "at": at, "same": same, "fill": fill, "end": end, "deny": deny, "again": again,
 			"report": report, "after": after,
 		},
 	})
@@ -147,6 +149,18 @@
 	}
 }
 
+func deny(ts *testscript.TestScript, _ bool, a []string) {
+	w := on(ts)
+	w.placement.Deny(w.places[a[0]], w.requests[a[0]], scripttest.Scripttest{Script: ts}.Duration(a[1]))
+}
+
+func again(ts *testscript.TestScript, _ bool, a []string) {
+	w := on(ts)
+	if d := w.placement.Again(w.requests[a[0]]); d != (scripttest.Scripttest{Script: ts}).Duration(a[1]) {
+		ts.Fatalf("in %s", d)
+	}
+}
+
 func report(ts *testscript.TestScript, _ bool, a []string) {
 	s := scripttest.Scripttest{Script: ts}
 	on(ts).placement.Report(a[0], s.Number(a[1]), s.Number(a[2]))
--- a/placement/server.go
+++ b/placement/server.go
@@ -41,6 +41,7 @@
 	lasting time.Duration // how long requests of this host last there, waits included
 	full    time.Time     // until when it counts as full
 	cold    time.Time     // until when it is cold
+	denied  time.Time     // until when there is no permit to send it anything
 	sent    []time.Time
 	// objects are those that it has lately worked on for this host.
 	objects *simplelru.LRU[string, struct{}]
@@ -58,6 +59,7 @@
 type flight struct {
 	id, route string
 	since     time.Time
+	learned   bool // its object was not known there before
 }
 
 // candidate is a backend server that a request may go to.
@@ -66,6 +68,7 @@
 	score   float64
 	place   int  // how many others the object prefers
 	resting bool // it gets nothing for a moment
+	denied  bool // there is no permit for it
 }
 
 // load estimates the requests that run or wait there.
@@ -119,22 +122,22 @@
 	s.full = now.Add(shedLife)
 }
 
-func (s *server) take(r *request.Request, now time.Time) {
-	s.running = append(s.running, flight{id: r.ID, route: r.Route, since: now})
+func (s *server) take(r *request.Request, now time.Time, learned bool) {
+	s.running = append(s.running, flight{id: r.ID, route: r.Route, since: now, learned: learned})
 	if s.cold.After(now) {
 		s.sent = append(s.sent, now)
 	}
 }
 
-// end takes a request out and returns since when it ran.
-func (s *server) end(r *request.Request) (time.Time, bool) {
+// end takes a request out.
+func (s *server) end(r *request.Request) (flight, bool) {
 	for i, f := range s.running {
 		if f.id == r.ID {
 			s.running = append(s.running[:i], s.running[i+1:]...)
-			return f.since, true
+			return f, true
 		}
 	}
-	return time.Time{}, false
+	return flight{}, false
 }
 
 // overdue reports whether a request runs there for much longer than is usual on
