Permits: a caller that leaves denies nothing to others

What callers would see: when a caller leaves while its host asks another one for a permit, that backend server gets nothing of this host for 2 s, as if the host that was asked had given no answer.

A question whose caller has left counts for nothing now. TestCallerLeavesBeforeAPermit fails before (2 s where zero is right).

--- a/permits/permits.go
+++ b/permits/permits.go
@@ -71,7 +71,7 @@
 }
 
 // Get asks for a permit to send one request to a backend server now, or tells in which
-// time there may be one.
+// time there may be one; zero if ctx has ended.
 func (p *Permits) Get(ctx context.Context, b backend.Backend) (again time.Duration, ok bool) {
 	q := &wire.PermitRequest{Backend: b.Name, Service: b.Service, Domain: b.Domain, Region: b.Region}
 	for _, h := range p.givers(q) {
@@ -84,6 +84,9 @@
 			again = d
 		}
 	}
+	if ctx.Err() != nil {
+		return 0, false // it is not the hosts that gave no answer
+	}
 	p.count(&p.denied)
 	if again == 0 {
 		again = lostFor
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -62,8 +62,11 @@
 		Slots:   func(string) map[string]int { return map[string]int{"region-0": 12, "region-1": 36, "region-2": 36} },
 		Rate:    func(string) float64 { return f.rate },
 		Overage: overage, Slack: slack,
-		Ask: func(_ context.Context, a string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
+		Ask: func(ctx context.Context, a string, q *wire.PermitRequest) (*wire.PermitResponse, error) {
 			f.asked++
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			for i, v := range f.members {
 				if v.PeerAddress == a && !f.cut(m.Name, v.Name) {
 					return f.hosts[i].Give(q), nil
@@ -168,3 +171,16 @@
 	}
 	must.Greater(t, 5*10, n)
 }
+
+// A caller that leaves while its host asks for a permit takes the backend server out of use
+// for others.
+func TestCallerLeavesBeforeAPermit(t *testing.T) {
+	f := newFleet(6, 1, 9.8)
+	x, stop := context.WithCancel(context.Background())
+	stop()
+	for h := range f.hosts {
+		d, _ := f.hosts[h].Get(x, f.backend)
+		must.EqOp(t, 0, d)
+		must.True(t, f.send(h))
+	}
+}
