Permits: parts of regions add up on all hosts

What operators could see: a backend server that may be cold gets one request a second more than it may.

Cause: each host summed the shares of regions in the order of a map. Sums differ in their last bits, and two regions with equal shares, or one just between two whole numbers, got their part in another order on another host.

--- a/permits/division.go
+++ b/permits/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -150,20 +151,20 @@
 }
 
 // regionPart returns how many of all permits the own region has: as many as placement
-// sends there of all requests, if each host has as many callers, and at least one.
+// sends there of all requests, if each host has as many callers, and at least one. Sums go
+// in one order on all hosts, or parts that are rounded would not add up.
 func (p *Permits) regionPart(q *wire.PermitRequest, all int) int {
-	n, t := make(map[string]float64), 0.0
+	n := make(map[string]float64)
 	for _, h := range p.hosts {
 		n[h.Region]++
 	}
-	s := p.Slots(q.GetService())
-	var l []string
-	for r := range n {
+	s, t := p.Slots(q.GetService()), 0.0
+	l := slices.Sorted(maps.Keys(n))
+	for _, r := range l {
 		n[r] *= p.share(r, q.GetRegion(), s)
 		t += n[r]
-		l = append(l, r)
 	}
-	slices.SortFunc(l, func(x, y string) int { return cmp.Or(cmp.Compare(n[x], n[y]), cmp.Compare(x, y)) })
+	slices.SortStableFunc(l, func(x, y string) int { return cmp.Compare(n[x], n[y]) })
 	for i, r := range l {
 		k := min(max(int(math.Round(float64(all)*n[r]/t)), 1), all)
 		if i == len(l)-1 {
@@ -182,8 +183,8 @@
 // another, or in the same one.
 func (p *Permits) share(from, to string, slots map[string]int) float64 {
 	t := 0.0
-	for r, n := range slots {
-		t += float64(n) * p.weight(from, r)
+	for _, r := range slices.Sorted(maps.Keys(slots)) {
+		t += float64(slots[r]) * p.weight(from, r)
 	}
 	return p.weight(from, to) / max(t, 1)
 }
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -184,3 +184,21 @@
 		must.True(t, f.send(h))
 	}
 }
+
+// Hosts that add up in different orders round differently, and parts of regions exceed the
+// bound.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		f := newFleet(rapid.IntRange(3, 40).Draw(r, "hosts"), 3, 9.8)
+		s := rapid.IntRange(1, 24).Draw(r, "slots")
+		all := rapid.IntRange(3, 30).Draw(r, "permits")
+		q := &wire.PermitRequest{Backend: "c1", Service: "listings", Domain: "domain-0", Region: "region-0"}
+		sum := 0
+		for _, h := range f.hosts[:3] { // one in each region
+			h.Slots = func(string) map[string]int { return map[string]int{"region-0": s, "region-1": s, "region-2": s} }
+			h.hosts = f.members
+			sum += h.regionPart(q, all)
+		}
+		must.EqOp(t, all, sum)
+	})
+}
