Gateway: second tries ask for a permit at both places of their object

What callers would see: while permits are needed, a second try, or a request that had waited for the answer of another region, is refused after one backend server has none, though the other place of its object may. It has no patience left by then.

TestPlaceWithoutAPermit has the case and fails before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,10 @@
 	// slot. A caller that is refused after that can still be served in time
 	// when it comes back.
 	patienceParts = 8
+	// permitTries is for how many backend servers a permit is asked for at least, also when
+	// a request has no patience left: on a second try, or after a question to another
+	// region.
+	permitTries = 2
 	// retryAfter is when a request that found no room may come back, about the
 	// time in which a backend server ends its running requests.
 	retryAfter = 250 * time.Millisecond
@@ -217,17 +221,21 @@
 // lasts.
 func (g *Gateway) Place(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
 	u := r.Admitted.Add(r.Patience)
+	n := 0 // questions for a permit that were in vain
 	for {
 		c := g.Placement.Freed()
 		b, ok, m := g.Placement.Take(r)
 		if ok && g.permitted(ctx, r, b) {
 			return g.slot(r, b), outcome.Outcome{}
 		}
+		if ok {
+			n++
+		}
 		d := u.Sub(g.Clock.Now())
 		switch {
 		case ctx.Err() != nil:
 			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
-		case ok && d > 0:
+		case ok && (d > 0 || n < permitTries):
 			continue // there may be a permit for another backend server
 		case !m || d <= 0:
 			r.Trail.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", m, "Patience", r.Patience, "Priority", r.Priority)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -161,7 +161,7 @@
 
 // place lets a host place a request for one of two backend servers, of which some have a
 // permit only after a time.
-func place(again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
+func place(patience time.Duration, again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
 	w := newWorld()
 	p := &placement.Placement{Clock: w.clock, Rate: func(string) (float64, time.Duration) { return 0, 0 }}
 	p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
@@ -170,20 +170,22 @@
 		return again[b.Name], again[b.Name] == 0
 	}
 	return w.gateway.Place(context.Background(), &request.Request{
-		ID: "r1", Admitted: w.clock.Now(), Patience: time.Second, Tried: new(tried.Tried), Trail: new(trail.Trail),
+		ID: "r1", Admitted: w.clock.Now(), Patience: patience, Tried: new(tried.Tried), Trail: new(trail.Trail),
 	})
 }
 
 // A request without a permit for one backend server is refused while another has one, is
 // sent without, or waits in vain.
 func TestPlaceWithoutAPermit(t *testing.T) {
-	for _, n := range []string{"c1", "c2"} {
-		s, o := place(map[string]time.Duration{n: time.Second})
-		must.EqOp(t, "", o.Outcome)
-		must.NotEqOp(t, n, s.Backend.Name)
+	for _, p := range []time.Duration{time.Second, 0} {
+		for _, n := range []string{"c1", "c2"} {
+			s, o := place(p, map[string]time.Duration{n: time.Second})
+			must.EqOp(t, "", o.Outcome)
+			must.NotEqOp(t, n, s.Backend.Name)
+		}
+		_, o := place(p, map[string]time.Duration{"c1": 700 * time.Millisecond, "c2": 400 * time.Millisecond})
+		must.EqOp(t, outcome.NoCapacity, o.Outcome)
+		must.EqOp(t, outcome.RanNo, o.Ran)
+		must.EqOp(t, 400*time.Millisecond, o.RetryAfter)
 	}
-	_, o := place(map[string]time.Duration{"c1": 700 * time.Millisecond, "c2": 400 * time.Millisecond})
-	must.EqOp(t, outcome.NoCapacity, o.Outcome)
-	must.EqOp(t, outcome.RanNo, o.Ran)
-	must.EqOp(t, 400*time.Millisecond, o.RetryAfter)
 }
