Gateway: a request whose time runs out without room is told so

What callers would see: a request that finds no room just when its time ends, a second try mostly, is treated as if its caller had left, in the place of a refusal that says when to come back.

TestPlaceWithoutTime fails before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,7 +233,7 @@
 		}
 		d := u.Sub(g.Clock.Now())
 		switch {
-		case ctx.Err() != nil:
+		case ok && ctx.Err() != nil:
 			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
 		case ok && (d > 0 || n < permitTries):
 			continue // there may be a permit for another backend server
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -161,7 +161,7 @@
 
 // place lets a host place a request for one of two backend servers, of which some have a
 // permit only after a time.
-func place(patience time.Duration, again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
+func place(ctx context.Context, patience time.Duration, again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
 	w := newWorld()
 	p := &placement.Placement{Clock: w.clock, Rate: func(string) (float64, time.Duration) { return 0, 0 }}
 	p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
@@ -169,7 +169,7 @@
 	w.gateway.Permit = func(_ context.Context, b backend.Backend) (time.Duration, bool) {
 		return again[b.Name], again[b.Name] == 0
 	}
-	return w.gateway.Place(context.Background(), &request.Request{
+	return w.gateway.Place(ctx, &request.Request{
 		ID: "r1", Admitted: w.clock.Now(), Patience: patience, Tried: new(tried.Tried), Trail: new(trail.Trail),
 	})
 }
@@ -179,13 +179,26 @@
 func TestPlaceWithoutAPermit(t *testing.T) {
 	for _, p := range []time.Duration{time.Second, 0} {
 		for _, n := range []string{"c1", "c2"} {
-			s, o := place(p, map[string]time.Duration{n: time.Second})
+			s, o := place(t.Context(), p, map[string]time.Duration{n: time.Second})
 			must.EqOp(t, "", o.Outcome)
 			must.NotEqOp(t, n, s.Backend.Name)
 		}
-		_, o := place(p, map[string]time.Duration{"c1": 700 * time.Millisecond, "c2": 400 * time.Millisecond})
+		_, o := place(t.Context(), p, map[string]time.Duration{"c1": 700 * time.Millisecond, "c2": 400 * time.Millisecond})
 		must.EqOp(t, outcome.NoCapacity, o.Outcome)
 		must.EqOp(t, outcome.RanNo, o.Ran)
 		must.EqOp(t, 400*time.Millisecond, o.RetryAfter)
 	}
 }
+
+// A request whose time runs out is told that its caller has left, though the caller waits
+// and may come back.
+func TestPlaceWithoutTime(t *testing.T) {
+	x, stop := context.WithCancel(t.Context())
+	stop()
+	_, o := place(x, 0, map[string]time.Duration{"c1": time.Second, "c2": time.Second})
+	must.EqOp(t, outcome.Left, o.Outcome)
+	w := newWorld()
+	_, o = w.gateway.Place(x, &request.Request{ID: "r1", Admitted: w.clock.Now(), Trail: new(trail.Trail)})
+	must.EqOp(t, outcome.NoCapacity, o.Outcome)
+	must.Positive(t, o.RetryAfter)
+}
