LOST: log and count requests whose connection this host closes

Nothing told why a caller's connection was closed with its request on it: the timeouts close silently, net/http prints panics outside the log, and nothing set http.Server.ErrorLog. Now one line names the request and the reason (Timeout, Shutdown, Aborted, Panic), with a counter each. Nothing else changes.

--- a/host/metrics_test.go
+++ b/host/metrics_test.go
@@ -15,8 +15,8 @@
 )
 
 // The table in docs/metrics.md lists exactly the metrics that the code
-// publishes: a counter for each outcome, and the gauges of this package and of
-// package edge.
+// publishes: a counter for each outcome and for each reason to close a connection
+// without a response, and the gauges of this package and of package edge.
 func TestMetricsAreDocumented(t *testing.T) {
 	b, err := os.ReadFile("../docs/metrics.md")
 	must.NoError(t, err)
@@ -31,6 +31,11 @@
 			used = append(used, "Requests."+v)
 		}
 	}
+	for n, v := range constants(t, "../httplisten/unanswered.go") {
+		if strings.HasPrefix(n, "reason") {
+			used = append(used, "Unanswered."+v)
+		}
+	}
 	for _, f := range []string{"metrics.go", "../edge/metrics.go"} {
 		for n, v := range constants(t, f) {
 			if strings.HasPrefix(n, "gauge") {
--- a/host/supervisor.go
+++ b/host/supervisor.go
@@ -55,6 +55,7 @@
 			child.Child{Name: "expiry", Run: x.requests.expiry.Run},
 			child.Child{Name: "callers", Run: (&httplisten.Httplisten{
 				Listener: c, Handler: x.callerHandler(), BeforeShutdown: x.shutDown, DrainTimeout: lastResponseTimeout,
+				Log: h.Log,
 			}).Run},
 		),
 	)
--- a/httplisten/guard.go
+++ b/httplisten/guard.go
@@ -19,6 +19,7 @@
 
 	mu         sync.Mutex
 	timer      clockwork.Timer
+	expired    bool
 	generation int // incremented whenever the timer changes, so that a timer that fires late has no effect
 }
 
@@ -50,6 +51,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.generation == generation {
+		g.expired = true
 		_ = g.conn.Close() // the caller is gone or too slow
 	}
 }
@@ -95,3 +97,16 @@
 	}
 	return v
 }
+
+// hasExpired reports whether the timeout of an open connection has closed it.
+func (g *connTimeouts) hasExpired(c net.Conn) bool {
+	g.mu.Lock()
+	v := g.conns[c]
+	g.mu.Unlock()
+	if v == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.expired
+}
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -5,8 +5,10 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
@@ -40,18 +42,34 @@
 	Clock clockwork.Clock
 	// DrainTimeout limits the wait for requests in flight.
 	DrainTimeout time.Duration
+	// Log receives one line for each request whose connection this host closes before the
+	// response is complete, and the errors of net/http; nil discards them.
+	Log *log.Logger
+	// RequestID returns the id of a request for the log; nil logs none.
+	RequestID func(q *http.Request) string
+	// OnUnanswered, if set, is called with the reason for each such request.
+	OnUnanswered func(reason string)
+
+	closed atomic.Bool // connections with requests in flight were closed
 }
 
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
-	s := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	s := &http.Server{Handler: http.HandlerFunc(l.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	if l.Log != nil {
+		s.ErrorLog = l.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
+	}
+	var g *connTimeouts
 	if l.Limits != nil {
-		g := &connTimeouts{clock: l.Clock, limits: l.Limits, conns: make(map[net.Conn]*connTimeout)}
+		g = &connTimeouts{clock: l.Clock, limits: l.Limits, conns: make(map[net.Conn]*connTimeout)}
 		s.ConnState = g.stateChanged
 		// connTimeouts replaces the server's own timeouts, which could be shorter than
 		// the limits of an operator.
 		s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
 	}
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, closeReasonKey{}, func() string { return l.closeReason(g, c) })
+	}
 	e := make(chan error, 1)
 	go func() { e <- s.Serve(l.Listener) }()
 	select {
@@ -66,8 +84,20 @@
 	defer f()
 	err := s.Shutdown(x)
 	if err != nil {
+		l.closed.Store(true)
 		_ = s.Close()
 	}
 	<-e //nolint:errcheck // always ErrServerClosed after Shutdown
 	return errors.Wrap(err, "drain")
 }
+
+// closeReason returns why this host closed c, empty if it did not.
+func (l *Httplisten) closeReason(g *connTimeouts, c net.Conn) string {
+	switch {
+	case g != nil && g.hasExpired(c):
+		return reasonTimeout
+	case l.closed.Load():
+		return reasonShutdown
+	}
+	return ""
+}
--- /dev/null
+++ b/httplisten/unanswered.go
@@ -0,0 +1,70 @@
+package httplisten
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+)
+
+// Reasons why this host closed a connection before its request had a complete response.
+const (
+	// reasonTimeout is a limit on the time for the header or without a request.
+	reasonTimeout = "Timeout"
+	// reasonShutdown is the end of DrainTimeout.
+	reasonShutdown = "Shutdown"
+	// reasonAborted is a response that was truncated after its header.
+	reasonAborted = "Aborted"
+	// reasonPanic is a panic of the handler.
+	reasonPanic = "Panic"
+)
+
+// serve runs the handler and reports the request if this host closes its connection
+// before the response is complete.
+func (l *Httplisten) serve(w http.ResponseWriter, q *http.Request) {
+	defer func() {
+		v := recover()
+		err, _ := v.(error)
+		switch {
+		case v == nil:
+			if r := closeReason(q.Context()); r != "" {
+				l.reportUnanswered(q, r)
+			}
+			return
+		case errors.Is(err, http.ErrAbortHandler):
+			l.reportUnanswered(q, reasonAborted)
+		default:
+			l.reportUnanswered(q, reasonPanic, "Error", fmt.Sprint(v), "Stack", string(debug.Stack()))
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	l.Handler.ServeHTTP(w, q)
+}
+
+// reportUnanswered logs and counts a request without a complete response.
+func (l *Httplisten) reportUnanswered(q *http.Request, reason string, fields ...any) {
+	if l.Log != nil {
+		id := ""
+		if l.RequestID != nil {
+			id = l.RequestID(q)
+		}
+		l.Log.Error("connection closed without a response", append([]any{"Request", id, "Caller", q.RemoteAddr, "Reason", reason}, fields...)...)
+	}
+	if l.OnUnanswered != nil {
+		l.OnUnanswered(reason)
+	}
+}
+
+// closeReasonKey is the context key of a function that returns why this host closed the
+// connection of a request, empty if it did not.
+type closeReasonKey struct{}
+
+func closeReason(ctx context.Context) string {
+	f, ok := ctx.Value(closeReasonKey{}).(func() string)
+	if !ok {
+		return ""
+	}
+	return f()
+}
