--- /dev/null
+++ b/httplisten/pipe_test.go
@@ -0,0 +1,178 @@
+package httplisten_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/httplisten"
+)
+
+const (
+	headerLimit = 10 * time.Second
+	idleLimit   = 15 * time.Second
+	drainLimit  = time.Minute
+	margin      = time.Millisecond
+)
+
+// clock is the real clock, which returns virtual time inside a synctest bubble.
+var clock = clockwork.NewRealClock()
+
+// pipeListener connects callers and a server in memory, because virtual time does not
+// advance while a goroutine waits on a socket.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// dial opens a connection whose server's end is wrapped by f.
+func (l *pipeListener) dial(f func(net.Conn) net.Conn) (net.Conn, error) {
+	a, b := net.Pipe()
+	select {
+	case l.conns <- f(b):
+		return a, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return nil }
+
+// lateConn calls afterRead, if set, between the arrival of bytes and the return of
+// Read.
+type lateConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if f := c.afterRead; f != nil && n > 0 {
+		c.afterRead = nil
+		f()
+	}
+	return n, err
+}
+
+// piped is a server in virtual time and a caller's connection to it.
+type piped struct {
+	stop   context.CancelFunc
+	server *lateConn
+	conn   net.Conn
+	answer *bufio.Reader
+}
+
+// inBubble runs f in virtual time.
+func inBubble(t *testing.T, f func(t *testing.T, w *piped)) {
+	// The race detector crashes when timers of a bubble fire on several processors.
+	c := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(c) })
+	synctest.Test(t, func(t *testing.T) { f(t, startPiped(t)) })
+}
+
+func startPiped(t *testing.T) *piped {
+	l := newPipeListener()
+	s := &httplisten.Httplisten{
+		Listener: l, Handler: http.HandlerFunc(echo), Clock: clock, DrainTimeout: drainLimit,
+		Limits: func() (header, idle time.Duration) { return headerLimit, idleLimit },
+	}
+	x, f := context.WithCancel(context.Background())
+	e := make(chan error, 1)
+	go func() { e <- s.Run(x) }()
+	w := &piped{stop: f}
+	c, err := l.dial(func(c net.Conn) net.Conn {
+		w.server = &lateConn{Conn: c}
+		return w.server
+	})
+	must.NoError(t, err)
+	w.conn, w.answer = c, bufio.NewReader(c)
+	t.Cleanup(func() {
+		_ = c.Close()
+		f()
+		must.NoError(t, <-e)
+		clock.Sleep(drainLimit) // a Read may still be in afterRead, and a bubble waits for no goroutine
+	})
+	return w
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = w.Write(b) // the caller judges what it gets
+}
+
+// send writes one request in pieces. The server's Read of pieces[late] returns only
+// after f.
+func (w *piped) send(t *testing.T, late int, f func(), pieces ...string) {
+	for i, p := range pieces {
+		synctest.Wait()
+		if i == late {
+			w.server.afterRead = f
+		}
+		_, err := io.WriteString(w.conn, p)
+		must.NoError(t, err)
+	}
+}
+
+func (w *piped) mustBeAnswered(t *testing.T) {
+	p, err := http.ReadResponse(w.answer, nil)
+	must.NoError(t, err, must.Sprint("the server has read the request whole and closed the connection"))
+	b, err := io.ReadAll(p.Body)
+	must.NoError(t, err)
+	must.NoError(t, p.Body.Close())
+	must.Eq(t, http.StatusOK, p.StatusCode)
+	must.Eq(t, "body", string(b))
+}
+
+func (w *piped) call(t *testing.T) {
+	w.send(t, 0, nil, whole()...)
+	w.mustBeAnswered(t)
+}
+
+const (
+	header = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
+	body   = "body"
+)
+
+// whole, splitHeader and bodyAfter return the pieces of one request.
+func whole() []string { return []string{header + body} }
+
+func splitHeader() []string {
+	i := strings.Index(header, "Host")
+	return []string{header[:i], header[i:] + body}
+}
+
+func bodyAfter() []string { return []string{header, body} }
