--- a/httplisten/pipe_test.go
+++ b/httplisten/pipe_test.go
@@ -46,7 +46,9 @@
 	a, b := net.Pipe()
 	select {
 	case l.conns <- f(b):
-		return a, nil
+		c := &bufferedConn{Conn: a, received: make(chan []byte, 64)}
+		go c.receive()
+		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -68,6 +70,43 @@
 
 func (l *pipeListener) Addr() net.Addr { return nil }
 
+// bufferedConn is the caller's end of a pipe. It receives while its caller writes, so
+// that a server can send an error before it has read a request.
+type bufferedConn struct {
+	net.Conn
+	received chan []byte
+	rest     []byte
+	err      error
+}
+
+func (c *bufferedConn) receive() {
+	for {
+		b := make([]byte, 4096)
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.received <- b[:n]
+		}
+		if err != nil {
+			c.err = err
+			close(c.received)
+			return
+		}
+	}
+}
+
+func (c *bufferedConn) Read(b []byte) (int, error) {
+	if len(c.rest) == 0 {
+		r, ok := <-c.received
+		if !ok {
+			return 0, c.err
+		}
+		c.rest = r
+	}
+	n := copy(b, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
 // lateConn calls afterRead, if set, between the arrival of bytes and the return of
 // Read.
 type lateConn struct {
