LOST: test, failing: the load of kept connections on sockets

60 callers and limits of 1 to 15 ms on loopback, so that timers and requests cross often. The listener pairs both ends of a connection and counts what the server has read; a request that it read whole or passed on must be answered. SEEDS=n plays seeds 1 to n, 4 without it. Nothing depends on elapsed time.

--- a/httplisten/load_test.go
+++ b/httplisten/load_test.go
@@ -80,6 +80,50 @@
 	return n, err
 }
 
+// watchedListener accepts connections of callers on loopback and pairs their ends.
+type watchedListener struct {
+	net.Listener
+	dialing  sync.Mutex
+	accepted chan *watchedConn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *watchedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	w := &watchedConn{Conn: c}
+	select {
+	case l.accepted <- w:
+	case <-l.closed: // the caller does not wait any more
+	}
+	return w, nil
+}
+
+func (l *watchedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// dial opens one connection at a time, so that the next one accepted is its other end.
+func (l *watchedListener) dial(uint64) (net.Conn, *watchedConn, error) {
+	l.dialing.Lock()
+	defer l.dialing.Unlock()
+	c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", l.Addr().String())
+	if err != nil {
+		return nil, nil, err
+	}
+	select {
+	case w := <-l.accepted:
+		return c, w, nil
+	case <-l.closed:
+		_ = c.Close()
+		return nil, nil, net.ErrClosed
+	}
+}
+
 // run plays the load and returns what went wrong.
 func (l *load) run(n net.Listener) []string {
 	r := rand.New(rand.NewPCG(l.seed, 0))
--- a/httplisten/soak_test.go
+++ b/httplisten/soak_test.go
@@ -29,6 +29,10 @@
 	}
 }
 
+func mustBeFaultless(t *testing.T, seed uint64, f []string) {
+	must.SliceEmpty(t, f, must.Sprintf("seed %d, the first faults:\n%s", seed, strings.Join(f[:min(len(f), shownFaults)], "\n")))
+}
+
 // Guards against a server that closes a connection while it holds a request, and one that
 // keeps connections without requests open: limits and requests that meet at the same
 // instant, limits that change, and shutdowns.
@@ -51,7 +55,19 @@
 			}
 			f := l.run(n)
 			clock.Sleep(time.Hour) // a Read may still be late, and a bubble waits for no goroutine
-			must.SliceEmpty(t, f, must.Sprintf("seed %d, the first faults:\n%s", seed, strings.Join(f[:min(len(f), shownFaults)], "\n")))
+			mustBeFaultless(t, seed, f)
 		})
 	})
 }
+
+// Guards against the same on sockets, where the timers of limits of some milliseconds and
+// requests cross in any order.
+func TestLoadOnSockets(t *testing.T) {
+	forSeeds(t, 4, func(t *testing.T, seed uint64) {
+		n, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		w := &watchedListener{Listener: n, accepted: make(chan *watchedConn), closed: make(chan struct{})}
+		l := &load{seed: seed, unit: time.Millisecond, calls: 60, quiet: 6, drain: time.Minute, dial: w.dial}
+		mustBeFaultless(t, seed, l.run(w))
+	})
+}
