--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -2,6 +2,7 @@
 package httplisten
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/serverconn"
 )
 
 const (
@@ -33,12 +36,12 @@
 	// BeforeShutdown, if set, runs after ctx has ended and before the listener is
 	// closed.
 	BeforeShutdown func(ctx context.Context)
-	// Limits, if set, returns two time limits. header is the limit for the header of
-	// the first request on a connection; zero means 5 s. idle is the limit from one
-	// answer to the end of the next request's header; zero means 2 min. Limits is
-	// called again for each wait, so that changes apply to open connections.
+	// Limits, if set, returns two time limits. header is the limit for a header, which
+	// begins with the connection or, on a connection with earlier requests, with the first
+	// byte; zero means 5 s. idle is the limit from one answer to the first byte of the next
+	// request; zero means 2 min. Changes apply to open connections.
 	Limits func() (header, idle time.Duration)
-	// Clock measures the waits that Limits bounds.
+	// Clock measures the waits that Limits bounds; nil means the real clock.
 	Clock clockwork.Clock
 	// DrainTimeout limits the wait for requests in flight.
 	DrainTimeout time.Duration
@@ -55,23 +58,10 @@
 
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
-	s := &http.Server{Handler: http.HandlerFunc(l.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
-	if l.Log != nil {
-		s.ErrorLog = l.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
-	}
-	var g *connTimeouts
-	if l.Limits != nil {
-		g = &connTimeouts{clock: l.Clock, limits: l.Limits, conns: make(map[net.Conn]*connTimeout)}
-		s.ConnState = g.stateChanged
-		// connTimeouts replaces the server's own timeouts, which could be shorter than
-		// the limits of an operator.
-		s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
-	}
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, closeReasonKey{}, func() string { return l.closeReason(g, c) })
-	}
+	g := newConnections(func() { l.countUnanswered(reasonHeader) })
+	s := l.server(g)
 	e := make(chan error, 1)
-	go func() { e <- s.Serve(l.Listener) }()
+	go func() { e <- s.Serve(&connListener{Listener: l.Listener, wrap: l.wrap}) }()
 	select {
 	case err := <-e:
 		return errors.Wrap(err, "serve")
@@ -80,24 +70,54 @@
 	if l.BeforeShutdown != nil {
 		l.BeforeShutdown(context.WithoutCancel(ctx))
 	}
+	_ = l.Listener.Close()
+	<-e //nolint:errcheck // always that of a closed listener
 	x, f := context.WithTimeout(context.WithoutCancel(ctx), l.DrainTimeout)
 	defer f()
-	err := s.Shutdown(x)
-	if err != nil {
-		l.closed.Store(true)
-		_ = s.Close()
+	return l.drain(x, s, g)
+}
+
+func (l *Httplisten) server(g *connections) *http.Server {
+	s := &http.Server{
+		MaxHeaderBytes: maxHeaderBytes,
+		Handler:        http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.serve(g, w, q) }),
+		ConnState:      func(c net.Conn, v http.ConnState) { g.setState(c.(*serverconn.Serverconn), v) },
+	}
+	if l.Log != nil {
+		s.ErrorLog = l.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 	}
-	<-e //nolint:errcheck // always ErrServerClosed after Shutdown
-	return errors.Wrap(err, "drain")
+	return s
 }
 
-// closeReason returns why this host closed c, empty if it did not.
-func (l *Httplisten) closeReason(g *connTimeouts, c net.Conn) string {
-	switch {
-	case g != nil && g.hasExpired(c):
-		return reasonTimeout
-	case l.closed.Load():
-		return reasonShutdown
+// drain waits until the connections have ended, at most until ctx ends, and closes those
+// that are left. Server.Shutdown is not used: it closes a connection whose request has
+// been read but not yet handled.
+func (l *Httplisten) drain(ctx context.Context, s *http.Server, g *connections) error {
+	select {
+	case <-g.drain():
+	case <-ctx.Done():
+	}
+	n := g.requests()
+	l.closed.Store(true)
+	_ = s.Close()
+	if n > 0 {
+		return errors.Errorf("drain: %d requests cut", n)
+	}
+	return nil
+}
+
+// wrap returns c with the limits of this listener.
+func (l *Httplisten) wrap(c net.Conn) net.Conn {
+	k := l.Clock
+	if k == nil {
+		k = clockwork.NewRealClock()
+	}
+	return &serverconn.Serverconn{Conn: c, Clock: k, Limits: l.limits}
+}
+
+func (l *Httplisten) limits() (header, idle time.Duration) {
+	if l.Limits != nil {
+		header, idle = l.Limits()
 	}
-	return ""
+	return cmp.Or(header, headerTimeout), cmp.Or(idle, idleTimeout)
 }
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -1,7 +1,6 @@
 package httplisten
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -11,8 +10,8 @@
 
 // Reasons why this host closed a connection before its request had a complete response.
 const (
-	// reasonTimeout is a limit on the time for the header or without a request.
-	reasonTimeout = "Timeout"
+	// reasonHeader is a header that was not complete in time.
+	reasonHeader = "Header"
 	// reasonShutdown is the end of DrainTimeout.
 	reasonShutdown = "Shutdown"
 	// reasonAborted is a response that was truncated after its header.
@@ -23,14 +22,17 @@
 
 // serve runs the handler and reports the request if this host closes its connection
 // before the response is complete.
-func (l *Httplisten) serve(w http.ResponseWriter, q *http.Request) {
+func (l *Httplisten) serve(g *connections, w http.ResponseWriter, q *http.Request) {
+	if g.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
 	defer func() {
 		v := recover()
 		err, _ := v.(error)
 		switch {
 		case v == nil:
-			if r := closeReason(q.Context()); r != "" {
-				l.reportUnanswered(q, r)
+			if l.closed.Load() {
+				l.reportUnanswered(q, reasonShutdown)
 			}
 			return
 		case errors.Is(err, http.ErrAbortHandler):
@@ -52,19 +54,11 @@
 		}
 		l.Log.Error("connection closed without a response", append([]any{"Request", id, "Caller", q.RemoteAddr, "Reason", reason}, fields...)...)
 	}
-	if l.OnUnanswered != nil {
-		l.OnUnanswered(reason)
-	}
+	l.countUnanswered(reason)
 }
 
-// closeReasonKey is the context key of a function that returns why this host closed the
-// connection of a request, empty if it did not.
-type closeReasonKey struct{}
-
-func closeReason(ctx context.Context) string {
-	f, ok := ctx.Value(closeReasonKey{}).(func() string)
-	if !ok {
-		return ""
+func (l *Httplisten) countUnanswered(reason string) {
+	if l.OnUnanswered != nil {
+		l.OnUnanswered(reason)
 	}
-	return f()
 }
