Rollout: hosts that are cut off stay in the answer of -wait

What operators saw: `key withdraw -wait` ended with "in force on 2 of 2 hosts" and exit code 0 while a third host, cut off from its peers and from the platform, still accepted the key.

Cause: the command asks the hosts that the status of the connected host names, its live peers and Missing. Missing came only from a read of the platform's list of hosts, made for that status with a limit of 500 ms. Once a host was silent for Hold, it was in neither part when the read failed (the error stood in Unlisted, which the command does not read), or when the list did not have the host. The stand-in's list drops a host 10 s after its last announcement, and a host cut off from the platform cannot announce itself. In both cases InForce.Silent of the same status named the host.

Change: Missing also has the hosts that membership knows: those heard before, unless they announced their shutdown, and those of the last list that was read.

Why it works: "2 of 2" needs a status whose Peers and Missing both lack the third host. Fleet.Ready returns when each host has heard all others, and membership forgets a host that did not announce its shutdown only after 1200 Hold.

Cost: a host that crashed and does not return is named by -wait, status and report burn for 1200 Hold (an hour by default) and no longer only until the platform's list drops it. Nothing that the host knows tells it from a host that is cut off.

--- a/host/operatorapi.go
+++ b/host/operatorapi.go
@@ -126,8 +126,9 @@
 	return s
 }
 
-// addMissingHosts adds to the status the hosts that are on the platform's list
-// but not among the live peers.
+// addMissingHosts adds to the status the hosts that may be serving but are not among
+// the live peers. The platform's list alone is not enough: it may be unavailable, and
+// a host that is cut off from the platform drops out of it.
 func (x *components) addMissingHosts(ctx context.Context, s *status.Status) {
 	l, f := context.WithTimeout(ctx, hostListTimeout)
 	defer f()
@@ -135,8 +136,13 @@
 	if err != nil {
 		s.Unlisted = err.Error()
 	}
-	for _, v := range m {
-		if v.Name != s.Host.Name && !slices.ContainsFunc(s.Peers, func(p member.Member) bool { return p.Name == v.Name }) {
+	d := map[string]bool{s.Host.Name: true}
+	for _, p := range s.Peers {
+		d[p.Name] = true
+	}
+	for _, v := range slices.Concat(m, x.membership.Hosts()) {
+		if !d[v.Name] {
+			d[v.Name] = true
 			s.Missing = append(s.Missing, v)
 		}
 	}
--- a/status/status.go
+++ b/status/status.go
@@ -35,9 +35,10 @@
 	PlanReason string `json:",omitzero"`
 	// Peers are the hosts that have recently sent heartbeats.
 	Peers []member.Member
-	// Missing are hosts on the platform's list that have not recently sent
-	// heartbeats. The list is updated with a delay, so it may contain hosts
-	// that have just stopped.
+	// Missing are hosts that have not recently sent heartbeats and are on the
+	// platform's list or known from earlier heartbeats. They may still serve.
+	// The list is updated with a delay, so it may contain hosts that have just
+	// stopped.
 	Missing []member.Member `json:",omitzero"`
 	// Unlisted is the error that prevented the read of the platform's list, if
 	// any.
