--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -17,7 +17,8 @@
 	// coldMargin is added to the remaining cold time that a backend server reports,
 	// to allow for the delay of the report.
 	coldMargin = 300 * time.Millisecond
-	// sweepInterval is how often missing entries are checked for expiry.
+	// sweepInterval is how often missing entries and left backend servers are checked for
+	// expiry.
 	sweepInterval = 200 * time.Millisecond
 )
 
@@ -27,7 +28,8 @@
 	// Clock measures how long missing entries are kept and backend servers are cold.
 	Clock clockwork.Clock
 	// Log receives one line for each backend server that appears, leaves or becomes
-	// cold, and for each evacuation of a failure domain.
+	// cold, and for each evacuation of a failure domain. A line on leaving has ToldBy
+	// unless the entry shows it.
 	Log *log.Logger
 	// WarmUp returns how long a backend server of a service may be cold.
 	WarmUp func(service string) time.Duration
@@ -37,6 +39,7 @@
 
 	mu          sync.Mutex
 	entries     map[string]*entry
+	departures  map[process]*departure // processes that stated that they leave
 	evacuated   map[string]bool
 	pendingLogs []logEntry // queued since OnChange was last called
 }
@@ -148,10 +151,11 @@
 }
 
 // Sweep drops entries that went missing during an outage of the store and weren't
-// listed again in time.
+// listed again in time, and forgets backend servers that left long ago.
 func (d *Discovery) Sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.forgetDepartures()
 	c := false
 	for n, k := range d.entries {
 		if !k.keptUntil.IsZero() && !k.keptUntil.After(d.Clock.Now()) {
@@ -172,6 +176,10 @@
 		}
 	}
 	d.OnChange(l, func(n string) time.Time { return d.entries[n].coldUntil })
+	d.flushLogs()
+}
+
+func (d *Discovery) flushLogs() {
 	for _, e := range d.pendingLogs {
 		d.Log.Log(e.level, e.message, e.fields...)
 	}
--- /dev/null
+++ b/discovery/leaving.go
@@ -0,0 +1,89 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// leavingRetention is how long a leaving process is remembered after its entry was last
+// listed. Entries lapse in an outage of the store, and come back. A process whose start
+// is unknown can't be told from its successor, and is forgotten after that time even if
+// its entry stays listed.
+const leavingRetention = 10 * time.Minute
+
+// toldByAnswer is logged as the source of what a response to this host stated.
+const toldByAnswer = "answer"
+
+// process is one process of a backend server. A restarted one is another.
+type process struct {
+	name    string
+	started int64
+}
+
+// departure is what is known of a process that leaves.
+type departure struct {
+	// seen is when its leaving was last stated or, if its start is known, its entry was
+	// last listed.
+	seen time.Time
+}
+
+// MarkLeaving records that a process of a backend server stated, in a response to this
+// host, that it leaves. No entry takes that back.
+func (d *Discovery) MarkLeaving(name string, started int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mark(process{name: name, started: started}, toldByAnswer)
+	d.flushLogs()
+}
+
+// Leaving returns how many listed backend servers stated that they leave.
+func (d *Discovery) Leaving() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for p := range d.departures {
+		if d.isListed(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// mark records that a process leaves, and reports whether that is new.
+func (d *Discovery) mark(p process, toldBy string) bool {
+	n := d.Clock.Now()
+	if v := d.departures[p]; v != nil {
+		v.seen = n
+		return false
+	}
+	if d.departures == nil {
+		d.departures = make(map[process]*departure)
+	}
+	d.departures[p] = &departure{seen: n}
+	f := []any{"Backend", p.name}
+	if d.isListed(p) {
+		f = append(f, "Service", d.entries[p.name].backend.Service)
+	}
+	d.queueLog(log.InfoLevel, "backend server leaves", append(f, "ToldBy", toldBy)...)
+	return true
+}
+
+// isListed reports whether the entry of a process is in use.
+func (d *Discovery) isListed(p process) bool {
+	k := d.entries[p.name]
+	return k != nil && k.backend.Started == p.started
+}
+
+// forgetDepartures forgets processes that were not seen for leavingRetention.
+func (d *Discovery) forgetDepartures() {
+	n := d.Clock.Now()
+	for p, v := range d.departures {
+		if p.started != 0 && d.isListed(p) {
+			v.seen = n
+		}
+		if n.Sub(v.seen) > leavingRetention {
+			delete(d.departures, p)
+		}
+	}
+}
--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -16,6 +16,7 @@
 	hostHeader    = "From-Host"
 	backendHeader = "Answered-By"
 	limitHeader   = "Takes-Per-Second"
+	leavingHeader = "Leaves"
 )
 
 // Bound on the requests that hosts may send to a backend server in a window: limitOverage
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,6 +92,9 @@
 	// LimitValues returns the values of the response header in which a backend server
 	// states how many requests a second it accepts from all hosts together.
 	LimitValues func(h http.Header) []string
+	// SaysLeaving reports whether a backend server states in the header of a response
+	// that it leaves and wants no new requests.
+	SaysLeaving func(h http.Header) bool
 	// Gateway serves requests. Its ReportedLoad must be set before Run; Edge sets
 	// its other fields.
 	Gateway *gateway.Gateway
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -74,6 +74,7 @@
 	}
 	e.Upstream.OnResponse = func(b backend.Backend, sent time.Time, h http.Header, served bool) {
 		e.limits.Observe(b, sent, e.LimitValues(h), served)
+		e.observeLeaving(b, h)
 	}
 	e.Upstream.OnTransportRetry = e.limits.RecordSent
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -290,6 +290,8 @@
 // limitValues returns the values of the limit header.
 func limitValues(h http.Header) []string { return h.Values(limitHeader) }
 
+func saysLeaving(h http.Header) bool { return h.Get(leavingHeader) != "" }
+
 func noReport(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
 
 func addRoutes(c *config.Config) { c.Routes, c.Services = routes, services }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -12,6 +12,7 @@
 	gaugeConfigVersion    = "ConfigVersion"
 	gaugeConfigStoreAge   = "StoreAge.Config"
 	gaugeBackendsStoreAge = "StoreAge.Backends"
+	gaugeLeaving          = "Backends.Leaving"
 	gaugeLimited          = "BackendLimits.Limited"
 	gaugeIgnored          = "BackendLimits.Ignored"
 	gaugeChangesUnheard   = "ChangesUnheard"
@@ -19,11 +20,12 @@
 	gaugeDenied           = "Permits.Denied"
 )
 
-// publishMetrics publishes the gauges of the store's age, the limits of backend
-// servers, unreceived changes and permits.
+// publishMetrics publishes the gauges of the store's age, leaving backend servers, the
+// limits of backend servers, unreceived changes and permits.
 func (e *Edge) publishMetrics() {
 	metric.Metric{Name: gaugeConfigStoreAge}.SetFunc(storeAgeSeconds(e.Config))
 	metric.Metric{Name: gaugeBackendsStoreAge}.SetFunc(storeAgeSeconds(e.Backends))
+	metric.Metric{Name: gaugeLeaving}.SetFunc(func() any { return e.discovery.Leaving() })
 	metric.Metric{Name: gaugeLimited}.SetFunc(func() any { return e.limits.Limited() })
 	metric.Metric{Name: gaugeIgnored}.SetFunc(func() any { return e.limits.Ignored() })
 	metric.Metric{Name: gaugeChangesUnheard}.SetFunc(func() any { return e.storeSilence.ChangesMissing() })
