--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sort"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,13 +32,15 @@
 // TestDiscovery runs the scripts in testdata with the lists that a host reads from the
 // store or from another host's copy. They have these commands:
 //
-//	list NAME...        sets the list; entries missing from it are dropped at once
-//	doubt NAME...       as list, but within 2 s after a store outage; missing entries are kept
-//	cold NAME DURATION  sets a list with one entry, which is cold
-//	evacuate DOMAIN...  sets the evacuated failure domains
-//	after DURATION      advances the clock
-//	usable [NAME...]    checks which backend servers get new requests
-//	[!] iscold NAME     checks whether a backend server is cold
+//	list NAME[@START]...  sets the list; entries missing from it are dropped at once
+//	doubt NAME[@START]... as list, but within 2 s after a store outage; missing entries are kept
+//	cold NAME DURATION    sets a list with one entry, which is cold
+//	evacuate DOMAIN...    sets the evacuated failure domains
+//	leaving NAME[@START]  a response of a backend server states that it leaves
+//	after DURATION        advances the clock
+//	usable [NAME...]      checks which backend servers get new requests
+//	marked NUMBER         checks how many listed backend servers stated that they leave
+//	[!] iscold NAME       checks whether a backend server is cold
 func TestDiscovery(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
@@ -52,7 +56,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"list":     func(ts *testscript.TestScript, _ bool, a []string) { fixtureOf(ts).list(a, 0) },
 			"doubt":    func(ts *testscript.TestScript, _ bool, a []string) { fixtureOf(ts).list(a, uncertainFor) },
-			"evacuate": evacuate, "after": after, "usable": usable, "cold": cold, "iscold": isCold,
+			"evacuate": evacuate, "after": after, "usable": usable, "cold": cold, "iscold": isCold, "leaving": leaving, "marked": marked,
 		},
 	})
 }
@@ -75,11 +79,36 @@
 	w.revision++
 	var l []backend.Backend
 	for _, n := range names {
-		l = append(l, backend.Backend{Name: n, Service: "listings", Domain: "lagos-1", Revision: w.revision})
+		n, t := process(n)
+		l = append(l, backend.Backend{Name: n, Service: "listings", Domain: "lagos-1", Started: t, Revision: w.revision})
 	}
 	w.discovery.SetBackends(l, w.clock.Now().Add(doubt))
 }
 
+// process returns the name and the start of NAME[@START].
+func process(a string) (name string, started int64) {
+	name, v, ok := strings.Cut(a, "@")
+	if !ok {
+		return name, 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		panic(err) // the script has it
+	}
+	return name, n
+}
+
+func leaving(ts *testscript.TestScript, _ bool, a []string) {
+	n, t := process(a[0])
+	fixtureOf(ts).discovery.MarkLeaving(n, t)
+}
+
+func marked(ts *testscript.TestScript, _ bool, a []string) {
+	if n := fixtureOf(ts).discovery.Leaving(); strconv.Itoa(n) != a[0] {
+		ts.Fatalf("%d backend servers are marked", n)
+	}
+}
+
 func cold(ts *testscript.TestScript, _ bool, a []string) {
 	w := fixtureOf(ts)
 	d := scripttest.Scripttest{Script: ts}.Duration(a[1])
--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -15,6 +15,7 @@
 const (
 	hostHeader    = "From-Host"
 	backendHeader = "Answered-By"
+	sentHeader    = "Sent-Nanoseconds" // when the caller sent the request, since the Unix epoch
 	limitHeader   = "Takes-Per-Second"
 	leavingHeader = "Leaves"
 )
@@ -38,7 +39,7 @@
 	warmUp      = 3 * time.Second
 )
 
-// server is a fake backend server that states limits and can turn cold.
+// server is a fake backend server that states limits, can turn cold and can leave.
 type server struct {
 	backend backend.Backend
 	http    http.Server
@@ -52,6 +53,7 @@
 	cold     []time.Time // the times at which it turned cold
 	arrivals []arrival
 	notified map[string]time.Time // when each host first relayed a limit
+	leaving  departure
 }
 
 // limitChange is the limit that the backend server accepts from a point in time on.
@@ -68,6 +70,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{at: clock.Now(), host: q.Header.Get(hostHeader)})
+	s.leaving.countArrival(s.backend.Name, q.Header)
 	d := s.work
 	broken := s.breaks > 0 && len(s.arrivals)%s.breaks == 0
 	s.mu.Unlock()
@@ -76,13 +79,14 @@
 	}
 	clock.Sleep(d)
 	s.mu.Lock()
-	v := s.value
+	v, l := s.value, s.leaving
 	s.mu.Unlock()
 	w.Header().Set(upstream.IDHeader, q.Header.Get(upstream.IDHeader))
 	w.Header().Set(backendHeader, s.backend.Name)
 	if v != "" {
 		w.Header().Set(limitHeader, v)
 	}
+	l.answer(w)
 }
 
 // setLimit sets the limit header of future responses to value. perSecond is the limit
@@ -98,6 +102,7 @@
 func (s *server) markNotified(host string, h http.Header) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving.markRelayed(host, h)
 	if _, ok := s.notified[host]; !ok && h.Get(limitHeader) != "" {
 		s.notified[host] = clock.Now()
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,6 +61,9 @@
 	seed             uint64 // of the callers' random numbers
 	requestCount     int    // requests sent by callers
 	stopCallers      func() // stops the callers
+
+	mu    sync.Mutex
+	calls []call
 }
 
 func (w *deployment) host(name, domain, region string) *edge.Edge {
@@ -68,7 +72,7 @@
 	l := log.NewWithOptions(w.log, log.Options{Formatter: log.LogfmtFormatter})
 	return &edge.Edge{
 		Self: m, Seeds: []string{w.members[0].PeerAddress}, Clock: clock, Log: l, Peers: w.network.listen(name, region),
-		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, region, a) },
+		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, name, region, a) },
 		Config: w.mirror("Config", w.config, m, l), Backends: w.mirror("Backends", w.backends, m, l),
 		Decode:         decode,
 		DecodeBackends: decodeBackends,
@@ -121,6 +125,7 @@
 //	evacuate DOMAIN, return DOMAIN      the operator starts or ends the evacuation of a failure domain
 //	silent [HOST...], answers [HOST...] the store stops or resumes responding to these hosts, or to all
 //	slow DURATION                       each response of the store takes that long
+//	cut HOST, join HOST                 the host loses its connections to the other hosts, or may have them again
 //	works KEY, fails KEY                checks the key at all hosts
 //	never TEXT, some TEXT               checks that no host, or at least one, has logged the text
 //	metric NAME REGEXP                  checks a metric of the process
@@ -140,6 +145,8 @@
 		w.config.SetDelay(d)
 		w.backends.SetDelay(d)
 		return "", err
+	case "cut", "join":
+		w.network.setCut(a[0], command == "cut")
 	case "configuration":
 		return "", w.writeConfig(a)
 	case "evacuate":
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -57,6 +57,8 @@
 //	limits kept                      checks that no backend server received more than its limit or a cold one allows
 //	cold NAME                        it turns cold without updating its entry
 //	cold-entry NAME                  its entry in the store shows that it is cold
+//
+// runLeavingCommand has the commands for backend servers that leave.
 func (w *deployment) runBackendCommand(command string, a []string) (string, error) {
 	switch command {
 	case "backend":
@@ -67,6 +69,8 @@
 		return "", err
 	case "limits":
 		return w.excess(), nil
+	case "refused":
+		return w.checkRefused(a[0])
 	}
 	s := w.servers[a[0]]
 	if s == nil {
@@ -111,7 +115,7 @@
 	case "arrive":
 		return s.checkRate(a[1:])
 	default:
-		return "", errors.Errorf("no such command: %s", command)
+		return "", w.runLeavingCommand(s, command, a[1:])
 	}
 }
 
@@ -144,7 +148,7 @@
 		return err
 	}
 	s := &server{
-		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n},
+		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
 		work:    d, notified: make(map[string]time.Time), done: make(chan error, 1),
 	}
 	s.http.Handler = s
@@ -179,7 +183,7 @@
 // upstream returns a host's client for backend servers.
 func (w *deployment) upstream(host, region string) *upstream.Upstream {
 	u := upstream.New(clock, time.Second)
-	u.Dial = func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, region, a) }
+	u.Dial = func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, "", region, a) }
 	u.SetHeaders = func(h http.Header, r *request.Request, _ backend.Backend, _ time.Duration) {
 		h.Set(upstream.IDHeader, r.ID)
 		h.Set(hostHeader, host)
@@ -247,6 +251,8 @@
 		ID: id, Host: callerHost, Method: http.MethodGet, Target: p, Object: object,
 		Header: make(http.Header), Deadline: clock.Now().Add(requestTimeout),
 	}
+	t := clock.Now()
+	r.Header.Set(sentHeader, strconv.FormatInt(t.UnixNano(), 10))
 	a := httptest.NewRecorder()
 	defer func() {
 		// Serving panics if the response breaks off after its header.
@@ -255,18 +261,19 @@
 			panic(v)
 		}
 	}()
-	w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
+	u := w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
+	w.recordCall(t, u.Outcome)
 	if s := w.servers[a.Header().Get(backendHeader)]; s != nil {
 		s.markNotified(host, a.Header())
 	}
 }
 
 // excess lists the backend servers that received more requests than their limit allows,
-// or more than a cold backend server is allowed to receive.
+// more than a cold backend server is allowed to receive, or some after they left.
 func (w *deployment) excess() string {
 	var l []string
 	for _, s := range w.servers {
-		for _, e := range []string{s.excess(w.contact), s.coldExcess()} {
+		for _, e := range []string{s.excess(w.contact), s.coldExcess(), s.leavingExcess()} {
 			if e != "" {
 				l = append(l, e)
 			}
@@ -290,8 +297,6 @@
 // limitValues returns the values of the limit header.
 func limitValues(h http.Header) []string { return h.Values(limitHeader) }
 
-func saysLeaving(h http.Header) bool { return h.Get(leavingHeader) != "" }
-
 func noReport(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
 
 func addRoutes(c *config.Config) { c.Routes, c.Services = routes, services }
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -17,7 +17,14 @@
 
 	mu        sync.Mutex
 	listeners map[string]*listener
-	conns     []net.Conn
+	conns     []pipe
+	cut       map[string]bool // hosts that are cut off from the others
+}
+
+// pipe is a connection between hosts, or to a backend server if from is empty.
+type pipe struct {
+	from, to string
+	ends     [2]net.Conn
 }
 
 type listener struct {
@@ -35,11 +42,16 @@
 	return l
 }
 
-// dial opens a connection from a region to an address.
-func (n *memoryNetwork) dial(ctx context.Context, region, address string) (net.Conn, error) {
+// dial opens a connection from a region to an address; from is the host that opens it,
+// empty for a connection to a backend server.
+func (n *memoryNetwork) dial(ctx context.Context, from, region, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
+	c := n.cut[from] || n.cut[address]
 	n.mu.Unlock()
+	if c {
+		return nil, errors.Errorf("no route from %s to %s", from, address)
+	}
 	if l == nil {
 		return nil, errors.Errorf("connection refused: no listener at %s", address)
 	}
@@ -50,7 +62,7 @@
 	a, b := net.Pipe()
 	x, y := delay(a, d), delay(b, d)
 	n.mu.Lock()
-	n.conns = append(n.conns, x, y)
+	n.conns = append(n.conns, pipe{from: from, to: address, ends: [2]net.Conn{x, y}})
 	n.mu.Unlock()
 	select {
 	case l.conns <- y:
@@ -67,8 +79,30 @@
 func (n *memoryNetwork) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, c := range n.conns {
-		_ = c.Close()
+	for _, p := range n.conns {
+		p.close()
+	}
+}
+
+// setCut closes the connections between a host and the others and allows no new ones, or
+// allows them again.
+func (n *memoryNetwork) setCut(host string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = make(map[string]bool)
+	}
+	n.cut[host] = cut
+	for _, p := range n.conns {
+		if cut && (p.from == host || p.to == host) {
+			p.close()
+		}
+	}
+}
+
+func (p pipe) close() {
+	for _, c := range p.ends {
+		_ = c.Close() // a closed end stays closed
 	}
 }
 
