--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -23,7 +23,7 @@
 )
 
 // Discovery derives the usable backend servers from the list in the store, outages of the
-// store and evacuations of failure domains.
+// store, evacuations of failure domains and what backend servers state in responses.
 type Discovery struct {
 	// Clock measures how long missing entries are kept and backend servers are cold.
 	Clock clockwork.Clock
@@ -155,8 +155,7 @@
 func (d *Discovery) Sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.forgetDepartures()
-	c := false
+	c := d.forgetDepartures()
 	for n, k := range d.entries {
 		if !k.keptUntil.IsZero() && !k.keptUntil.After(d.Clock.Now()) {
 			d.drop(n, k)
@@ -171,7 +170,7 @@
 func (d *Discovery) publish() {
 	var l []backend.Backend
 	for _, k := range d.entries {
-		if !k.backend.Draining && !d.evacuated[k.backend.Domain] {
+		if d.isUsable(k.backend) {
 			l = append(l, k.backend)
 		}
 	}
@@ -179,6 +178,11 @@
 	d.flushLogs()
 }
 
+// isUsable reports whether a backend server takes new requests.
+func (d *Discovery) isUsable(b backend.Backend) bool {
+	return !b.Draining && !d.evacuated[b.Domain] && d.departures[process{name: b.Name, started: b.Started}] == nil
+}
+
 func (d *Discovery) flushLogs() {
 	for _, e := range d.pendingLogs {
 		d.Log.Log(e.level, e.message, e.fields...)
--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -29,12 +29,14 @@
 }
 
 // MarkLeaving records that a process of a backend server stated, in a response to this
-// host, that it leaves. No entry takes that back.
+// host, that it leaves. It gets no new requests from now on, whatever its entry shows:
+// the entry may be old, and a process that leaves doesn't stay.
 func (d *Discovery) MarkLeaving(name string, started int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mark(process{name: name, started: started}, toldByAnswer)
-	d.flushLogs()
+	if d.mark(process{name: name, started: started}, toldByAnswer) {
+		d.publish()
+	}
 }
 
 // Leaving returns how many listed backend servers stated that they leave.
@@ -75,15 +77,23 @@
 	return k != nil && k.backend.Started == p.started
 }
 
-// forgetDepartures forgets processes that were not seen for leavingRetention.
-func (d *Discovery) forgetDepartures() {
+// forgetDepartures forgets processes that were not seen for leavingRetention, and reports
+// whether one of them may get requests again.
+func (d *Discovery) forgetDepartures() bool {
 	n := d.Clock.Now()
+	c := false
 	for p, v := range d.departures {
 		if p.started != 0 && d.isListed(p) {
 			v.seen = n
 		}
-		if n.Sub(v.seen) > leavingRetention {
-			delete(d.departures, p)
+		if n.Sub(v.seen) <= leavingRetention {
+			continue
+		}
+		delete(d.departures, p)
+		if d.isListed(p) {
+			d.queueLog(log.InfoLevel, "backend server tried again", "Backend", p.name, "Service", d.entries[p.name].backend.Service)
+			c = true
 		}
 	}
+	return c
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -48,6 +48,7 @@
 	"host leaves":                    "",
 	"peer silent":                    "",
 	"backend server leaves":          "Backend",
+	"backend server tried again":     "Backend",
 	"backend server is gone":         "Backend",
 	"backend server ejected":         "Backend",
 	"backend server is cold":         "Backend",
