--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -23,7 +23,8 @@
 )
 
 // Discovery derives the usable backend servers from the list in the store, outages of the
-// store, evacuations of failure domains and what backend servers state in responses.
+// store, evacuations of failure domains and what backend servers state in responses to
+// this host or to others.
 type Discovery struct {
 	// Clock measures how long missing entries are kept and backend servers are cold.
 	Clock clockwork.Clock
@@ -36,6 +37,9 @@
 	// OnChange is called with the backend servers that take new requests, and a
 	// function that returns the time until which one of them is cold.
 	OnChange func(l []backend.Backend, cold func(name string) time.Time)
+	// Notify is called when other hosts should be told at once that a backend server
+	// leaves.
+	Notify func()
 
 	mu          sync.Mutex
 	entries     map[string]*entry
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"fmt"
 	"io"
 	"sort"
 	"strconv"
@@ -15,6 +16,7 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/discovery"
 	"celeryreach.example/celeryreach/scripttest"
+	"celeryreach.example/celeryreach/wire"
 )
 
 // uncertainFor is how long after an outage of the store entries may be missing.
@@ -27,6 +29,7 @@
 	usable    []string
 	cold      map[string]bool
 	revision  uint64
+	notified  int
 }
 
 // TestDiscovery runs the scripts in testdata with the lists that a host reads from the
@@ -37,6 +40,9 @@
 //	cold NAME DURATION    sets a list with one entry, which is cold
 //	evacuate DOMAIN...    sets the evacuated failure domains
 //	leaving NAME[@START]  a response of a backend server states that it leaves
+//	told HOST NAME[@START]  another host's heartbeat reports that
+//	news [NAME[@START]...]  checks what this host reports in heartbeats
+//	notified NUMBER       checks how often other hosts were to be told at once
 //	after DURATION        advances the clock
 //	usable [NAME...]      checks which backend servers get new requests
 //	marked NUMBER         checks how many listed backend servers stated that they leave
@@ -48,7 +54,7 @@
 			w := &fixture{clock: clockwork.NewFakeClock()}
 			w.discovery = &discovery.Discovery{
 				Clock: w.clock, Log: log.New(io.Discard), WarmUp: func(string) time.Duration { return 3 * time.Second },
-				OnChange: w.changed,
+				OnChange: w.changed, Notify: func() { w.notified++ },
 			}
 			e.Values["fixture"] = w
 			return nil
@@ -57,6 +63,7 @@
 			"list":     func(ts *testscript.TestScript, _ bool, a []string) { fixtureOf(ts).list(a, 0) },
 			"doubt":    func(ts *testscript.TestScript, _ bool, a []string) { fixtureOf(ts).list(a, uncertainFor) },
 			"evacuate": evacuate, "after": after, "usable": usable, "cold": cold, "iscold": isCold, "leaving": leaving, "marked": marked,
+			"told": told, "news": news, "notified": notified,
 		},
 	})
 }
@@ -103,6 +110,28 @@
 	fixtureOf(ts).discovery.MarkLeaving(n, t)
 }
 
+func told(ts *testscript.TestScript, _ bool, a []string) {
+	n, t := process(a[1])
+	fixtureOf(ts).discovery.Merge(a[0], []*wire.LeavingBackend{{Backend: n, Started: t}})
+}
+
+func news(ts *testscript.TestScript, _ bool, a []string) {
+	var l []string
+	for _, v := range fixtureOf(ts).discovery.Departures() {
+		l = append(l, fmt.Sprintf("%s@%d", v.GetBackend(), v.GetStarted()))
+	}
+	sort.Strings(l)
+	if strings.Join(l, " ") != strings.Join(a, " ") {
+		ts.Fatalf("reported: %v", l)
+	}
+}
+
+func notified(ts *testscript.TestScript, _ bool, a []string) {
+	if n := fixtureOf(ts).notified; strconv.Itoa(n) != a[0] {
+		ts.Fatalf("notified %d times", n)
+	}
+}
+
 func marked(ts *testscript.TestScript, _ bool, a []string) {
 	if n := fixtureOf(ts).discovery.Leaving(); strconv.Itoa(n) != a[0] {
 		ts.Fatalf("%d backend servers are marked", n)
--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"celeryreach.example/celeryreach/wire"
 )
 
 // leavingRetention is how long a leaving process is remembered after its entry was last
@@ -12,6 +14,9 @@
 // its entry stays listed.
 const leavingRetention = 10 * time.Minute
 
+// reportFor is how long after a response its statement is reported to other hosts.
+const reportFor = 10 * time.Second
+
 // toldByAnswer is logged as the source of what a response to this host stated.
 const toldByAnswer = "answer"
 
@@ -26,17 +31,66 @@
 	// seen is when its leaving was last stated or, if its start is known, its entry was
 	// last listed.
 	seen time.Time
+	// answered is when a response to this host last stated it, zero if none did.
+	answered time.Time
 }
 
 // MarkLeaving records that a process of a backend server stated, in a response to this
 // host, that it leaves. It gets no new requests from now on, whatever its entry shows:
 // the entry may be old, and a process that leaves doesn't stay.
 func (d *Discovery) MarkLeaving(name string, started int64) {
+	if d.markAnswered(process{name: name, started: started}) {
+		d.Notify()
+	}
+}
+
+// markAnswered processes the statement of a response to this host, and reports whether it
+// is news.
+func (d *Discovery) markAnswered(p process) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.mark(p, toldByAnswer)
+	d.departures[p].answered = d.Clock.Now()
+	if c {
+		d.publish()
+	}
+	return c
+}
+
+// Departures returns the processes that stated in recent responses to this host that they
+// leave, for heartbeats. Those that other hosts reported are left out: if passed on, they
+// would never be forgotten.
+func (d *Discovery) Departures() []*wire.LeavingBackend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.Clock.Now()
+	var l []*wire.LeavingBackend
+	for p, v := range d.departures {
+		if !v.answered.IsZero() && n.Sub(v.answered) <= reportFor {
+			l = append(l, &wire.LeavingBackend{Backend: p.name, Started: p.started})
+		}
+	}
+	return l
+}
+
+// Merge applies the departures that another host reported.
+func (d *Discovery) Merge(from string, l []*wire.LeavingBackend) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.mark(process{name: name, started: started}, toldByAnswer) {
+	c := false
+	for _, v := range l {
+		if v.GetBackend() == "" {
+			d.queueLog(log.WarnLevel, "leaving backend server has no name", "ToldBy", from)
+			continue
+		}
+		if d.mark(process{name: v.GetBackend(), started: v.GetStarted()}, from) {
+			c = true
+		}
+	}
+	if c {
 		d.publish()
 	}
+	d.flushLogs()
 }
 
 // Leaving returns how many listed backend servers stated that they leave.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -206,7 +206,7 @@
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
-		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.placement.Set,
+		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.placement.Set, Notify: e.membership.SendSoon,
 	}
 	e.mirrorSync = mirrorsync.New()
 	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Fetch = e.Clock, e.Log, e.client.Fetch
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -134,6 +134,10 @@
 	}
 }
 
+// Guards against a host that has to learn from a backend server itself that it leaves, with
+// a request that may be lost, although another host knows.
+func TestLeavingBackendIsReported(t *testing.T) { runSeeded(t, "leaving-told") }
+
 // Guards against a backend server that restarted under its name and gets no requests,
 // since the process before it left.
 func TestLeavingBackendRestarts(t *testing.T) { runSeeded(t, "leaving-restarts") }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -66,10 +66,12 @@
 func (e *Edge) composeHeartbeat(h *wire.Heartbeat) {
 	h.Versions = e.mirrorSync.Versions()
 	h.BackendLimits = e.limits.Observations()
+	h.LeavingBackends = e.discovery.Departures()
 }
 
 func (e *Edge) receiveHeartbeat(h *wire.Heartbeat, _ time.Time) {
 	e.limits.Merge(h.GetFrom().GetName(), h.GetBackendLimits())
+	e.discovery.Merge(h.GetFrom().GetName(), h.GetLeavingBackends())
 	if a := h.GetFrom().GetPeerAddress(); a != "" {
 		// A host that has received the names of the other hosts from one of them can
 		// compute its share of the limits.
