--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -17,26 +17,33 @@
 	// coldMargin is added to the remaining cold time that a backend server reports,
 	// to allow for the delay of the report.
 	coldMargin = 300 * time.Millisecond
-	// sweepInterval is how often missing entries are checked for expiry.
+	// sweepInterval is how often missing entries and left backend servers are checked for
+	// expiry.
 	sweepInterval = 200 * time.Millisecond
 )
 
 // Discovery derives the usable backend servers from the list in the store, outages of the
-// store and evacuations of failure domains.
+// store, evacuations of failure domains and what backend servers state in responses to
+// this host or to others.
 type Discovery struct {
 	// Clock measures how long missing entries are kept and backend servers are cold.
 	Clock clockwork.Clock
 	// Log receives one line for each backend server that appears, leaves or becomes
-	// cold, and for each evacuation of a failure domain.
+	// cold, and for each evacuation of a failure domain. A line on leaving has ToldBy
+	// unless the entry shows it.
 	Log *log.Logger
 	// WarmUp returns how long a backend server of a service may be cold.
 	WarmUp func(service string) time.Duration
 	// OnChange is called with the backend servers that take new requests, and a
 	// function that returns the time until which one of them is cold.
 	OnChange func(l []backend.Backend, cold func(name string) time.Time)
+	// Notify is called when other hosts should be told at once that a backend server
+	// leaves.
+	Notify func()
 
 	mu          sync.Mutex
 	entries     map[string]*entry
+	departures  map[process]*departure // processes that stated that they leave
 	evacuated   map[string]bool
 	pendingLogs []logEntry // queued since OnChange was last called
 }
@@ -148,11 +155,11 @@
 }
 
 // Sweep drops entries that went missing during an outage of the store and weren't
-// listed again in time.
+// listed again in time, and forgets backend servers that left long ago.
 func (d *Discovery) Sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := false
+	c := d.forgetDepartures()
 	for n, k := range d.entries {
 		if !k.keptUntil.IsZero() && !k.keptUntil.After(d.Clock.Now()) {
 			d.drop(n, k)
@@ -167,11 +174,20 @@
 func (d *Discovery) publish() {
 	var l []backend.Backend
 	for _, k := range d.entries {
-		if !k.backend.Draining && !d.evacuated[k.backend.Domain] {
+		if d.isUsable(k.backend) {
 			l = append(l, k.backend)
 		}
 	}
 	d.OnChange(l, func(n string) time.Time { return d.entries[n].coldUntil })
+	d.flushLogs()
+}
+
+// isUsable reports whether a backend server takes new requests.
+func (d *Discovery) isUsable(b backend.Backend) bool {
+	return !b.Draining && !d.evacuated[b.Domain] && d.departures[process{name: b.Name, started: b.Started}] == nil
+}
+
+func (d *Discovery) flushLogs() {
 	for _, e := range d.pendingLogs {
 		d.Log.Log(e.level, e.message, e.fields...)
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,6 +92,9 @@
 	// LimitValues returns the values of the response header in which a backend server
 	// states how many requests a second it accepts from all hosts together.
 	LimitValues func(h http.Header) []string
+	// SaysLeaving reports whether a backend server states in the header of a response
+	// that it leaves and wants no new requests.
+	SaysLeaving func(h http.Header) bool
 	// Gateway serves requests. Its ReportedLoad must be set before Run; Edge sets
 	// its other fields.
 	Gateway *gateway.Gateway
@@ -203,7 +206,7 @@
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
-		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.placement.Set,
+		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.placement.Set, Notify: e.membership.SendSoon,
 	}
 	e.mirrorSync = mirrorsync.New()
 	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Fetch = e.Clock, e.Log, e.client.Fetch
