--- a/httplisten/close_test.go
+++ b/httplisten/close_test.go
@@ -1,6 +1,10 @@
 package httplisten_test
 
-import "testing"
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+)
 
 // passIdleLimit sends the next request on a kept connection just before the idle limit,
 // which passes when pieces[late] has arrived and before its Read returns.
@@ -106,3 +110,30 @@
 		w.mustBeAnswered(t)
 	})
 }
+
+// Guards against a shutdown that reads a first request and drops it. The server may close
+// the connection before that.
+func TestFirstRequestAfterShutdown(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *piped) {
+		synctest.Wait()
+		w.stop()
+		synctest.Wait()
+		if _, err := io.WriteString(w.conn, header+body); err == nil {
+			w.mustBeAnswered(t)
+		}
+	})
+}
+
+// Guards against a shutdown that reads the rest of a first header and drops the request.
+// The server may close the connection before that.
+func TestFirstHeaderEndAfterShutdown(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *piped) {
+		p := splitHeader()
+		w.send(t, 0, nil, p[0])
+		w.stop()
+		synctest.Wait()
+		if _, err := io.WriteString(w.conn, p[1]); err == nil {
+			w.mustBeAnswered(t)
+		}
+	})
+}
