BUDGET: log and count the times for which backend servers want no requests

A backend server that turns a request away with status 503 may name a time (Retry-After) for which it wants nothing from this host.

Package backendbackoff keeps the times. Nothing decides by it yet: what is sent is as before.

- 'backend server backs off' with For, and 'backend server used again' with SentMeanwhile: how many requests were sent in that time (heeded or not);
- 'request not placed' says how many backend servers are unavailable and why;
- the gauges BackendBackoffs.Active, .Ignored and .SentMeanwhile;
- explain shows these lines for the service of a request, since a request that finds all backend servers unavailable names none.

Upstream.OnResponse is called for each response now, with the result of its check: the time holds whatever else is wrong with a refusal. Limits still come from proven responses only.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/borrower"
 	"celeryreach.example/celeryreach/child"
@@ -92,6 +93,9 @@
 	// LimitValues returns the values of the response header in which a backend server
 	// states how many requests a second it accepts from all hosts together.
 	LimitValues func(h http.Header) []string
+	// BackoffValues returns the values of the response header in which a backend server
+	// that refuses a request states for how long it wants no more from this host.
+	BackoffValues func(h http.Header) []string
 	// Gateway serves requests. Its ReportedLoad must be set before Run; Edge sets
 	// its other fields.
 	Gateway *gateway.Gateway
@@ -121,6 +125,7 @@
 	tokens       *tokens.Tokens
 	placement    *placement.Placement
 	limits       *backendlimit.Backendlimit
+	backoffs     *backendbackoff.Backendbackoff
 	permits      *permits.Permits
 	storeSilence *storesilence.Storesilence
 	permitClient *peerclient.Peerclient // separate connections for permits, so that permits do not delay heartbeats
@@ -199,7 +204,7 @@
 	e.setUpBackendLimits()
 	e.setUpPermits()
 	e.placement = &placement.Placement{
-		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits,
+		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits, Backoff: e.backoffs,
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -75,7 +75,7 @@
 		Announce:       func(context.Context, member.Member) error { return nil },
 		Withdraw:       func(context.Context, member.Member) error { return nil },
 		ReadHosts:      func(context.Context) ([]member.Member, error) { return w.members, nil },
-		Upstream:       w.upstream(name, region), LimitValues: limitValues, Gateway: &gateway.Gateway{ReportedLoad: noReport},
+		Upstream:       w.upstream(name, region), LimitValues: limitValues, BackoffValues: backoffValues, Gateway: &gateway.Gateway{ReportedLoad: noReport},
 		RecoveryTime: w.contact, EvacuationTime: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
 		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow,
 	}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/responsecopier"
+	"celeryreach.example/celeryreach/upstream"
 )
 
 const (
@@ -65,17 +68,33 @@
 	return e.membership.Hosts()
 }
 
-// setUpBackendLimits enforces the request limits that backend servers state in their
-// responses.
+// setUpBackendLimits enforces the request limits and the backoffs that backend servers
+// state in their responses.
 func (e *Edge) setUpBackendLimits() {
 	e.limits = &backendlimit.Backendlimit{
 		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.knownHosts, RemoteWeight: remoteWeight,
 		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, Notify: e.membership.SendSoon,
 	}
-	e.Upstream.OnResponse = func(b backend.Backend, sent time.Time, h http.Header, served bool) {
-		e.limits.Observe(b, sent, e.LimitValues(h), served)
-	}
 	e.Upstream.OnTransportRetry = e.limits.RecordSent
+	e.backoffs = &backendbackoff.Backendbackoff{Clock: e.Clock, Log: e.Log}
+	e.Upstream.OnResponse = e.observeResponse
+}
+
+// observeResponse reads what a backend server states about the requests that it accepts.
+// A limit must be proven to be the backend server's own. A backoff need not: at worst,
+// one that is not sends it fewer requests.
+func (e *Edge) observeResponse(b backend.Backend, sent time.Time, p *http.Response, err error) {
+	if err == nil || errors.Is(err, upstream.ErrNotRun) {
+		e.limits.Observe(b, sent, e.LimitValues(p.Header), err == nil && p.StatusCode < http.StatusInternalServerError)
+	}
+	if errors.Is(err, upstream.ErrWrongBackend) {
+		return
+	}
+	var v []string
+	if p.StatusCode == http.StatusServiceUnavailable {
+		v = e.BackoffValues(p.Header)
+	}
+	e.backoffs.Observe(b, sent, v, p.Header.Get("Date"))
 }
 
 // coldRate returns how many requests a second a cold backend server of a service can
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -287,6 +287,9 @@
 	}
 }
 
+// backoffValues returns the values of the header Retry-After.
+func backoffValues(h http.Header) []string { return h.Values("Retry-After") }
+
 // limitValues returns the values of the limit header.
 func limitValues(h http.Header) []string { return h.Values(limitHeader) }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,18 +14,24 @@
 	gaugeBackendsStoreAge = "StoreAge.Backends"
 	gaugeLimited          = "BackendLimits.Limited"
 	gaugeIgnored          = "BackendLimits.Ignored"
+	gaugeBackoffs         = "BackendBackoffs.Active"
+	gaugeBackoffsIgnored  = "BackendBackoffs.Ignored"
+	gaugeSentMeanwhile    = "BackendBackoffs.SentMeanwhile"
 	gaugeChangesUnheard   = "ChangesUnheard"
 	gaugeGranted          = "Permits.Granted"
 	gaugeDenied           = "Permits.Denied"
 )
 
-// publishMetrics publishes the gauges of the store's age, the limits of backend
-// servers, unreceived changes and permits.
+// publishMetrics publishes the gauges of the store's age, the limits and backoffs of
+// backend servers, unreceived changes and permits.
 func (e *Edge) publishMetrics() {
 	metric.Metric{Name: gaugeConfigStoreAge}.SetFunc(storeAgeSeconds(e.Config))
 	metric.Metric{Name: gaugeBackendsStoreAge}.SetFunc(storeAgeSeconds(e.Backends))
 	metric.Metric{Name: gaugeLimited}.SetFunc(func() any { return e.limits.Limited() })
 	metric.Metric{Name: gaugeIgnored}.SetFunc(func() any { return e.limits.Ignored() })
+	metric.Metric{Name: gaugeBackoffs}.SetFunc(func() any { return e.backoffs.Active() })
+	metric.Metric{Name: gaugeBackoffsIgnored}.SetFunc(func() any { return e.backoffs.Ignored() })
+	metric.Metric{Name: gaugeSentMeanwhile}.SetFunc(func() any { return e.backoffs.SentMeanwhile() })
 	metric.Metric{Name: gaugeChangesUnheard}.SetFunc(func() any { return e.storeSilence.ChangesMissing() })
 	metric.Metric{Name: gaugeGranted}.SetFunc(func() any { return e.permits.Granted() })
 	metric.Metric{Name: gaugeDenied}.SetFunc(func() any { return e.permits.Denied() })
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -54,6 +54,8 @@
 	"backend server appeared":        "Backend",
 	"backend server limited":         "Backend",
 	"backend server limit withdrawn": "Backend",
+	"backend server backs off":       "Service",
+	"backend server used again":      "Service",
 	"backend server is missing after an outage of the store": "Backend",
 }
 
@@ -106,7 +108,7 @@
 	for _, v := range l {
 		if !d[v.source] {
 			d[v.source] = true
-			if err := e.writeStateBefore(w, v, namedBackends(l, v.source)); err != nil {
+			if err := e.writeStateBefore(w, v, named(l, v.source)); err != nil {
 				return err
 			}
 		}
@@ -119,7 +121,7 @@
 
 // writeStateBefore writes the events that describe the host's state before its first
 // line of the request. Events of a backend server are included only if named contains
-// the backend server.
+// the backend server or its service.
 func (e *Explain) writeStateBefore(w io.Writer, first line, named map[string]bool) error {
 	m := make(map[string]line)
 	for _, v := range e.lines[:first.order] {
@@ -146,12 +148,18 @@
 	return errors.Wrap(err, "explain")
 }
 
-// namedBackends returns the backend servers named in a host's lines of the request.
-func namedBackends(l []line, source string) map[string]bool {
+// named returns the backend servers and the service named in a host's lines of the
+// request.
+func named(l []line, source string) map[string]bool {
 	r := make(map[string]bool)
 	for _, v := range l {
-		if v.source == source && v.fields["Backend"] != "" {
-			r[v.fields["Backend"]] = true
+		if v.source != source {
+			continue
+		}
+		for _, f := range []string{"Backend", "Service"} {
+			if v.fields[f] != "" {
+				r[v.fields[f]] = true
+			}
 		}
 	}
 	return r
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -245,7 +245,9 @@
 		case ok && (d > 0 || n < minPermitRequests):
 			continue // another backend server may grant a permit
 		case !m || d <= 0:
-			r.DecisionLog.Add(g.Clock.Now(), "request not placed", "Service", r.Service.Name, "Usable", m, "Patience", r.MaxWait, "Priority", r.Priority)
+			r.DecisionLog.Add(g.Clock.Now(), "request not placed", append([]any{
+				"Service", r.Service.Name, "Usable", m, "Patience", r.MaxWait, "Priority", r.Priority,
+			}, g.Placement.UnavailableFields(r)...)...)
 			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.retryDelay(r, m))
 		}
 		select {
--- /dev/null
+++ b/placement/candidate.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/rendezvous"
+	"celeryreach.example/celeryreach/request"
+)
+
+// candidate is a backend server that may serve a request.
+type candidate struct {
+	server   *server
+	score    float64
+	position int // in the order of preference, 0 first
+
+	// The reasons for which it can't be sent a request at the moment.
+	denied    bool // there is no permit for it
+	ejected   bool
+	cold      bool // this host's part of the rate of a cold backend server is used
+	limited   bool // this host's part of its rate limit is used
+	backedOff bool // it wants no requests
+}
+
+// unavailable reports whether the backend server can't be sent a request at the moment.
+func (c candidate) unavailable() bool {
+	return c.denied || c.ejected || c.cold || c.limited
+}
+
+// candidates returns the backend servers that may serve r in descending order of the
+// rendezvous score of its object.
+func (p *Placement) candidates(g *pool, r *request.Request, now time.Time) []candidate {
+	k := r.Service.Name + "\x00" + r.Object
+	if r.Object == "" {
+		k = r.ID
+	}
+	var l []candidate
+	for _, s := range g.servers {
+		b := s.backend
+		if r.AllowsRegion != nil && !r.AllowsRegion(b.Region) || r.AttemptedBackends.Has(b.Name) {
+			continue
+		}
+		w := float64(b.Slots) * g.availability.Available(b.Region)
+		if b.Region != p.Region {
+			w *= p.RemoteWeight
+		}
+		c := p.newCandidate(g, s, now)
+		c.score = rendezvous.Score(k, b.Name, w)
+		l = append(l, c)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].score > l[j].score })
+	for i := range l {
+		l[i].position = i
+	}
+	return l
+}
+
+// newCandidate returns a backend server with the reasons for which it can't be sent a
+// request.
+func (p *Placement) newCandidate(g *pool, s *server, now time.Time) candidate {
+	b := s.backend
+	return candidate{
+		server: s, denied: s.deniedUntil.After(now), ejected: g.outlier.Ejected(b.Name, now),
+		cold:      s.coldUntil.After(now) && !s.withinColdRate(p.coldShare(b), now),
+		limited:   p.Limit != nil && !p.Limit.Allow(b),
+		backedOff: p.Backoff != nil && !p.Backoff.Allow(b),
+	}
+}
+
+// RetryAfter returns the time until the first preferred backend server of r may be sent
+// a request again under its rate limit or permit; zero if neither delays r.
+func (p *Placement) RetryAfter(r *request.Request) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.pools[r.Service.Name]
+	if g == nil {
+		return 0
+	}
+	n := p.Clock.Now()
+	var d time.Duration
+	for _, c := range p.preferred(p.candidates(g, r, n)) {
+		u := c.server.deniedUntil.Sub(n)
+		if p.Limit != nil {
+			u = max(u, p.Limit.RetryAfter(c.server.backend))
+		}
+		if u > 0 && (d == 0 || u < d) {
+			d = u
+		}
+	}
+	return d
+}
+
+// coldShare returns how many requests a second this host may send to a cold backend server.
+func (p *Placement) coldShare(b backend.Backend) int {
+	q, _ := p.ColdCapacity(b.Service)
+	return p.ColdRate.Share(b.Name, q)
+}
+
+// UnavailableFields returns, as log fields, how many of the backend servers that may serve
+// r can't be sent a request, by reason.
+func (p *Placement) UnavailableFields(r *request.Request) []any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.pools[r.Service.Name]
+	if g == nil {
+		return nil
+	}
+	var b, l, e, c, d int
+	for _, v := range p.candidates(g, r, p.Clock.Now()) {
+		b += count(v.backedOff)
+		l += count(v.limited)
+		e += count(v.ejected)
+		c += count(v.cold)
+		d += count(v.denied)
+	}
+	return []any{"BackedOff", b, "Limited", l, "Ejected", e, "Cold", c, "Denied", d}
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -51,7 +51,7 @@
 func (p *Placement) available(c []candidate) []candidate {
 	var l []candidate
 	for _, v := range p.preferred(c) {
-		if !v.unavailable {
+		if !v.unavailable() {
 			l = append(l, v)
 		}
 	}
@@ -72,7 +72,7 @@
 		if i >= p.backendsPerObject() && s {
 			return c[:i]
 		}
-		s = s || !v.unavailable || v.denied
+		s = s || !v.unavailable() || v.denied
 	}
 	return c
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,7 +6,6 @@
 
 import (
 	"math"
-	"sort"
 	"sync"
 	"time"
 
@@ -14,12 +13,12 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/coldrate"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/outlier"
 	"celeryreach.example/celeryreach/regionavailability"
-	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
 )
@@ -65,6 +64,8 @@
 	ColdRate *coldrate.Coldrate
 	// Limit enforces the rate limits that backend servers announce; nil means no limits.
 	Limit *backendlimit.Backendlimit
+	// Backoff holds the times for which backend servers want no requests; nil means none.
+	Backoff *backendbackoff.Backendbackoff
 	// ColdCapacity returns the rate that a cold backend server of a service can handle,
 	// in requests per second, and how long it stays cold after its start.
 	ColdCapacity func(service string) (perSecond float64, warmUp time.Duration)
@@ -194,29 +195,6 @@
 	return s.backend, true, false
 }
 
-// RetryAfter returns the time until the first preferred backend server of r may be sent
-// a request again under its rate limit or permit; zero if neither delays r.
-func (p *Placement) RetryAfter(r *request.Request) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.pools[r.Service.Name]
-	if g == nil {
-		return 0
-	}
-	n := p.Clock.Now()
-	var d time.Duration
-	for _, c := range p.preferred(p.candidates(g, r, n)) {
-		u := c.server.deniedUntil.Sub(n)
-		if p.Limit != nil {
-			u = max(u, p.Limit.RetryAfter(c.server.backend))
-		}
-		if u > 0 && (d == 0 || u < d) {
-			d = u
-		}
-	}
-	return d
-}
-
 // Freed returns a channel that is closed when a backend server may have room again.
 func (p *Placement) Freed() <-chan struct{} {
 	p.mu.Lock()
@@ -314,38 +292,6 @@
 	}
 }
 
-// candidates returns the backend servers that may serve r in descending order of the
-// rendezvous score of its object.
-func (p *Placement) candidates(g *pool, r *request.Request, now time.Time) []candidate {
-	q, _ := p.ColdCapacity(r.Service.Name)
-	k := r.Service.Name + "\x00" + r.Object
-	if r.Object == "" {
-		k = r.ID
-	}
-	var c []candidate
-	for _, s := range g.servers {
-		b := s.backend
-		if r.AllowsRegion != nil && !r.AllowsRegion(b.Region) || r.AttemptedBackends.Has(b.Name) {
-			continue
-		}
-		w := float64(b.Slots) * g.availability.Available(b.Region)
-		if b.Region != p.Region {
-			w *= p.RemoteWeight
-		}
-		c = append(c, candidate{
-			server: s, score: rendezvous.Score(k, b.Name, w),
-			denied: s.deniedUntil.After(now),
-			unavailable: g.outlier.Ejected(b.Name, now) || s.deniedUntil.After(now) || s.coldUntil.After(now) && !s.withinColdRate(p.ColdRate.Share(b.Name, q), now) ||
-				p.Limit != nil && !p.Limit.Allow(b),
-		})
-	}
-	sort.Slice(c, func(i, j int) bool { return c[i].score > c[j].score })
-	for i := range c {
-		c[i].position = i
-	}
-	return c
-}
-
 func (p *Placement) notifyFreed() {
 	if p.freed != nil {
 		close(p.freed)
--- a/placement/server.go
+++ b/placement/server.go
@@ -67,15 +67,6 @@
 	addedObject bool // the request added its object to server.objects
 }
 
-// candidate is a backend server that may serve a request.
-type candidate struct {
-	server      *server
-	score       float64
-	position    int  // in the order of preference, 0 first
-	unavailable bool // it can't be sent a request at the moment
-	denied      bool // there is no permit for it at the moment
-}
-
 // load estimates the requests of all hosts that run or queue there.
 func (s *server) load(now time.Time) float64 {
 	return float64(len(s.running)) + s.otherLoad*decay(now.Sub(s.reportedAt), max(reportLifeFactor*s.meanDuration, minReportLife))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -63,10 +63,10 @@
 	ReuseForNonIdempotent bool
 	// Dial opens a connection to a backend server; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// OnResponse is called with the header of each response that is proven to be from
-	// b, and with the time at which its request was sent. Served is false if b refused
-	// the request without running it, or failed. Nil disables the call.
-	OnResponse func(b backend.Backend, sent time.Time, h http.Header, served bool)
+	// OnResponse is called with each response and the time at which its request was sent.
+	// err is the result of CheckResponse: unless it is nil or ErrNotRun, the response is
+	// not proven to be from b. The body must not be read. Nil disables the call.
+	OnResponse func(b backend.Backend, sent time.Time, p *http.Response, err error)
 	// OnTransportRetry is called when net/http by itself sends a request to b again on
 	// another connection. Nil disables the call.
 	OnTransportRetry func(b backend.Backend)
@@ -124,7 +124,9 @@
 		return nil, c.sealWritten(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.checkAnswer(p, r, b)
-	u.reportAnswer(b, s, p, err)
+	if u.OnResponse != nil {
+		u.OnResponse(b, s, p, err)
+	}
 	if err != nil {
 		p.Body.Close()
 		return nil, ran, err
@@ -132,14 +134,6 @@
 	return p, true, nil
 }
 
-// reportAnswer passes the header of a response to OnResponse if the response is proven
-// to be from b.
-func (u *Upstream) reportAnswer(b backend.Backend, sent time.Time, p *http.Response, err error) {
-	if u.OnResponse != nil && (err == nil || errors.Is(err, ErrNotRun)) {
-		u.OnResponse(b, sent, p.Header, err == nil && p.StatusCode < http.StatusInternalServerError)
-	}
-}
-
 // Close closes all idle connections.
 func (u *Upstream) Close() {
 	u.keepAlive.CloseIdleConnections()
