BUDGET: tests of backend servers that want no requests, red

Whole hosts in virtual time with backend servers that refuse requests and state for how long they want none; the rule as worded is counted at the backend server, for each host.

--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -37,7 +37,7 @@
 	warmUp      = 3 * time.Second
 )
 
-// server is a fake backend server that states limits and can turn cold.
+// server is a fake backend server that states limits, refuses requests and can turn cold.
 type server struct {
 	backend backend.Backend
 	http    http.Server
@@ -51,6 +51,13 @@
 	cold     []time.Time // the times at which it turned cold
 	arrivals []arrival
 	notified map[string]time.Time // when each host first relayed a limit
+
+	refusing   *refusing              // nil if it serves requests
+	stalls     time.Duration          // breaks the connections of requests after that time, if not zero
+	wanted     map[string][]period    // the times for which it wants no requests, by host
+	recovered  map[string]time.Time   // when it last served a request sent after these times, by host
+	running    map[string][]time.Time // arrivals of active requests since these times, by host
+	concurrent string                 // describes the first two that ran at the same time
 }
 
 // limitChange is the limit that the backend server accepts from a point in time on.
@@ -65,11 +72,21 @@
 }
 
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	h, n := q.Header.Get(hostHeader), clock.Now()
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: clock.Now(), host: q.Header.Get(hostHeader)})
-	d := s.work
+	s.recordStart(h)
+	d, f, stalls := s.work, s.refusing, s.stalls
 	broken := s.breaks > 0 && len(s.arrivals)%s.breaks == 0
 	s.mu.Unlock()
+	defer func() { s.recordEnd(h, n, f == nil && !broken) }()
+	if f != nil {
+		s.refuse(w, *f, h, q.Header.Get(upstream.IDHeader))
+		return
+	}
+	if stalls > 0 {
+		clock.Sleep(stalls)
+		broken = true
+	}
 	if broken {
 		panic(http.ErrAbortHandler)
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,6 +61,9 @@
 	seed             uint64 // of the callers' random numbers
 	requestCount     int    // requests sent by callers
 	stopCallers      func() // stops the callers
+
+	mu       sync.Mutex
+	refusals []refusal // since the last check
 }
 
 func (w *deployment) host(name, domain, region string) *edge.Edge {
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -45,7 +45,8 @@
 
 var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
 
-// runBackendCommand runs one command for backend servers and their callers:
+// runBackendCommand runs one command for backend servers and their callers, and passes
+// others to runBackoffCommand:
 //
 //	backend NAME REGION SLOTS WORK   starts a backend server
 //	work NAME DURATION               sets the duration of its requests
@@ -65,8 +66,11 @@
 		r, err := strconv.ParseFloat(a[0], 64)
 		w.startCallers(r, a[1:])
 		return "", err
-	case "limits":
+	case "limits", "backoffs":
 		return w.excess(), nil
+	case "told":
+		n, err := strconv.Atoi(a[0])
+		return w.checkRefusals(n), err
 	}
 	s := w.servers[a[0]]
 	if s == nil {
@@ -111,7 +115,7 @@
 	case "arrive":
 		return s.checkRate(a[1:])
 	default:
-		return "", errors.Errorf("no such command: %s", command)
+		return w.runBackoffCommand(command, s, a[1:])
 	}
 }
 
@@ -146,6 +150,7 @@
 	s := &server{
 		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n},
 		work:    d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
 	l := w.network.listen(s.backend.Address, s.backend.Region)
@@ -255,18 +260,20 @@
 			panic(v)
 		}
 	}()
-	w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
+	n := clock.Now()
+	o := w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
+	w.recordRefusal(host, n, o, len(r.AttemptedBackends.Names()))
 	if s := w.servers[a.Header().Get(backendHeader)]; s != nil {
 		s.markNotified(host, a.Header())
 	}
 }
 
-// excess lists the backend servers that received more requests than their limit allows,
-// or more than a cold backend server is allowed to receive.
+// excess lists the backend servers that received more requests than their limit or their
+// backoff allows, or more than a cold backend server is allowed to receive.
 func (w *deployment) excess() string {
 	var l []string
 	for _, s := range w.servers {
-		for _, e := range []string{s.excess(w.contact), s.coldExcess()} {
+		for _, e := range []string{s.excess(w.contact), s.coldExcess(), s.backoffExcess()} {
 			if e != "" {
 				l = append(l, e)
 			}
@@ -287,8 +294,9 @@
 	}
 }
 
-// backoffValues returns the values of the header Retry-After.
-func backoffValues(h http.Header) []string { return h.Values("Retry-After") }
+// backoffValues returns the values of the header in which a backend server states for how
+// long it wants no requests.
+func backoffValues(h http.Header) []string { return h.Values(backoffHeader) }
 
 // limitValues returns the values of the limit header.
 func limitValues(h http.Header) []string { return h.Values(limitHeader) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +18,7 @@
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/decisionlog"
@@ -204,3 +206,47 @@
 	must.EqOp(t, outcome.NoCapacity, o.Outcome)
 	must.Positive(t, o.RetryAfter)
 }
+
+// Guards against a request that waited for a permit and is then sent to a backend server
+// that has come to want no requests.
+func TestBackoffDuringPermitRequest(t *testing.T) {
+	for _, n := range []int{1, 2} {
+		w := newFixture()
+		b := &backendbackoff.Backendbackoff{Clock: w.clock, Log: log.New(io.Discard)}
+		p := &placement.Placement{Clock: w.clock, Backoff: b, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
+		p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
+		w.gateway.Placement = p
+		var refused []string
+		w.gateway.RequestPermit = func(_ context.Context, v backend.Backend) (time.Duration, bool) {
+			if len(refused) < n {
+				refused = append(refused, v.Name)
+				b.Observe(v, w.clock.Now(), []string{"3"}, "")
+			}
+			return 0, true
+		}
+		s, o := w.gateway.AcquireSlot(t.Context(), &request.Request{
+			ID: "r1", Admitted: w.clock.Now(), MaxWait: time.Second, AttemptedBackends: new(attempted.Attempted), DecisionLog: new(decisionlog.Decisionlog),
+		})
+		if n == 1 {
+			must.EqOp(t, "", o.Outcome)
+			must.NotEqOp(t, refused[0], s.Backend.Name)
+			continue
+		}
+		must.EqOp(t, outcome.NoCapacity, o.Outcome)
+		must.EqOp(t, 3*time.Second, o.RetryAfter)
+	}
+}
+
+// Guards against a caller that is told to come back at once because a backend server, and
+// not this host, turned its request away.
+func TestTurnedAwayCallerIsToldDelay(t *testing.T) {
+	w := newFixture()
+	w.configure(1, []string{"key-1"})
+	w.gateway.Dispatch = func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome {
+		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the backend server had no room"}
+	}
+	r := &request.Request{ID: "r1", Host: "camps.example", Method: http.MethodGet, Deadline: w.clock.Now().Add(time.Minute)}
+	o := w.gateway.Serve(t.Context(), r, "/listings/1", "key-1", httptest.NewRecorder())
+	must.EqOp(t, outcome.NoCapacity, o.Outcome)
+	must.Positive(t, o.RetryAfter)
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"fmt"
+	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/coldrate"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/request"
@@ -43,6 +47,8 @@
 //	end ID RESULT                    releases a request: Succeeded, Shed, Failed, Refused, Canceled
 //	deny ID DURATION                 denies a request the permit for its backend server
 //	again ID DURATION                checks the time until a request may be placed
+//	backoff ID DURATION              the backend server of a request refuses it and wants none for that time
+//	answer ID [AGO]                  the backend server of a request serves it; it was sent now or some time ago
 //	report NAME RUNNING WAITING      reports the load of a backend server
 //	after DURATION                   advances the clock
 func TestPlacement(t *testing.T) {
@@ -55,6 +61,7 @@
 			}
 			w.placement = &placement.Placement{
 				Clock: w.clock, Region: "lagos", RemoteWeight: 0.15, ColdCapacity: func(string) (float64, time.Duration) { return 1, 3 * time.Second },
+				Backoff:  &backendbackoff.Backendbackoff{Clock: w.clock, Log: log.New(io.Discard)},
 				ColdRate: &coldrate.Coldrate{Self: "a", Hosts: func() []string { return []string{"a"} }, Overage: 1.5, Slack: 1},
 			}
 			e.Values["fixture"] = w
@@ -62,6 +69,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"servers": servers, "cold": cold, "take": take, "at": at, "same": same, "fill": fill, "end": end, "deny": deny, "again": again,
+			"backoff": backoff, "answer": answer,
 			"report": report, "after": after,
 		},
 	})
@@ -163,6 +171,20 @@
 	}
 }
 
+func backoff(ts *testscript.TestScript, _ bool, a []string) {
+	w, d := fixtureOf(ts), scripttest.Scripttest{Script: ts}.Duration(a[1])
+	w.placement.Backoff.Observe(backend.Backend{Name: w.placedAt[a[0]]}, w.clock.Now(), []string{strconv.FormatFloat(d.Seconds(), 'f', -1, 64)}, "")
+}
+
+func answer(ts *testscript.TestScript, _ bool, a []string) {
+	w := fixtureOf(ts)
+	t := w.clock.Now()
+	if len(a) > 1 {
+		t = t.Add(-scripttest.Scripttest{Script: ts}.Duration(a[1]))
+	}
+	w.placement.Backoff.Observe(backend.Backend{Name: w.placedAt[a[0]]}, t, nil, "")
+}
+
 func report(ts *testscript.TestScript, _ bool, a []string) {
 	s := scripttest.Scripttest{Script: ts}
 	fixtureOf(ts).placement.RecordLoad(a[0], s.Number(a[1]), s.Number(a[2]))
