Tests: a closed connection delivers what was written before

The network in memory of package edge's tests dropped the bytes that were on their way when a connection was closed. A backend server closes the connection of a second try right after its response, so hosts of other regions never got one.

TestTurnedAwayCallerIsToldDelay failed for another reason than meant (OverRate: the account's bucket was empty). It now fails since RetryAfter is 0.

--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -70,6 +70,7 @@
 	for _, c := range n.conns {
 		_ = c.Close()
 	}
+	clock.Sleep(2*n.latency + closeTimeout) // until all have delivered
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -88,7 +89,12 @@
 
 func (l *listener) Addr() net.Addr { return nil }
 
-// delayed is a connection that delivers written bytes after a latency.
+// closeTimeout is how long after its closing a connection may take to deliver what was
+// written before.
+const closeTimeout = time.Second
+
+// delayed is a connection that delivers written bytes after a latency, also those that
+// were written just before it was closed.
 type delayed struct {
 	net.Conn
 	latency time.Duration
@@ -112,23 +118,47 @@
 }
 
 func (d *delayed) deliver() {
+	defer d.Conn.Close()
 	for {
 		select {
-		case <-d.end:
-			return
 		case s := <-d.sent:
-			select {
-			case <-d.end:
+			if !d.write(s) {
 				return
-			case <-clock.After(s.due.Sub(clock.Now())):
 			}
-			if _, err := d.Conn.Write(s.bytes); err != nil {
-				return // the reader has closed
+			continue
+		default:
+		}
+		select {
+		case s := <-d.sent:
+			if !d.write(s) {
+				return
+			}
+		case <-d.end:
+			if len(d.sent) == 0 {
+				clock.Sleep(d.latency) // until the other end notices
+				return
 			}
 		}
 	}
 }
 
+// write delivers a segment, and reports whether the reader has not closed.
+func (d *delayed) write(s segment) bool {
+	clock.Sleep(s.due.Sub(clock.Now()))
+	_, err := d.Conn.Write(s.bytes)
+	return err == nil
+}
+
+func (d *delayed) Read(b []byte) (int, error) {
+	n, err := d.Conn.Read(b)
+	select {
+	case <-d.end:
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
 func (d *delayed) Write(b []byte) (int, error) {
 	select {
 	case <-d.end:
@@ -139,6 +169,14 @@
 }
 
 func (d *delayed) Close() error {
-	d.once.Do(func() { close(d.end) })
-	return d.Conn.Close()
+	var err error
+	d.once.Do(func() {
+		close(d.end)
+		n := clock.Now()
+		err = errors.Wrap(d.SetReadDeadline(n), "close")
+		if err == nil {
+			err = errors.Wrap(d.SetWriteDeadline(n.Add(closeTimeout)), "close")
+		}
+	})
+	return err
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -242,6 +242,7 @@
 func TestTurnedAwayCallerIsToldDelay(t *testing.T) {
 	w := newFixture()
 	w.configure(1, []string{"key-1"})
+	w.clock.Advance(time.Second) // the account's rate is then available
 	w.gateway.Dispatch = func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome {
 		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the backend server had no room"}
 	}
