BUDGET: heed the times for which backend servers want no requests

What callers saw: backend servers that had turned requests away, and had stated that they want none for 3 s, got three to five from a host in that time where two are allowed, and refused those too. Each refusal costs its caller a try, and the caller was told to come back after 0 s.

Fix: - a backend server that wants no requests is unavailable where placement decides who may be sent one, and keeps its place. First and second tries and hedges all pass there, so do requests that wait for a slot. - A request that waited for a permit is checked once more before it has its slot, and each is when its connection is ready: opening one takes time, and net/http sends requests again by itself. The connection is sealed then, so the proof of 'not run' stays: nothing was written on it, and an earlier one that was written to still counts. - After its end a backend server gets one request at a time until it has answered one that was sent then, so that not all come at once. - A refusal with a time is no failure for outlier detection: an ejection could only outlast the time. - Callers that no backend server can serve are told the time until the first accepts requests again, the longest of its reasons (backoff, limit, permit, ejection, cold rate), and a random part more. Callers turned away by the last backend server are told the same.

Why it works: the rule is per host, and each host has heard the refusal that starts it. All that leaves a host passes gotConn after that.

--- a/backendbackoff/backendbackoff.go
+++ b/backendbackoff/backendbackoff.go
@@ -137,6 +137,22 @@
 	return max(m.until.Sub(f.Clock.Now()), 0)
 }
 
+// Recovering reports whether the backoff of a backend server has ended and no request
+// sent after its end has been answered yet, and returns its end. Many callers may then
+// return at once, so the backend server should get few requests.
+func (f *Backendbackoff) Recovering(b backend.Backend) (since time.Time, ok bool) {
+	if f.tracked.Load() == 0 {
+		return time.Time{}, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.backoffs[keyOf(b)]
+	if m == nil || m.until.IsZero() || m.until.After(f.Clock.Now()) {
+		return time.Time{}, false
+	}
+	return m.until, true
+}
+
 // Active returns how many backend servers currently want no requests.
 func (f *Backendbackoff) Active() int {
 	f.mu.Lock()
--- a/backendbackoff/parse.go
+++ b/backendbackoff/parse.go
@@ -37,5 +37,5 @@
 	if err != nil || !(v >= 0 && v < math.Inf(1)) {
 		return 0, false
 	}
-	return time.Duration(math.Ceil(min(v, maxBackoff.Seconds()) * float64(time.Second))), true
+	return time.Duration(math.Round(min(v, maxBackoff.Seconds()) * float64(time.Second))), true
 }
--- a/coldrate/coldrate.go
+++ b/coldrate/coldrate.go
@@ -49,6 +49,19 @@
 	return n
 }
 
+// RetryAfter returns the time until one more request may be sent, as Allow decides; ok is
+// false if part is zero and it may never be.
+func RetryAfter(sent []time.Time, part int, now time.Time) (d time.Duration, ok bool) {
+	switch {
+	case part <= 0:
+		return 0, false
+	case len(sent) < part:
+		return 0, true
+	default:
+		return max(sent[len(sent)-part].Add(rateWindow).Sub(now), 0), true
+	}
+}
+
 // Allow reports whether one more request may be sent now. sent holds the times of
 // earlier requests, and at most part requests may be sent within a second. Allow
 // returns the times that still count.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 const (
 	msgNoRoom       = "the backend server had no room"
 	msgNoConnection = "the backend server could not be reached"
+	msgNotWanted    = "the backend server wants no requests at the moment"
 )
 
 // Dispatch serves requests of the host's own callers as well as forwarded ones. It
@@ -173,6 +174,9 @@
 	case !ran && (isDialError(err) || errors.Is(err, upstream.ErrWrongBackend)):
 		s.Release(result.Refused)
 		return refuse(outcome.NoCapacity, msgNoConnection)
+	case !ran && errors.Is(err, upstream.ErrNotWanted):
+		s.Release(result.Unused)
+		return refuse(outcome.NoCapacity, msgNotWanted)
 	case !ran:
 		s.Release(result.Unused)
 		return refuse(outcome.NoCapacity, msgNoConnection)
@@ -195,7 +199,7 @@
 // mayRetry reports whether r may be sent again after an attempt with outcome o. If it
 // returns true, mayRetry has rewound the body and taken the retry from the budget.
 func (d *Dispatch) mayRetry(o outcome.Outcome, r *request.Request) bool {
-	s := o.Outcome == outcome.NoCapacity && (o.Message == msgNoRoom || o.Message == msgNoConnection)
+	s := o.Outcome == outcome.NoCapacity && (o.Message == msgNoRoom || o.Message == msgNoConnection || o.Message == msgNotWanted)
 	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
 	if !s && !b || !rewindBody(r) {
 		return false
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -99,6 +99,8 @@
 	// Gateway serves requests. Its ReportedLoad must be set before Run; Edge sets
 	// its other fields.
 	Gateway *gateway.Gateway
+	// Random returns a random number in [0, 1).
+	Random func() float64
 	// RecoveryTime is the time after the end of an outage within which a host must
 	// again have the current configuration and list of backend servers.
 	RecoveryTime time.Duration
@@ -219,7 +221,7 @@
 	g := e.Gateway
 	g.Clock, g.Log, g.Index, g.Tokens, g.Placement = e.Clock, e.Log, e.index.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
-	g.RequestPermit = e.permit
+	g.RequestPermit, g.Random = e.permit, e.Random
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -77,7 +77,7 @@
 	}
 	e.Upstream.OnTransportRetry = e.limits.RecordSent
 	e.backoffs = &backendbackoff.Backendbackoff{Clock: e.Clock, Log: e.Log}
-	e.Upstream.OnResponse = e.observeResponse
+	e.Upstream.OnResponse, e.Upstream.MaySend = e.observeResponse, e.backoffs.Allow
 }
 
 // observeResponse reads what a backend server states about the requests that it accepts.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,11 @@
 	// retryAfter is the delay after which a refused request may be sent again, about
 	// the time in which a backend server finishes its running requests.
 	retryAfter = 250 * time.Millisecond
+	// The delay of a caller that is refused until a known time grows by a random part of
+	// up to a fraction of it, 1/spreadDivisor, and up to maxSpread, so that not all callers
+	// return at the same time.
+	spreadDivisor = 4
+	maxSpread     = 2 * time.Second
 )
 
 // Gateway serves requests on routes.
@@ -74,6 +79,9 @@
 	Dispatch func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
 	// Latency records the duration of each answered request.
 	Latency *latency.Latency
+	// Random returns a random number in [0, 1), which spreads the callers that are refused
+	// until the same time; nil returns zero.
+	Random func() float64
 	// OnOutcome is called with the outcome of each request.
 	OnOutcome func(o string)
 
@@ -218,6 +226,9 @@
 		b := g.Index()
 		g.traceRefusal(b, r, withdrawnFields(b, r.Credential.Hash)...)
 	}
+	if o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo && o.RetryAfter == 0 {
+		o.RetryAfter = g.retryDelay(r)
+	}
 	if o.Ran == outcome.RanNo && r.Account != "" {
 		g.Tokens.Refund(r.Account)
 	}
@@ -243,12 +254,12 @@
 		case ok && ctx.Err() != nil:
 			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
 		case ok && (d > 0 || n < minPermitRequests):
-			continue // another backend server may grant a permit
+			continue // there may be a permit for another backend server
 		case !m || d <= 0:
 			r.DecisionLog.Add(g.Clock.Now(), "request not placed", append([]any{
 				"Service", r.Service.Name, "Usable", m, "Patience", r.MaxWait, "Priority", r.Priority,
 			}, g.Placement.UnavailableFields(r)...)...)
-			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.retryDelay(r, m))
+			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.retryDelay(r))
 		}
 		select {
 		case <-c:
@@ -266,21 +277,29 @@
 		return true
 	}
 	d, ok := g.RequestPermit(ctx, b)
-	if !ok {
+	switch {
+	case !ok:
 		r.DecisionLog.Add(g.Clock.Now(), "no permit", "Backend", b.Name, "Again", d)
-		g.Placement.ReleaseUnsent(b.Name, r, d)
+	case g.Placement.BackedOff(b): // since the permit was requested
+		r.DecisionLog.Add(g.Clock.Now(), "permit not used", "Backend", b.Name)
+	default:
+		return true
 	}
-	return ok
+	g.Placement.ReleaseUnsent(b.Name, r, d)
+	return false
 }
 
-// retryDelay returns the time after which a request that was not placed may be
-// sent again. If no backend server was usable, this is not before one of them
-// may receive requests again.
-func (g *Gateway) retryDelay(r *request.Request, usable bool) time.Duration {
-	if usable {
+// retryDelay returns the time after which a request that no backend server served may be
+// sent again. It is not before one of them may be sent requests again.
+func (g *Gateway) retryDelay(r *request.Request) time.Duration {
+	d := g.Placement.RetryAfter(r)
+	if d <= retryAfter {
 		return retryAfter
 	}
-	return max(retryAfter, g.Placement.RetryAfter(r))
+	if g.Random != nil {
+		d += time.Duration(g.Random() * float64(min(d/spreadDivisor, maxSpread)))
+	}
+	return d
 }
 
 // newSlot returns the slot of a request on a backend server.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -237,6 +237,31 @@
 	}
 }
 
+// Guards against callers that are told to come back before a backend server accepts
+// requests, or all at the same time.
+func TestDelayIsSpreadAboveTrueTime(t *testing.T) {
+	for _, v := range []struct {
+		seconds string
+		random  float64
+		told    time.Duration
+	}{
+		{"3", 0, 3 * time.Second},
+		{"3", 0.5, 3375 * time.Millisecond},
+		{"600", 0.5, 601 * time.Second},
+		{"0.1", 0.5, 250 * time.Millisecond},
+	} {
+		w := newFixture()
+		b := &backendbackoff.Backendbackoff{Clock: w.clock, Log: log.New(io.Discard)}
+		p := &placement.Placement{Clock: w.clock, Backoff: b, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
+		p.Set([]backend.Backend{{Name: "c1", Slots: 2}}, func(string) time.Time { return time.Time{} })
+		b.Observe(backend.Backend{Name: "c1"}, w.clock.Now(), []string{v.seconds}, "")
+		w.gateway.Placement, w.gateway.Random = p, func() float64 { return v.random }
+		_, o := w.gateway.AcquireSlot(t.Context(), &request.Request{ID: "r1", Admitted: w.clock.Now(), MaxWait: time.Second, DecisionLog: new(decisionlog.Decisionlog)})
+		must.EqOp(t, outcome.NoCapacity, o.Outcome)
+		must.EqOp(t, v.told, o.RetryAfter)
+	}
+}
+
 // Guards against a caller that is told to come back at once because a backend server, and
 // not this host, turned its request away.
 func TestTurnedAwayCallerIsToldDelay(t *testing.T) {
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -70,8 +70,16 @@
 
 // Ejected reports whether a backend server is ejected at the moment.
 func (o *Outlier) Ejected(name string, now time.Time) bool {
-	s := o.servers[name]
-	return s != nil && s.ejectedUntil.After(now)
+	return o.EjectedUntil(name).After(now)
+}
+
+// EjectedUntil returns the end of the last ejection of a backend server, zero if it was
+// never ejected.
+func (o *Outlier) EjectedUntil(name string) time.Time {
+	if s := o.servers[name]; s != nil {
+		return s.ejectedUntil
+	}
+	return time.Time{}
 }
 
 // Forget deletes the state of a backend server.
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -1,10 +1,12 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/coldrate"
 	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/request"
 )
@@ -25,7 +27,7 @@
 
 // unavailable reports whether the backend server can't be sent a request at the moment.
 func (c candidate) unavailable() bool {
-	return c.denied || c.ejected || c.cold || c.limited
+	return c.denied || c.ejected || c.cold || c.limited || c.backedOff
 }
 
 // candidates returns the backend servers that may serve r in descending order of the
@@ -64,12 +66,13 @@
 		server: s, denied: s.deniedUntil.After(now), ejected: g.outlier.Ejected(b.Name, now),
 		cold:      s.coldUntil.After(now) && !s.withinColdRate(p.coldShare(b), now),
 		limited:   p.Limit != nil && !p.Limit.Allow(b),
-		backedOff: p.Backoff != nil && !p.Backoff.Allow(b),
+		backedOff: p.BackedOff(b),
 	}
 }
 
-// RetryAfter returns the time until the first preferred backend server of r may be sent
-// a request again under its rate limit or permit; zero if neither delays r.
+// RetryAfter returns the time until the first backend server may be sent a request like r
+// again, zero if one may now. It includes those that r was sent to before, since the
+// caller's next request may be sent there.
 func (p *Placement) RetryAfter(r *request.Request) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,20 +80,54 @@
 	if g == nil {
 		return 0
 	}
+	q := *r
+	q.AttemptedBackends = nil
 	n := p.Clock.Now()
 	var d time.Duration
-	for _, c := range p.preferred(p.candidates(g, r, n)) {
-		u := c.server.deniedUntil.Sub(n)
-		if p.Limit != nil {
-			u = max(u, p.Limit.RetryAfter(c.server.backend))
-		}
-		if u > 0 && (d == 0 || u < d) {
+	for i, c := range p.preferred(p.candidates(g, &q, n)) {
+		if u := p.untilAvailable(g, c, n); i == 0 || u < d {
 			d = u
 		}
 	}
 	return d
 }
 
+// untilAvailable returns the time until no reason remains for which a candidate can't be
+// sent a request.
+func (p *Placement) untilAvailable(g *pool, c candidate, now time.Time) time.Duration {
+	s := c.server
+	d := max(s.deniedUntil.Sub(now), g.outlier.EjectedUntil(s.backend.Name).Sub(now), 0)
+	if c.backedOff {
+		d = max(d, p.Backoff.RetryAfter(s.backend))
+	}
+	if c.limited {
+		d = max(d, p.Limit.RetryAfter(s.backend))
+	}
+	if c.cold {
+		u := s.coldUntil.Sub(now)
+		if v, ok := coldrate.RetryAfter(s.coldSends, p.coldShare(s.backend), now); ok {
+			u = min(u, v)
+		}
+		d = max(d, u)
+	}
+	return d
+}
+
+// BackedOff reports whether a backend server wants no requests at the moment.
+func (p *Placement) BackedOff(b backend.Backend) bool {
+	return p.Backoff != nil && !p.Backoff.Allow(b)
+}
+
+// isProbed reports whether the backoff of a backend server has ended and one request is
+// already testing whether it accepts requests again.
+func (p *Placement) isProbed(s *server) bool {
+	if p.Backoff == nil {
+		return false
+	}
+	t, ok := p.Backoff.Recovering(s.backend)
+	return ok && slices.ContainsFunc(s.running, func(f activeRequest) bool { return !f.startedAt.Before(t) })
+}
+
 // coldShare returns how many requests a second this host may send to a cold backend server.
 func (p *Placement) coldShare(b backend.Backend) int {
 	q, _ := p.ColdCapacity(b.Service)
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -34,7 +34,7 @@
 	u := !anyCached(c, r)
 	for _, v := range c {
 		s := v.server
-		if s.fullUntil.After(now) || p.hasOverdue(s, now) || !p.admits(s, r, now) {
+		if s.fullUntil.After(now) || p.isProbed(s) || p.hasOverdue(s, now) || !p.admits(s, r, now) {
 			continue
 		}
 		if s.load(now) < p.loadThreshold(v.position, u)*float64(s.backend.Slots) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,8 +205,9 @@
 	return p.freed
 }
 
-// ReleaseUnsent ends a request for which Acquire chose a backend server but no permit was
-// granted. This host sends the backend server nothing for the duration d.
+// ReleaseUnsent ends a request for which Acquire chose a backend server but that was not
+// sent, because there is no permit for the duration d or the backend server wants no
+// requests.
 func (p *Placement) ReleaseUnsent(name string, q *request.Request, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -214,7 +215,7 @@
 	if s == nil {
 		return
 	}
-	s.deniedUntil = p.Clock.Now().Add(d)
+	s.deniedUntil = deadline.Later(s.deniedUntil, p.Clock.Now().Add(d))
 	if f, ok := s.remove(q); ok && f.addedObject {
 		s.removeObject(q)
 	}
@@ -285,7 +286,12 @@
 	}
 }
 
+// recordFailure counts a failure. While a backend server wants no requests it is sent none,
+// so that an ejection could only outlast its backoff.
 func (p *Placement) recordFailure(g *pool, s *server, now time.Time) {
+	if p.BackedOff(s.backend) {
+		return
+	}
 	t, ok := g.outlier.Fail(s.backend.Name, g.names, now)
 	if ok && p.Log != nil {
 		p.Log.Warn("backend server ejected", "Backend", s.backend.Name, "Service", s.backend.Service, "For", t.Sub(now))
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -10,19 +10,31 @@
 // more than one, because net/http by itself repeats an idempotent request when a reused
 // connection breaks.
 type connTracker struct {
-	onTransportRetry func() // called for each connection after the first one
+	maySend          func() bool // whether the request may be sent on one more connection
+	onTransportRetry func()      // called for each connection after the first one
+	abandon          func()      // ends the request
 	current          *sealableconn.Sealableconn
 	written          bool // whether an earlier connection was written to
+	abandoned        bool
 }
 
 // gotConn is called by httptrace when net/http takes a connection for the request.
 func (c *connTracker) gotConn(i httptrace.GotConnInfo) {
-	if c.current != nil {
+	a := c.current != nil
+	if a {
 		c.written = c.sealWritten()
-		c.onTransportRetry()
 	}
 	c.current = i.Conn.(*sealableconn.Sealableconn)
 	c.current.StartRequest()
+	if !c.maySend() {
+		c.abandoned = true
+		c.current.Seal()
+		c.abandon()
+		return
+	}
+	if a {
+		c.onTransportRetry()
+	}
 }
 
 // sealWritten seals the current connection and reports whether any part of the request
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -45,6 +45,10 @@
 // which did not run the request.
 var ErrWrongBackend = errors.New("another backend server has the address")
 
+// ErrNotWanted is returned if the backend server had come to want no requests before this
+// one was written to a connection.
+var ErrNotWanted = errors.New("the backend server wants no requests at the moment")
+
 // Upstream sends requests through the transports of net/http.
 type Upstream struct {
 	// Clock measures the time until deadlines.
@@ -67,6 +71,10 @@
 	// err is the result of CheckResponse: unless it is nil or ErrNotRun, the response is
 	// not proven to be from b. The body must not be read. Nil disables the call.
 	OnResponse func(b backend.Backend, sent time.Time, p *http.Response, err error)
+	// MaySend reports whether b may be sent a request now. It is called for each connection
+	// on which a request is about to be sent: opening one takes time, and net/http by
+	// itself sends requests again long after they were placed. Nil permits all requests.
+	MaySend func(b backend.Backend) bool
 	// OnTransportRetry is called when net/http by itself sends a request to b again on
 	// another connection. Nil disables the call.
 	OnTransportRetry func(b backend.Backend)
@@ -102,13 +110,21 @@
 // that b did not run r: either no byte was written and none can be written later, or b
 // itself reports that it did not run r.
 func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend, fresh bool) (p *http.Response, ran bool, err error) {
-	c := &connTracker{onTransportRetry: func() {
-		if u.OnTransportRetry != nil {
-			u.OnTransportRetry(b)
-		}
-	}}
-	x := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: c.gotConn})
 	y := &body{reader: r.Body, readStarted: r.BodyReadStarted}
+	x, f := context.WithCancelCause(ctx)
+	c := &connTracker{
+		maySend: func() bool { return u.MaySend == nil || u.MaySend(b) },
+		onTransportRetry: func() {
+			if u.OnTransportRetry != nil {
+				u.OnTransportRetry(b)
+			}
+		},
+		abandon: func() {
+			y.seal()
+			f(ErrNotWanted)
+		},
+	}
+	x = httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: c.gotConn})
 	q, err := u.newRequest(x, r, b, y)
 	if err != nil {
 		return nil, false, err
@@ -121,6 +137,9 @@
 	p, err = t.RoundTrip(q)
 	if err != nil {
 		y.seal()
+		if c.abandoned {
+			err = ErrNotWanted
+		}
 		return nil, c.sealWritten(), errors.Wrap(err, "upstream")
 	}
 	ran, err = u.checkAnswer(p, r, b)
