--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/backendlimit"
 	"celeryreach.example/celeryreach/borrower"
 	"celeryreach.example/celeryreach/child"
@@ -95,9 +96,14 @@
 	// SaysLeaving reports whether a backend server states in the header of a response
 	// that it leaves and wants no new requests.
 	SaysLeaving func(h http.Header) bool
+	// BackoffValues returns the values of the response header in which a backend server
+	// that refuses a request states for how long it wants no more from this host.
+	BackoffValues func(h http.Header) []string
 	// Gateway serves requests. Its ReportedLoad must be set before Run; Edge sets
 	// its other fields.
 	Gateway *gateway.Gateway
+	// Random returns a random number in [0, 1).
+	Random func() float64
 	// RecoveryTime is the time after the end of an outage within which a host must
 	// again have the current configuration and list of backend servers.
 	RecoveryTime time.Duration
@@ -124,6 +130,7 @@
 	tokens       *tokens.Tokens
 	placement    *placement.Placement
 	limits       *backendlimit.Backendlimit
+	backoffs     *backendbackoff.Backendbackoff
 	permits      *permits.Permits
 	storeSilence *storesilence.Storesilence
 	permitClient *peerclient.Peerclient // separate connections for permits, so that permits do not delay heartbeats
@@ -202,7 +209,7 @@
 	e.setUpBackendLimits()
 	e.setUpPermits()
 	e.placement = &placement.Placement{
-		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits,
+		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits, Backoff: e.backoffs,
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
@@ -217,7 +224,7 @@
 	g := e.Gateway
 	g.Clock, g.Log, g.Index, g.Tokens, g.Placement = e.Clock, e.Log, e.index.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
-	g.RequestPermit = e.permit
+	g.RequestPermit, g.Random = e.permit, e.Random
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/responsecopier"
 )
@@ -72,31 +70,45 @@
 	return s.leaving.excess
 }
 
-// runLeavingCommand runs one command for backend servers that leave:
+// runProcessCommand runs one command for the process of a backend server:
 //
 //	leave NAME [refusing]  its responses state that it leaves; its entry doesn't change
 //	lapse NAME             its entry is missing from the store
 //	entry NAME             it writes its entry, which shows it ready, again
-//	restart NAME           another process of that name starts
+//	restart NAME           another process of that name starts, and serves requests
 //	refused DURATION       checks that callers were refused at once during that time
-func (w *deployment) runLeavingCommand(s *server, command string, a []string) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+//
+// All others are those of runBackoffCommand.
+func (w *deployment) runProcessCommand(s *server, command string, a []string) (string, error) {
 	switch command {
 	case "leave":
-		s.leaving.states, s.leaving.refuses, s.leaving.relayed = true, len(a) > 0, make(map[string]time.Time)
+		s.leave(len(a) > 0)
 	case "lapse":
 		w.backends.Put(s.backend.Name, nil)
 	case "entry":
-		return w.writeEntry(s.backend)
+		return "", w.writeEntry(s.backend)
 	case "restart":
-		s.leaving = departure{excess: s.leaving.excess}
-		s.backend.Started = clock.Now().UnixMilli()
-		return w.writeEntry(s.backend)
+		s.restart()
+		return "", w.writeEntry(s.backend)
 	default:
-		return errors.Errorf("no such command: %s", command)
+		return s.runBackoffCommand(command, a)
 	}
-	return nil
+	return "", nil
+}
+
+func (s *server) leave(refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving.states, s.leaving.refuses, s.leaving.relayed = true, refuses, make(map[string]time.Time)
+}
+
+// restart makes s another process, which knows nothing of the one before.
+func (s *server) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = departure{excess: s.leaving.excess}
+	s.refusing, s.wanted, s.recovered, s.running = nil, make(map[string][]period), make(map[string]time.Time), make(map[string][]time.Time)
+	s.backend.Started = clock.Now().UnixMilli()
 }
 
 func (w *deployment) recordCall(sent time.Time, outcome string) {
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -45,7 +45,8 @@
 
 var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
 
-// runBackendCommand runs one command for backend servers and their callers:
+// runBackendCommand runs one command for backend servers and their callers, and passes
+// others to runBackoffCommand:
 //
 //	backend NAME REGION SLOTS WORK   starts a backend server
 //	work NAME DURATION               sets the duration of its requests
@@ -67,10 +68,13 @@
 		r, err := strconv.ParseFloat(a[0], 64)
 		w.startCallers(r, a[1:])
 		return "", err
-	case "limits":
+	case "limits", "backoffs":
 		return w.excess(), nil
 	case "refused":
 		return w.checkRefused(a[0])
+	case "told":
+		n, err := strconv.Atoi(a[0])
+		return w.checkRefusals(n), err
 	}
 	s := w.servers[a[0]]
 	if s == nil {
@@ -115,7 +119,7 @@
 	case "arrive":
 		return s.checkRate(a[1:])
 	default:
-		return "", w.runLeavingCommand(s, command, a[1:])
+		return w.runProcessCommand(s, command, a[1:])
 	}
 }
 
@@ -150,6 +154,7 @@
 	s := &server{
 		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
 		work:    d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
 	l := w.network.listen(s.backend.Address, s.backend.Region)
@@ -263,17 +268,19 @@
 	}()
 	u := w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
 	w.recordCall(t, u.Outcome)
+	w.recordRefusal(host, t, u, len(r.AttemptedBackends.Names()))
 	if s := w.servers[a.Header().Get(backendHeader)]; s != nil {
 		s.markNotified(host, a.Header())
 	}
 }
 
-// excess lists the backend servers that received more requests than their limit allows,
-// more than a cold backend server is allowed to receive, or some after they left.
+// excess lists the backend servers that received more requests than their limit or their
+// backoff allows, more than a cold backend server is allowed to receive, or some after they
+// left.
 func (w *deployment) excess() string {
 	var l []string
 	for _, s := range w.servers {
-		for _, e := range []string{s.excess(w.contact), s.coldExcess(), s.leavingExcess()} {
+		for _, e := range []string{s.excess(w.contact), s.coldExcess(), s.backoffExcess(), s.leavingExcess()} {
 			if e != "" {
 				l = append(l, e)
 			}
@@ -294,6 +301,10 @@
 	}
 }
 
+// backoffValues returns the values of the header in which a backend server states for how
+// long it wants no requests.
+func backoffValues(h http.Header) []string { return h.Values(backoffHeader) }
+
 // limitValues returns the values of the limit header.
 func limitValues(h http.Header) []string { return h.Values(limitHeader) }
 
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -34,7 +34,7 @@
 	u := !anyCached(c, r)
 	for _, v := range c {
 		s := v.server
-		if s.fullUntil.After(now) || p.hasOverdue(s, now) || !p.admits(s, r, now) {
+		if s.fullUntil.After(now) || p.isProbed(s) || p.hasOverdue(s, now) || !p.admits(s, r, now) {
 			continue
 		}
 		if s.load(now) < p.loadThreshold(v.position, u)*float64(s.backend.Slots) {
@@ -51,7 +51,7 @@
 func (p *Placement) available(c []candidate) []candidate {
 	var l []candidate
 	for _, v := range p.preferred(c) {
-		if !v.unavailable {
+		if !v.unavailable() {
 			l = append(l, v)
 		}
 	}
@@ -72,7 +72,7 @@
 		if i >= p.backendsPerObject() && s {
 			return c[:i]
 		}
-		s = s || !v.unavailable || v.denied
+		s = s || !v.unavailable() || v.denied
 	}
 	return c
 }
