--- a/httplisten/pipe_test.go
+++ b/httplisten/pipe_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/httplisten"
@@ -108,10 +110,12 @@
 }
 
 // lateConn calls afterRead, if set, between the arrival of bytes and the return of
-// Read.
+// Read, and afterTimeout, if set, when a second Read has run into its deadline.
 type lateConn struct {
 	net.Conn
-	afterRead func()
+	afterRead    func()
+	afterTimeout func()
+	timeouts     int
 }
 
 func (c *lateConn) Read(b []byte) (int, error) {
@@ -120,15 +124,25 @@
 		c.afterRead = nil
 		f()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.timeouts++
+		if c.timeouts == 2 && c.afterTimeout != nil {
+			c.afterTimeout()
+		}
+	}
 	return n, err
 }
 
 // piped is a server in virtual time and a caller's connection to it.
 type piped struct {
-	stop   context.CancelFunc
-	server *lateConn
-	conn   net.Conn
-	answer *bufio.Reader
+	listener *pipeListener
+	handler  http.HandlerFunc
+	stop     context.CancelFunc
+	done     chan error // receives the result of Run
+	late     int        // headers that were not complete in time
+	server   *lateConn
+	conn     net.Conn
+	answer   *bufio.Reader
 }
 
 // inBubble runs f in virtual time.
@@ -141,14 +155,19 @@
 
 func startPiped(t *testing.T) *piped {
 	l := newPipeListener()
+	w := &piped{listener: l, handler: echo, done: make(chan error, 1)}
 	s := &httplisten.Httplisten{
-		Listener: l, Handler: http.HandlerFunc(echo), Clock: clock, DrainTimeout: drainLimit,
-		Limits: func() (header, idle time.Duration) { return headerLimit, idleLimit },
+		Listener: l, Clock: clock, DrainTimeout: drainLimit,
+		Handler:      http.HandlerFunc(func(a http.ResponseWriter, q *http.Request) { w.handler(a, q) }),
+		Limits:       func() (header, idle time.Duration) { return headerLimit, idleLimit },
+		OnUnanswered: func(string) { w.late++ },
 	}
 	x, f := context.WithCancel(context.Background())
-	e := make(chan error, 1)
-	go func() { e <- s.Run(x) }()
-	w := &piped{stop: f}
+	go func() {
+		w.done <- s.Run(x)
+		close(w.done)
+	}()
+	w.stop = f
 	c, err := l.dial(func(c net.Conn) net.Conn {
 		w.server = &lateConn{Conn: c}
 		return w.server
@@ -158,7 +177,7 @@
 	t.Cleanup(func() {
 		_ = c.Close()
 		f()
-		must.NoError(t, <-e)
+		must.NoError(t, <-w.done)
 		clock.Sleep(drainLimit) // a Read may still be in afterRead, and a bubble waits for no goroutine
 	})
 	return w
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -23,9 +23,7 @@
 // serve runs the handler and reports the request if this host closes its connection
 // before the response is complete.
 func (l *Httplisten) serve(g *connections, w http.ResponseWriter, q *http.Request) {
-	if g.isDraining() {
-		w.Header().Set("Connection", "close")
-	}
+	c := &drainWriter{ResponseWriter: w, connections: g}
 	defer func() {
 		v := recover()
 		err, _ := v.(error)
@@ -42,7 +40,8 @@
 		}
 		panic(http.ErrAbortHandler)
 	}()
-	l.Handler.ServeHTTP(w, q)
+	l.Handler.ServeHTTP(c, q)
+	c.announceEnd()
 }
 
 // reportUnanswered logs and counts a request without a complete response.
