LOST: a late header is not cut in two

Change: Read has one deadline once its limit has passed, 10 ms later, which no later Read moves. So it fails for good, and a caller that sends byte after byte cannot keep a connection. What has arrived is read by the connection itself, under this deadline, and no longer by a system call; so tests' connections and TLS have it too.

Found with it and mended, each with its test: Unanswered.Header did not count most late headers, since net/http reports an unread request as active; net/http could not end a response before it closes a connection on which the caller still sends (CloseWrite was hidden), so callers got a reset in the place of a 413's or 431's end.

TestLateHeaderIsNotCut fails if the deadline moves ('ran POST a /'), TestLateHeadersAreCounted without the count, TestRefusalBeforeBodyIsWhole without CloseWrite.

--- a/httplisten/limits_test.go
+++ b/httplisten/limits_test.go
@@ -19,25 +19,30 @@
 
 // fixture is one server and a caller's connection to it.
 type fixture struct {
-	clock  *clockwork.FakeClock
-	header atomic.Int64
-	idle   atomic.Int64
-	conn   net.Conn
-	answer *bufio.Reader
+	clock   *clockwork.FakeClock
+	handler atomic.Pointer[http.HandlerFunc]
+	header  atomic.Int64
+	idle    atomic.Int64
+	conn    net.Conn
+	answer  *bufio.Reader
 }
 
 func start(t *testing.T) *fixture {
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	return startOn(t, l)
+	return startOn(t, l, clockwork.NewFakeClockAt(past))
 }
 
-func startOn(t *testing.T, l net.Listener) *fixture {
-	w := &fixture{clock: clockwork.NewFakeClock()}
+// past is a time at which network deadlines have passed, so that the server does not wait
+// for bytes when a limit of the fake clock passes.
+var past = time.Unix(1e9, 0)
+
+func startOn(t *testing.T, l net.Listener, c *clockwork.FakeClock) *fixture {
+	w := &fixture{clock: c}
 	w.header.Store(int64(3 * time.Second))
 	w.idle.Store(int64(15 * time.Second))
 	s := &httplisten.Httplisten{
-		Listener: l, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Clock: w.clock,
+		Listener: l, Handler: http.HandlerFunc(w.serve), Clock: w.clock,
 		Limits: func() (header, idle time.Duration) {
 			return time.Duration(w.header.Load()), time.Duration(w.idle.Load())
 		},
@@ -58,6 +63,12 @@
 	return w
 }
 
+func (w *fixture) serve(a http.ResponseWriter, q *http.Request) {
+	if h := w.handler.Load(); h != nil {
+		(*h)(a, q)
+	}
+}
+
 // call sends a request, reads its response, and returns when the server waits for the
 // next request.
 func (w *fixture) call(t *testing.T) {
@@ -179,7 +190,7 @@
 	n, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	l := &stalledListener{Listener: n, conns: make(chan *stalledConn, 1)}
-	w := startOn(t, l)
+	w := startOn(t, l, clockwork.NewFakeClock())
 	s := <-l.conns
 	w.call(t)
 	<-s.stalled
--- a/serverconn/serverconn.go
+++ b/serverconn/serverconn.go
@@ -1,5 +1,5 @@
 // Package serverconn is the server side of an HTTP/1 connection, which a time limit or a
-// shutdown closes only while no request is being read or served.
+// shutdown ends only while no request is being read or served.
 package serverconn
 
 import (
@@ -13,6 +13,10 @@
 	"github.com/pkg/errors"
 )
 
+// arrivedTimeout is how long Read goes on after the limit. It is for bytes that have arrived
+// already, and for a process that gets no processor time at once.
+const arrivedTimeout = 10 * time.Millisecond
+
 // longAgo is a deadline that has passed, whatever the clock shows.
 var longAgo = time.Unix(1, 0)
 
@@ -39,14 +43,15 @@
 	// that a longer limit applies to connections that are already waiting.
 	Limits func() (header, idle time.Duration)
 
-	mu         sync.Mutex
-	state      state
-	since      time.Time // when the state began
-	kept       bool      // a request was served
-	draining   bool
-	overdue    bool // Read doesn't wait any longer
-	timer      clockwork.Timer
-	generation int // incremented with each timer, so that a late one has no effect
+	mu       sync.Mutex
+	state    state
+	since    time.Time // when the state began
+	kept     bool      // a request was served
+	draining bool
+	overdue  bool      // Read returns only what has arrived
+	readEnd  time.Time // when Read fails although bytes arrive, zero until it was called when overdue
+	late     bool      // a header was incomplete when its limit had passed
+	timer    clockwork.Timer
 }
 
 // SetState follows the state that net/http reports for the connection.
@@ -72,7 +77,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	c.startTimer()
+	c.checkLimit()
 }
 
 // HasRequest reports whether a request is being received or served.
@@ -82,11 +87,22 @@
 	return c.state == receiving || c.state == serving
 }
 
-// IsHeaderLate reports whether the header of a request is incomplete after its limit.
+// IsHeaderLate reports whether the connection failed because a header was incomplete when
+// its limit had passed.
 func (c *Serverconn) IsHeaderLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == receiving && c.overdue
+	return c.late
+}
+
+// CloseWrite ends the response. net/http uses it before it closes a connection on which
+// the caller still sends, because closing it at once could destroy the response.
+func (c *Serverconn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return w.CloseWrite()
 }
 
 // Read waits for bytes until the limit of the current state has passed, and then returns
@@ -106,23 +122,39 @@
 	return n, err
 }
 
-// readArrived reads without waiting. A request that arrived before its connection is
-// closed is served, also if this host was late to read it.
+func (c *Serverconn) isOverdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overdue
+}
+
+// readArrived reads what has arrived. A request that arrived before its connection ends
+// is served, even if this host was late to read it.
 func (c *Serverconn) readArrived(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.SetReadDeadline(c.arrivedDeadline()); err != nil {
 		return 0, err
 	}
-	n, err := readNow(c.Conn, p)
+	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received()
+		return n, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late = c.state == receiving
 	return n, err
 }
 
-func (c *Serverconn) isOverdue() bool {
+// arrivedDeadline returns when Read fails. A later Read doesn't move it: a caller that sends
+// byte after byte would keep the connection, and a reader that has a part of a line may drop
+// the error of one Read and would take the bytes of the next one for another line.
+func (c *Serverconn) arrivedDeadline() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.overdue
+	if c.readEnd.IsZero() {
+		c.readEnd = c.Clock.Now().Add(arrivedTimeout)
+	}
+	return c.readEnd
 }
 
 // received records that a part of a request was read.
@@ -140,16 +172,15 @@
 func (c *Serverconn) enter(s state) {
 	c.state, c.since = s, c.Clock.Now()
 	if c.overdue {
-		c.overdue = false
+		c.overdue, c.readEnd = false, time.Time{}
 		_ = c.SetReadDeadline(time.Time{}) // only a closed connection has none
 	}
-	c.startTimer()
+	c.checkLimit()
 }
 
-// startTimer starts the timer for the rest of the state's limit, or ends the wait if
-// nothing is left of it.
-func (c *Serverconn) startTimer() {
-	c.generation++
+// checkLimit starts a timer for the rest of the state's limit, or ends the wait if nothing
+// is left of it.
+func (c *Serverconn) checkLimit() {
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
@@ -158,24 +189,18 @@
 	if !ok || c.overdue {
 		return
 	}
-	d := l - c.Clock.Since(c.since)
-	if d > 0 {
-		n := c.generation
-		c.timer = c.Clock.AfterFunc(d, func() { c.checkLimit(n) })
+	if d := l - c.Clock.Since(c.since); d > 0 {
+		c.timer = c.Clock.AfterFunc(d, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.checkLimit()
+		})
 		return
 	}
 	c.overdue = true
 	_ = c.SetReadDeadline(longAgo) // only a closed connection has none
 }
 
-func (c *Serverconn) checkLimit(generation int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.generation == generation {
-		c.startTimer()
-	}
-}
-
 // limit returns how long the current state may last; ok is false if it has no limit.
 func (c *Serverconn) limit() (d time.Duration, ok bool) {
 	h, i := c.Limits()
