LOST: connections with TLS keep their requests too

A request that TLS had decrypted but not yet returned was lost in a drain, a late one was refused, and net/http no longer saw TLS: a caller that spoke plain HTTP got nothing instead of 400, and failed handshakes were not logged.

Httplisten now has the TLS configuration and adds it above the connection's limits.

--- a/host/host.go
+++ b/host/host.go
@@ -74,12 +74,12 @@
 		return errors.Wrap(err, "OperatorAddress")
 	}
 	defer o.Close()
-	c, p, o, err = h.wrapTLS(c, p, o)
-	if err != nil {
+	l := &listeners{callers: c, peers: p, operators: o}
+	if err := h.loadTLS(l); err != nil {
 		return err
 	}
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
-	s := h.assemble(c, p, o)
+	s := h.assemble(l)
 	err = s.Run(ctx)
 	n := h.unfinished.Load()
 	h.Log.Info("host ended", "Host", h.Settings.Name, "Cut", n)
--- a/host/supervisor.go
+++ b/host/supervisor.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"net"
 	"time"
 
 	"celeryreach.example/celeryreach/child"
@@ -20,9 +19,9 @@
 // assemble builds the supervisor tree. Each branch depends only on the branches
 // before it, and the supervisor stops it before them. The limits, peers and
 // configuration thereby keep working until no request of a caller is in flight.
-func (h *Host) assemble(c, p, o net.Listener) *supervisor.Supervisor {
+func (h *Host) assemble(l *listeners) *supervisor.Supervisor {
 	x := h.newComponents()
-	x.peerserver.Listener = p
+	x.peerserver.Listener = l.peers
 	return h.newSupervisor(
 		h.branch("limits", x.limits.children(x)...),
 		h.branch("domain", x.localDomain.children(x)...),
@@ -50,11 +49,13 @@
 			child.Child{Name: "readiness", Run: x.waitUntilReady},
 		),
 		h.branch("serving",
-			child.Child{Name: "operator", Run: (&httplisten.Httplisten{Listener: o, Handler: x.operatorHandler(), DrainTimeout: lastResponseTimeout}).Run},
+			child.Child{Name: "operator", Run: (&httplisten.Httplisten{
+				Listener: l.operators, TLS: l.operatorTLS, Handler: x.operatorHandler(), DrainTimeout: lastResponseTimeout, Log: h.Log,
+			}).Run},
 			child.Child{Name: "records", Run: x.requests.idempotency.Run},
 			child.Child{Name: "expiry", Run: x.requests.expiry.Run},
 			child.Child{Name: "callers", Run: (&httplisten.Httplisten{
-				Listener: c, Handler: x.callerHandler(), BeforeShutdown: x.shutDown, DrainTimeout: lastResponseTimeout,
+				Listener: l.callers, TLS: l.callerTLS, Handler: x.callerHandler(), BeforeShutdown: x.shutDown, DrainTimeout: lastResponseTimeout,
 				Log: h.Log,
 			}).Run},
 		),
--- a/host/tls.go
+++ b/host/tls.go
@@ -11,33 +11,39 @@
 	"celeryreach.example/celeryreach/certreloader"
 )
 
-// wrapTLS wraps the listeners whose settings name certificates in TLS.
-func (h *Host) wrapTLS(callers, peers, operators net.Listener) (c, p, o net.Listener, err error) {
+// listeners accept the connections to a host. TLS of callers and operators is added by
+// their HTTP servers, that of peers is part of the listener.
+type listeners struct {
+	callers, peers, operators net.Listener
+	callerTLS, operatorTLS    *tls.Config
+}
+
+// loadTLS adds TLS where the settings name certificates.
+func (h *Host) loadTLS(l *listeners) error {
 	s := h.Settings
-	c, p, o = callers, peers, operators
 	if s.CallerTLS != nil {
 		x, err := h.loadCerts("CallerTLS", *s.CallerTLS)
 		if err != nil {
-			return nil, nil, nil, err
+			return err
 		}
-		c = tls.NewListener(callers, x.ServerConfig())
+		l.callerTLS = x.ServerConfig()
 	}
 	if s.OperatorTLS != nil {
 		x, err := h.loadCerts("OperatorTLS", *s.OperatorTLS)
 		if err != nil {
-			return nil, nil, nil, err
+			return err
 		}
-		o = tls.NewListener(operators, x.ServerConfig())
+		l.operatorTLS = x.ServerConfig()
 	}
 	if s.PeerTLS != nil {
 		x, err := h.loadCerts("PeerTLS", *s.PeerTLS)
 		if err != nil {
-			return nil, nil, nil, err
+			return err
 		}
 		h.peerCerts = x
-		p = tls.NewListener(peers, x.MutualConfig())
+		l.peers = tls.NewListener(l.peers, x.MutualConfig())
 	}
-	return c, p, o, nil
+	return nil
 }
 
 func (h *Host) loadCerts(field string, f certificate.Certificate) (*certreloader.Certreloader, error) {
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -31,6 +32,9 @@
 type Httplisten struct {
 	// Listener accepts connections. Run closes it.
 	Listener net.Listener
+	// TLS is the TLS configuration of the connections; nil means none. Listener accepts
+	// them without TLS.
+	TLS *tls.Config
 	// Handler serves the requests.
 	Handler http.Handler
 	// BeforeShutdown, if set, runs after ctx has ended and before the listener is
@@ -39,7 +43,8 @@
 	// Limits, if set, returns two time limits. header is the limit for a header, which
 	// begins with the connection or, on a connection with earlier requests, with the first
 	// byte; zero means 5 s. idle is the limit from one answer to the first byte of the next
-	// request; zero means 2 min. Changes apply to open connections.
+	// request; zero means 2 min. A longer limit applies to connections that wait already, a
+	// shorter one from their next wait on.
 	Limits func() (header, idle time.Duration)
 	// Clock measures the waits that Limits bounds; nil means the real clock.
 	Clock clockwork.Clock
@@ -61,7 +66,7 @@
 	g := newConnections(func() { l.countUnanswered(reasonHeader) })
 	s := l.server(g)
 	e := make(chan error, 1)
-	go func() { e <- s.Serve(&connListener{Listener: l.Listener, wrap: l.wrap}) }()
+	go func() { e <- s.Serve(l.listener()) }()
 	select {
 	case err := <-e:
 		return errors.Wrap(err, "serve")
@@ -81,7 +86,7 @@
 	s := &http.Server{
 		MaxHeaderBytes: maxHeaderBytes,
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.serve(g, w, q) }),
-		ConnState:      func(c net.Conn, v http.ConnState) { g.setState(c.(*serverconn.Serverconn), v) },
+		ConnState:      func(c net.Conn, v http.ConnState) { g.setState(serverConn(c), v) },
 	}
 	if l.Log != nil {
 		s.ErrorLog = l.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
@@ -106,6 +111,23 @@
 	return nil
 }
 
+// listener returns Listener with connections that have the limits, and TLS above them.
+func (l *Httplisten) listener() net.Listener {
+	n := &connListener{Listener: l.Listener, wrap: l.wrap}
+	if l.TLS == nil {
+		return n
+	}
+	return tls.NewListener(n, l.TLS)
+}
+
+// serverConn returns the connection to a caller, without TLS.
+func serverConn(c net.Conn) *serverconn.Serverconn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return c.(*serverconn.Serverconn)
+}
+
 // wrap returns c with the limits of this listener.
 func (l *Httplisten) wrap(c net.Conn) net.Conn {
 	k := l.Clock
