Streampool: a connection whose timer has fired is not used again

The timer that ends a stream without an end was stopped without asking whether it had fired. If it had and had not run yet, it closed the connection after the next stream had begun on it. Only requests that may be repeated use such connections, and an attempt without a frame is sent again, so the effect is bounded.

TestLateTimerClosesNoReusedConnection fails without it (EOF).

--- a/streampool/streampool.go
+++ b/streampool/streampool.go
@@ -139,7 +139,9 @@
 	}
 	t := p.Clock.AfterFunc(streamEndTimeout, func() { _ = c.Close() })
 	ok := p.readEnd(s) && s.Close() == nil
-	t.Stop()
+	// A timer that has fired already may close the connection only after the next stream
+	// has begun on it.
+	ok = t.Stop() && ok
 	if !ok {
 		_ = c.Close()
 		return
--- a/streampool/streampool_test.go
+++ b/streampool/streampool_test.go
@@ -129,3 +129,37 @@
 	f()
 	must.Error(t, <-d)
 }
+
+// firedClock is a clock whose timers have fired when they are stopped, and whose functions
+// run later, as on a host that gets no processor time.
+type firedClock struct {
+	clockwork.Clock
+	late []func()
+}
+
+type firedTimer struct{ clockwork.Timer }
+
+func (firedTimer) Stop() bool { return false }
+
+func (c *firedClock) AfterFunc(_ time.Duration, f func()) clockwork.Timer {
+	c.late = append(c.late, f)
+	return firedTimer{}
+}
+
+// Guards against a timer of one stream that closes the connection when the next stream has
+// begun on it.
+func TestLateTimerClosesNoReusedConnection(t *testing.T) {
+	r := newFixture(t)
+	k := &firedClock{Clock: r.clock}
+	r.pool.Clock = k
+	must.False(t, r.sendRequest(t, false, true))
+	s, _, done, err := r.pool.Open(t.Context(), r.address, false)
+	must.NoError(t, err)
+	for _, f := range k.late {
+		f()
+	}
+	must.NoError(t, s.Send(&wire.Frame{Part: &wire.Frame_Request{Request: &wire.Request{}}}))
+	_, err = s.Recv()
+	must.NoError(t, err)
+	done(true)
+}
