--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -33,6 +33,7 @@
 				l.reportUnanswered(q, reasonShutdown)
 			}
 			return
+		case errors.Is(err, http.ErrAbortHandler) && q.Context().Err() != nil: // the caller left
 		case errors.Is(err, http.ErrAbortHandler):
 			l.reportUnanswered(q, reasonAborted)
 		default:
