--- a/backendbackoff/backendbackoff.go
+++ b/backendbackoff/backendbackoff.go
@@ -1,5 +1,5 @@
-// Package backendbackoff keeps until when overloaded backend servers want no more
-// requests from this host, as they state when they refuse one.
+// Package backendbackoff records for how long backend servers that refuse a request want no
+// further ones from this host.
 package backendbackoff
 
 import (
@@ -18,8 +18,8 @@
 	// maxBackoff bounds each stated time: a wrong value must not keep a backend server
 	// unused for good.
 	maxBackoff = time.Hour
-	// retention is how long after its last backoff a backend server that was not used
-	// again is remembered.
+	// retention is how long the state of a backend server is kept after its backoff has
+	// ended and after its last value.
 	retention = 10 * time.Minute
 )
 
@@ -32,7 +32,7 @@
 	// backend server that is used again.
 	Log *log.Logger
 
-	tracked atomic.Int64 // number of backoffs
+	tracked atomic.Int64 // number of entries of backoffs, read without mu
 
 	mu            sync.Mutex
 	backoffs      map[key]*backoff
@@ -52,18 +52,19 @@
 
 // backoff is the state of one backend server.
 type backoff struct {
-	until        time.Time // the latest end that the backend server stated, zero if it is used again
-	since        time.Time // when the backoff that ends at until began
-	began        time.Time // when the first of consecutive backoffs began
-	updated      time.Time // when the last value was received
-	loggedUntil  time.Time // the end that was last logged
-	sent         int       // answered requests that were sent during the backoffs
-	ignoredValue string    // the last invalid value
+	until         time.Time // the latest end that the backend server stated, zero if it is used again
+	lastBegan     time.Time // when the backoff that ends at until began
+	firstBegan    time.Time // when the first of consecutive backoffs began
+	updated       time.Time // when the last value was received
+	loggedUntil   time.Time // the end that was last logged
+	sentMeanwhile int       // answered requests that were sent during the backoffs
+	ignoredValue  string    // the last invalid value
 }
 
 // Observe processes the response of a backend server to a request sent at the given time.
-// values are the times for which it wants no requests, in seconds or as HTTP dates; there
-// are none unless it refused the request. date is the response's Date header.
+// values are the times that it stated, in seconds or as HTTP dates, for which it wants no
+// requests; there are none unless it refused the request. date is the response's Date
+// header.
 func (f *Backendbackoff) Observe(b backend.Backend, sent time.Time, values []string, date string) {
 	if len(values) == 0 && f.tracked.Load() == 0 {
 		return
@@ -79,8 +80,8 @@
 		f.removeStale(n)
 		m = f.add(keyOf(b))
 	}
-	if sent.After(m.since) && sent.Before(m.until) {
-		m.sent++
+	if sent.After(m.lastBegan) && sent.Before(m.until) {
+		m.sentMeanwhile++
 		f.sentMeanwhile++
 	}
 	d, ok := time.Duration(0), true
@@ -102,16 +103,17 @@
 // earlier one never replaces a later one.
 func (f *Backendbackoff) extend(b backend.Backend, m *backoff, now time.Time, d time.Duration) {
 	if m.until.IsZero() {
-		m.began, m.loggedUntil, m.sent = now, now, 0
+		m.firstBegan, m.loggedUntil, m.sentMeanwhile = now, now, 0
 	}
 	if !m.until.After(now) {
-		m.since = now
+		m.lastBegan = now
 	}
 	m.until = deadline.Later(m.until, now.Add(d))
 	f.logExtended(b, m, now)
 }
 
-// end ends the backoff of a backend server that served a request sent after its end.
+// end ends the backoff of a backend server that has answered a request sent after its end
+// without stating another one.
 func (f *Backendbackoff) end(b backend.Backend, m *backoff, now time.Time) {
 	f.logEnded(b, m, now)
 	m.until = time.Time{}
@@ -140,7 +142,7 @@
 // Recovering reports whether the backoff of a backend server has ended and no request
 // sent after its end has been answered yet, and returns its end. Many callers may then
 // return at once, so the backend server should get few requests.
-func (f *Backendbackoff) Recovering(b backend.Backend) (since time.Time, ok bool) {
+func (f *Backendbackoff) Recovering(b backend.Backend) (ended time.Time, ok bool) {
 	if f.tracked.Load() == 0 {
 		return time.Time{}, false
 	}
@@ -192,8 +194,8 @@
 	return m
 }
 
-// removeStale removes the state of backend servers that were not used again, as of those
-// that are gone.
+// removeStale removes states older than retention, so that those of processes that are gone
+// do not accumulate.
 func (f *Backendbackoff) removeStale(now time.Time) {
 	for k, m := range f.backoffs {
 		if now.Sub(deadline.Later(m.until, m.updated)) > retention {
--- a/backendbackoff/log.go
+++ b/backendbackoff/log.go
@@ -7,24 +7,24 @@
 	"celeryreach.example/celeryreach/backend"
 )
 
-// minLoggedDivisor sets the minimum change of an end that is logged, relative to the
-// time since the backend server was last used. Each refusal may state a slightly later
-// end.
+// minLoggedDivisor sets the minimum change that is logged: a later end is logged if it
+// extends the backoff that was logged by more than 1/minLoggedDivisor. Each refusal may
+// state a slightly later end.
 const minLoggedDivisor = 10
 
 // logExtended logs the end of a backoff if it is new or changed enough.
 func (f *Backendbackoff) logExtended(b backend.Backend, m *backoff, now time.Time) {
-	if m.until.Sub(m.loggedUntil) <= m.loggedUntil.Sub(m.began)/minLoggedDivisor {
+	if m.until.Sub(m.loggedUntil) <= m.loggedUntil.Sub(m.firstBegan)/minLoggedDivisor {
 		return
 	}
 	m.loggedUntil = m.until
-	f.Log.Warn("backend server backs off", "Backend", b.Name, "Service", b.Service, "For", m.until.Sub(now))
+	f.Log.Warn("backend server wants no requests", "Backend", b.Name, "Service", b.Service, "For", m.until.Sub(now))
 }
 
 // logEnded logs that a backend server is used again, and how many requests it was sent
 // although it wanted none.
 func (f *Backendbackoff) logEnded(b backend.Backend, m *backoff, now time.Time) {
-	f.Log.Info("backend server used again", "Backend", b.Name, "Service", b.Service, "After", now.Sub(m.began), "SentMeanwhile", m.sent)
+	f.Log.Info("backend server used again", "Backend", b.Name, "Service", b.Service, "After", now.Sub(m.firstBegan), "SentMeanwhile", m.sentMeanwhile)
 }
 
 // countIgnored counts an invalid value, and logs it unless it repeats the last one.
--- a/backendbackoff/parse.go
+++ b/backendbackoff/parse.go
@@ -30,7 +30,7 @@
 // parseSeconds reads a finite number of seconds of at least zero. Numbers that exceed
 // maxBackoff are reduced to it.
 func parseSeconds(s string) (time.Duration, bool) {
-	if strings.ContainsAny(s, "xX_") {
+	if strings.ContainsAny(s, "xX_") { // ParseFloat also reads hexadecimal numbers and underscores
 		return 0, false
 	}
 	v, err := strconv.ParseFloat(s, 64)
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -17,8 +17,8 @@
 	// coldMargin is added to the remaining cold time that a backend server reports,
 	// to allow for the delay of the report.
 	coldMargin = 300 * time.Millisecond
-	// sweepInterval is how often missing entries and left backend servers are checked for
-	// expiry.
+	// sweepInterval is how often missing entries, and backend servers that left, are
+	// checked for expiry.
 	sweepInterval = 200 * time.Millisecond
 )
 
@@ -29,8 +29,8 @@
 	// Clock measures how long missing entries are kept and backend servers are cold.
 	Clock clockwork.Clock
 	// Log receives one line for each backend server that appears, leaves or becomes
-	// cold, and for each evacuation of a failure domain. A line on leaving has ToldBy
-	// unless the entry shows it.
+	// cold, and for each evacuation of a failure domain. The line of one that leaves has
+	// ToldBy, unless the list in the store shows it.
 	Log *log.Logger
 	// WarmUp returns how long a backend server of a service may be cold.
 	WarmUp func(service string) time.Duration
--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -17,7 +17,7 @@
 // reportFor is how long after a response its statement is reported to other hosts.
 const reportFor = 10 * time.Second
 
-// toldByAnswer is logged as the source of what a response to this host stated.
+// toldByAnswer is logged as the source if a response to this host stated it.
 const toldByAnswer = "answer"
 
 // process is one process of a backend server. A restarted one is another.
@@ -29,7 +29,7 @@
 // departure is what is known of a process that leaves.
 type departure struct {
 	// seen is when its leaving was last stated or, if its start is known, its entry was
-	// last listed.
+	// last listed or kept.
 	seen time.Time
 	// answered is when a response to this host last stated it, zero if none did.
 	answered time.Time
@@ -37,15 +37,14 @@
 
 // MarkLeaving records that a process of a backend server stated, in a response to this
 // host, that it leaves. It gets no new requests from now on, whatever its entry shows:
-// the entry may be old, and a process that leaves doesn't stay.
+// the entry may be old, and a process never takes this back.
 func (d *Discovery) MarkLeaving(name string, started int64) {
 	if d.markAnswered(process{name: name, started: started}) {
 		d.Notify()
 	}
 }
 
-// markAnswered processes the statement of a response to this host, and reports whether it
-// is news.
+// markAnswered records what a response to this host stated, and reports whether it was new.
 func (d *Discovery) markAnswered(p process) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -99,7 +98,7 @@
 	defer d.mu.Unlock()
 	n := 0
 	for p := range d.departures {
-		if d.isListed(p) {
+		if d.hasEntry(p) {
 			n++
 		}
 	}
@@ -118,15 +117,15 @@
 	}
 	d.departures[p] = &departure{seen: n}
 	f := []any{"Backend", p.name}
-	if d.isListed(p) {
+	if d.hasEntry(p) {
 		f = append(f, "Service", d.entries[p.name].backend.Service)
 	}
 	d.queueLog(log.InfoLevel, "backend server leaves", append(f, "ToldBy", toldBy)...)
 	return true
 }
 
-// isListed reports whether the entry of a process is in use.
-func (d *Discovery) isListed(p process) bool {
+// hasEntry reports whether the entry of a process is listed, or kept although it is missing.
+func (d *Discovery) hasEntry(p process) bool {
 	k := d.entries[p.name]
 	return k != nil && k.backend.Started == p.started
 }
@@ -137,14 +136,14 @@
 	n := d.Clock.Now()
 	c := false
 	for p, v := range d.departures {
-		if p.started != 0 && d.isListed(p) {
+		if p.started != 0 && d.hasEntry(p) {
 			v.seen = n
 		}
 		if n.Sub(v.seen) <= leavingRetention {
 			continue
 		}
 		delete(d.departures, p)
-		if d.isListed(p) {
+		if d.hasEntry(p) {
 			d.queueLog(log.InfoLevel, "backend server tried again", "Backend", p.name, "Service", d.entries[p.name].backend.Service)
 			c = true
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -207,6 +207,8 @@
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.knownHostNames, StartBorrowing: e.borrower.Request, SendLoan: e.borrower.Lend}
 	e.borrower.OnReceived, e.borrower.RequestDone = e.tokens.Receive, e.tokens.BorrowingDone
 	e.setUpBackendLimits()
+	e.setUpBackoffs()
+	e.Upstream.OnResponse = e.observeResponse
 	e.setUpPermits()
 	e.placement = &placement.Placement{
 		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits, Backoff: e.backoffs,
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -68,25 +68,31 @@
 	return e.membership.Hosts()
 }
 
-// setUpBackendLimits enforces the request limits and the backoffs that backend servers
-// state in their responses.
+// setUpBackendLimits enforces the request limits that backend servers state in their
+// responses.
 func (e *Edge) setUpBackendLimits() {
 	e.limits = &backendlimit.Backendlimit{
 		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.knownHosts, RemoteWeight: remoteWeight,
 		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, Notify: e.membership.SendSoon,
 	}
 	e.Upstream.OnTransportRetry = e.limits.RecordSent
+}
+
+// setUpBackoffs enforces the times for which backend servers want no requests.
+func (e *Edge) setUpBackoffs() {
 	e.backoffs = &backendbackoff.Backendbackoff{Clock: e.Clock, Log: e.Log}
-	e.Upstream.OnResponse, e.Upstream.MaySend = e.observeResponse, e.backoffs.Allow
+	e.Upstream.MaySend = e.backoffs.Allow
 }
 
-// observeResponse reads what a backend server states about the requests that it accepts.
-// A limit, or that it leaves, must be proven to be the backend server's own. A backoff
-// need not: at worst, one that is not sends it fewer requests.
+// observeResponse processes what the sender of a response states about the requests that it
+// accepts. Limits and departures count only if the response is proven to come from b. A
+// backoff counts unless another backend server is known to have sent it.
 func (e *Edge) observeResponse(b backend.Backend, sent time.Time, p *http.Response, err error) {
 	if err == nil || errors.Is(err, upstream.ErrNotRun) {
 		e.limits.Observe(b, sent, e.LimitValues(p.Header), err == nil && p.StatusCode < http.StatusInternalServerError)
-		e.observeLeaving(b, p.Header)
+		if e.SaysLeaving(p.Header) {
+			e.discovery.MarkLeaving(b.Name, b.Started)
+		}
 	}
 	if errors.Is(err, upstream.ErrWrongBackend) {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,9 +45,9 @@
 	// retryAfter is the delay after which a refused request may be sent again, about
 	// the time in which a backend server finishes its running requests.
 	retryAfter = 250 * time.Millisecond
-	// The delay of a caller that is refused until a known time grows by a random part of
-	// up to a fraction of it, 1/spreadDivisor, and up to maxSpread, so that not all callers
-	// return at the same time.
+	// A caller that is refused until a known time is told a longer delay, so that not all
+	// callers return at once. The added time is random, up to 1/spreadDivisor of the delay
+	// and up to maxSpread.
 	spreadDivisor = 4
 	maxSpread     = 2 * time.Second
 )
@@ -80,7 +80,7 @@
 	// Latency records the duration of each answered request.
 	Latency *latency.Latency
 	// Random returns a random number in [0, 1), which spreads the callers that are refused
-	// until the same time; nil returns zero.
+	// until the same time; nil adds nothing.
 	Random func() float64
 	// OnOutcome is called with the outcome of each request.
 	OnOutcome func(o string)
@@ -226,6 +226,7 @@
 		b := g.Index()
 		g.traceRefusal(b, r, withdrawnFields(b, r.Credential.Hash)...)
 	}
+	// The refusals of Dispatch itself have no delay.
 	if o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo && o.RetryAfter == 0 {
 		o.RetryAfter = g.retryDelay(r)
 	}
@@ -239,7 +240,7 @@
 // was admitted.
 func (g *Gateway) AcquireSlot(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
 	u := r.Admitted.Add(r.MaxWait)
-	n := 0 // denied permits
+	n := 0 // permits denied or not used
 	for {
 		c := g.Placement.Freed()
 		b, ok, m := g.Placement.Acquire(r)
@@ -289,8 +290,8 @@
 	return false
 }
 
-// retryDelay returns the time after which a request that no backend server served may be
-// sent again. It is not before one of them may be sent requests again.
+// retryDelay returns when a request that no backend server served may be sent again: not
+// before one of them may be sent requests.
 func (g *Gateway) retryDelay(r *request.Request) time.Duration {
 	d := g.Placement.RetryAfter(r)
 	if d <= retryAfter {
--- a/host/host.go
+++ b/host/host.go
@@ -75,7 +75,7 @@
 	}
 	defer o.Close()
 	l := &listeners{callers: c, peers: p, operators: o}
-	if err := h.loadTLS(l); err != nil {
+	if err := h.addTLS(l); err != nil {
 		return err
 	}
 	h.Log.Info("host starts", "Host", h.Settings.Name, "Domain", h.Settings.Domain, "Incarnation", h.Incarnation)
--- a/host/tls.go
+++ b/host/tls.go
@@ -18,8 +18,8 @@
 	callerTLS, operatorTLS    *tls.Config
 }
 
-// loadTLS adds TLS where the settings name certificates.
-func (h *Host) loadTLS(l *listeners) error {
+// addTLS adds TLS where the settings name certificates.
+func (h *Host) addTLS(l *listeners) error {
 	s := h.Settings
 	if s.CallerTLS != nil {
 		x, err := h.loadCerts("CallerTLS", *s.CallerTLS)
--- a/httplisten/connections.go
+++ b/httplisten/connections.go
@@ -10,7 +10,7 @@
 
 // connections holds the open connections of a listener.
 type connections struct {
-	// onHeaderLate is called when a connection ends since a header was not complete in
+	// onHeaderLate is called when a connection ends because a header was not complete in
 	// time.
 	onHeaderLate func()
 
@@ -26,55 +26,55 @@
 }
 
 // setState follows the state that net/http reports for a connection.
-func (s *connections) setState(c *serverconn.Serverconn, v http.ConnState) {
+func (g *connections) setState(c *serverconn.Serverconn, v http.ConnState) {
 	if v == http.StateClosed && c.IsHeaderLate() {
-		s.onHeaderLate()
+		g.onHeaderLate()
 	}
 	c.SetState(v)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	switch v {
 	case http.StateNew:
-		s.open[c] = struct{}{}
+		g.open[c] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
-		delete(s.open, c)
-		s.checkNone()
+		delete(g.open, c)
+		g.checkNone()
 	case http.StateActive, http.StateIdle:
 	}
 }
 
 // drain ends each connection when it has no request. No connection may be added
 // afterwards. The channel that it returns is closed when all have ended.
-func (s *connections) drain() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	for c := range s.open {
+func (g *connections) drain() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for c := range g.open {
 		c.Drain()
 	}
-	s.checkNone()
-	return s.none
+	g.checkNone()
+	return g.none
 }
 
-func (s *connections) checkNone() {
-	if s.draining && len(s.open) == 0 {
-		s.once.Do(func() { close(s.none) })
+func (g *connections) checkNone() {
+	if g.draining && len(g.open) == 0 {
+		g.once.Do(func() { close(g.none) })
 	}
 }
 
 // isDraining reports whether drain was called.
-func (s *connections) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
+func (g *connections) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
 }
 
-// requests returns on how many connections a request is being received or served.
-func (s *connections) requests() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// busy returns on how many connections a request is being received or served.
+func (g *connections) busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	n := 0
-	for c := range s.open {
+	for c := range g.open {
 		if c.HasRequest() {
 			n++
 		}
--- a/httplisten/drain_test.go
+++ b/httplisten/drain_test.go
@@ -16,6 +16,7 @@
 	for name, h := range map[string]http.HandlerFunc{
 		"no response": func(http.ResponseWriter, *http.Request) {},
 		"status":      func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) },
+		"flush":       func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() },
 		"body":        func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/httplisten/drainwriter.go
+++ b/httplisten/drainwriter.go
@@ -22,6 +22,12 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// FlushError writes the header and all that was written before.
+func (w *drainWriter) FlushError() error {
+	w.announceEnd()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // Unwrap returns the writer of net/http, for http.ResponseController.
 func (w *drainWriter) Unwrap() http.ResponseWriter {
 	return w.ResponseWriter
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -50,12 +50,14 @@
 	Clock clockwork.Clock
 	// DrainTimeout limits the wait for requests in flight.
 	DrainTimeout time.Duration
-	// Log receives one line for each request whose connection this host closes before the
-	// response is complete, and the errors of net/http; nil discards them.
+	// Log receives one line for each request that reached the handler and whose connection
+	// this host closes before the response is complete, and the errors of net/http. Nil
+	// logs nothing, and net/http prints its errors itself.
 	Log *log.Logger
 	// RequestID returns the id of a request for the log; nil logs none.
 	RequestID func(q *http.Request) string
-	// OnUnanswered, if set, is called with the reason for each such request.
+	// OnUnanswered, if set, is called with the reason for each such request, and for each
+	// header that was not complete in time.
 	OnUnanswered func(reason string)
 
 	closed atomic.Bool // connections with requests in flight were closed
@@ -102,7 +104,7 @@
 	case <-g.drain():
 	case <-ctx.Done():
 	}
-	n := g.requests()
+	n := g.busy()
 	l.closed.Store(true)
 	_ = s.Close()
 	if n > 0 {
@@ -134,7 +136,7 @@
 	if k == nil {
 		k = clockwork.NewRealClock()
 	}
-	return &serverconn.Serverconn{Conn: c, Clock: k, Limits: l.limits}
+	return &serverconn.Serverconn{Conn: c, Clock: k, Limits: l.limits, BeginsWithHandshake: l.TLS != nil}
 }
 
 func (l *Httplisten) limits() (header, idle time.Duration) {
--- a/httplisten/tls_test.go
+++ b/httplisten/tls_test.go
@@ -19,7 +19,7 @@
 
 // startTLS starts a server with TLS and returns its address, the configuration of a
 // caller, and a function that ends its context.
-func startTLS(t *testing.T, h http.HandlerFunc) (address string, caller *tls.Config, stop func()) {
+func startTLS(t *testing.T, drain time.Duration, h http.HandlerFunc) (address string, caller *tls.Config, stop func()) {
 	a, err := testca.New()
 	must.NoError(t, err)
 	f, err := a.Write(t.TempDir())
@@ -30,7 +30,7 @@
 	must.NoError(t, err)
 	s := &httplisten.Httplisten{
 		Listener: l, TLS: &tls.Config{Certificates: []tls.Certificate{c}, MinVersion: tls.VersionTLS12}, Handler: h,
-		Clock: clock, DrainTimeout: time.Minute,
+		Clock: clock, DrainTimeout: drain,
 	}
 	x, e := context.WithCancel(context.Background())
 	d := make(chan error, 1)
@@ -47,7 +47,7 @@
 func TestRequestOverTLSReadAtShutdown(t *testing.T) {
 	sent, end := make(chan struct{}), make(chan struct{})
 	var once sync.Once
-	address, caller, stop := startTLS(t, func(w http.ResponseWriter, _ *http.Request) {
+	address, caller, stop := startTLS(t, time.Minute, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "4")
 		_, _ = io.WriteString(w, body)
 		once.Do(func() {
@@ -59,7 +59,7 @@
 	n, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 	must.NoError(t, err)
 	c := tls.Client(n, caller)
-	defer c.Close()
+	t.Cleanup(func() { _ = c.Close() })
 	b := bufio.NewReader(c)
 	for i := range 2 {
 		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -79,7 +79,7 @@
 
 // Guards against a caller that does not learn that the address needs TLS.
 func TestPlainRequestToTLSIsAnswered(t *testing.T) {
-	address, _, _ := startTLS(t, func(http.ResponseWriter, *http.Request) {})
+	address, _, _ := startTLS(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
 	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
 	must.NoError(t, err)
 	defer c.Close()
@@ -90,3 +90,13 @@
 	must.NoError(t, p.Body.Close())
 	must.EqOp(t, http.StatusBadRequest, p.StatusCode)
 }
+
+// Guards against a shutdown that counts a connection on which only a handshake came as a
+// request that it cut.
+func TestHandshakeIsNoRequest(t *testing.T) {
+	address, caller, stop := startTLS(t, 0, func(http.ResponseWriter, *http.Request) {})
+	c, err := (&tls.Dialer{Config: caller}).DialContext(t.Context(), "tcp", address)
+	must.NoError(t, err)
+	defer c.Close()
+	stop()
+}
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -38,6 +38,9 @@
 			l.reportUnanswered(q, reasonAborted)
 		default:
 			l.reportUnanswered(q, reasonPanic, "Error", fmt.Sprint(v), "Stack", string(debug.Stack()))
+			if l.Log == nil {
+				panic(v) // net/http prints it
+			}
 		}
 		panic(http.ErrAbortHandler)
 	}()
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -20,8 +20,8 @@
 	// The reasons for which it can't be sent a request at the moment.
 	denied    bool // there is no permit for it
 	ejected   bool
-	cold      bool // this host's part of the rate of a cold backend server is used
-	limited   bool // this host's part of its rate limit is used
+	cold      bool // this host's part of the rate of a cold backend server is used up
+	limited   bool // this host's part of its rate limit is used up
 	backedOff bool // it wants no requests
 }
 
@@ -96,6 +96,7 @@
 // sent a request.
 func (p *Placement) untilAvailable(g *pool, c candidate, now time.Time) time.Duration {
 	s := c.server
+	// Both times are zero or past if they don't apply.
 	d := max(s.deniedUntil.Sub(now), g.outlier.EjectedUntil(s.backend.Name).Sub(now), 0)
 	if c.backedOff {
 		d = max(d, p.Backoff.RetryAfter(s.backend))
@@ -145,16 +146,16 @@
 	}
 	var b, l, e, c, d int
 	for _, v := range p.candidates(g, r, p.Clock.Now()) {
-		b += count(v.backedOff)
-		l += count(v.limited)
-		e += count(v.ejected)
-		c += count(v.cold)
-		d += count(v.denied)
+		b += toInt(v.backedOff)
+		l += toInt(v.limited)
+		e += toInt(v.ejected)
+		c += toInt(v.cold)
+		d += toInt(v.denied)
 	}
 	return []any{"BackedOff", b, "Limited", l, "Ejected", e, "Cold", c, "Denied", d}
 }
 
-func count(b bool) int {
+func toInt(b bool) int {
 	if b {
 		return 1
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -286,8 +286,8 @@
 	}
 }
 
-// recordFailure counts a failure. While a backend server wants no requests it is sent none,
-// so that an ejection could only outlast its backoff.
+// recordFailure counts a failure, unless the backend server wants no requests: it is sent
+// none anyway, and an ejection could keep it unused for longer than it asked.
 func (p *Placement) recordFailure(g *pool, s *server, now time.Time) {
 	if p.BackedOff(s.backend) {
 		return
--- a/serverconn/serverconn.go
+++ b/serverconn/serverconn.go
@@ -1,5 +1,5 @@
-// Package serverconn is the server side of an HTTP/1 connection, which a time limit or a
-// shutdown ends only while no request is being read or served.
+// Package serverconn is the server side of an HTTP/1 connection. A time limit or a shutdown
+// never closes it beside a running Read: it makes Read fail, when nothing has arrived.
 package serverconn
 
 import (
@@ -13,8 +13,9 @@
 	"github.com/pkg/errors"
 )
 
-// arrivedTimeout is how long Read goes on after the limit. It is for bytes that have arrived
-// already, and for a process that gets no processor time at once.
+// arrivedTimeout is how long Read still returns bytes after the limit. With a deadline in
+// the past it would not return bytes that have arrived already, and the process may get
+// its processor time late.
 const arrivedTimeout = 10 * time.Millisecond
 
 // longAgo is a deadline that has passed, whatever the clock shows.
@@ -40,8 +41,12 @@
 	Clock clockwork.Clock
 	// Limits returns how long the caller may take for a header, and how long the
 	// connection may wait between requests. It is called again when a limit has passed, so
-	// that a longer limit applies to connections that are already waiting.
+	// that a longer limit applies to connections that are already waiting. It must not
+	// block.
 	Limits func() (header, idle time.Duration)
+	// BeginsWithHandshake is set if a TLS handshake comes before the first request. It
+	// has the limit of the first header.
+	BeginsWithHandshake bool
 
 	mu       sync.Mutex
 	state    state
@@ -49,7 +54,7 @@
 	kept     bool      // a request was served
 	draining bool
 	overdue  bool      // Read returns only what has arrived
-	readEnd  time.Time // when Read fails although bytes arrive, zero until it was called when overdue
+	readEnd  time.Time // the end of arrivedTimeout, zero until Read was called after the limit
 	late     bool      // a header was incomplete when its limit had passed
 	timer    clockwork.Timer
 }
@@ -84,7 +89,13 @@
 func (c *Serverconn) HasRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == receiving || c.state == serving
+	return c.state == serving || c.isReceiving()
+}
+
+// isReceiving reports whether a part of a header was read. Of the first header over TLS
+// this isn't known, since the handshake came on the same connection.
+func (c *Serverconn) isReceiving() bool {
+	return c.state == receiving && (c.kept || !c.BeginsWithHandshake)
 }
 
 // IsHeaderLate reports whether the connection failed because a header was incomplete when
@@ -141,13 +152,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.late = c.state == receiving
+	c.late = c.isReceiving()
 	return n, err
 }
 
-// arrivedDeadline returns when Read fails. A later Read doesn't move it: a caller that sends
-// byte after byte would keep the connection, and a reader that has a part of a line may drop
-// the error of one Read and would take the bytes of the next one for another line.
+// arrivedDeadline returns when Read fails for good; the first call sets it. Later calls
+// don't move it: otherwise a caller that sends byte after byte would keep the connection. A
+// reader that has a part of a line may also drop the error of one Read, and would then take
+// later bytes for the next line.
 func (c *Serverconn) arrivedDeadline() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,7 +185,7 @@
 	c.state, c.since = s, c.Clock.Now()
 	if c.overdue {
 		c.overdue, c.readEnd = false, time.Time{}
-		_ = c.SetReadDeadline(time.Time{}) // only a closed connection has none
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
 	c.checkLimit()
 }
@@ -198,7 +210,7 @@
 		return
 	}
 	c.overdue = true
-	_ = c.SetReadDeadline(longAgo) // only a closed connection has none
+	_ = c.SetReadDeadline(longAgo) // fails only on a closed connection
 }
 
 // limit returns how long the current state may last; ok is false if it has no limit.
--- a/streampool/streampool.go
+++ b/streampool/streampool.go
@@ -139,8 +139,8 @@
 	}
 	t := p.Clock.AfterFunc(streamEndTimeout, func() { _ = c.Close() })
 	ok := p.readEnd(s) && s.Close() == nil
-	// A timer that has fired already may close the connection only after the next stream
-	// has begun on it.
+	// If the timer has fired, its function may still be about to close the connection, by
+	// then in use for the next stream.
 	ok = t.Stop() && ok
 	if !ok {
 		_ = c.Close()
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -6,8 +6,8 @@
 	"celeryreach.example/celeryreach/sealableconn"
 )
 
-// connTracker tracks the connections on which net/http sends a request. There can be
-// more than one, because net/http by itself repeats an idempotent request when a reused
+// connTracker follows the connections on which net/http sends a request, and ends the
+// request if it may not be sent on one. There can be more than one, because net/http by itself repeats an idempotent request when a reused
 // connection breaks.
 type connTracker struct {
 	maySend          func() bool // whether the request may be sent on one more connection
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -45,8 +45,8 @@
 // which did not run the request.
 var ErrWrongBackend = errors.New("another backend server has the address")
 
-// ErrNotWanted is returned if the backend server had come to want no requests before this
-// one was written to a connection.
+// ErrNotWanted is returned if the backend server had come to want no requests before any
+// part of this one was written.
 var ErrNotWanted = errors.New("the backend server wants no requests at the moment")
 
 // Upstream sends requests through the transports of net/http.
@@ -111,6 +111,7 @@
 // itself reports that it did not run r.
 func (u *Upstream) Send(ctx context.Context, r *request.Request, b backend.Backend, fresh bool) (p *http.Response, ran bool, err error) {
 	y := &body{reader: r.Body, readStarted: r.BodyReadStarted}
+	// The response is read after Send, so x ends only with ctx.
 	x, f := context.WithCancelCause(ctx)
 	c := &connTracker{
 		maySend: func() bool { return u.MaySend == nil || u.MaySend(b) },
@@ -137,10 +138,11 @@
 	p, err = t.RoundTrip(q)
 	if err != nil {
 		y.seal()
-		if c.abandoned {
+		ran := c.sealWritten()
+		if c.abandoned && !ran {
 			err = ErrNotWanted
 		}
-		return nil, c.sealWritten(), errors.Wrap(err, "upstream")
+		return nil, ran, errors.Wrap(err, "upstream")
 	}
 	ran, err = u.checkAnswer(p, r, b)
 	if u.OnResponse != nil {
