Idempotency: an id that did not run is not reported as unknown

Callers saw: a non-idempotent request that was refused as not run, and sent again with the same id at once, got 502 "an earlier attempt ended without a known outcome; the request is never run again". A caller has to take that for a deposit that may have been made. It had not run, and a third attempt ran it.

Cause: the next attempt finds the row of the first one and reads it; meanwhile Run writes the void record and forgets that the first attempt is void. The row that was read still says Running, and what is no longer known as void counted as an attempt whose end got lost.

Change: a row that says Running for this process, while another attempt of this process is the active one of the id, is out of date; it is read again. The row is not taken over on what was read before, so that at most one attempt runs whatever the store answers.

--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -161,11 +161,10 @@
 		if err == nil && ok {
 			return i.grant(a, v+1)
 		}
-		o, e := i.Store.Read(x, a.key)
+		o, c, w, e := i.readOwner(x, a)
 		if e != nil || x.Err() != nil {
 			return i.refuseUnwritten(ctx, a)
 		}
-		c, w := i.owner(o, a)
 		if w == ownedByOther {
 			return i.useStoredRecord(a, c)
 		}
@@ -179,11 +178,27 @@
 	}
 }
 
+// readOwner reads the row of an attempt until it is known who owns it.
+func (i *Idempotency) readOwner(ctx context.Context, a *attempt) (o row.Row, r record.Record, owner int, err error) {
+	for {
+		o, err = i.Store.Read(ctx, a.key)
+		if err != nil || ctx.Err() != nil {
+			return o, r, unowned, err
+		}
+		r, owner = i.owner(o, a)
+		if owner != outdated {
+			return o, r, owner, nil
+		}
+		i.pause(ctx)
+	}
+}
+
 // Owners of a row.
 const (
 	unowned = iota
 	ownedBySelf
 	ownedByOther
+	outdated // this process has written the final record since the row was read
 )
 
 // owner returns the record in a row and who owns the row. A row is unowned if
@@ -203,6 +218,9 @@
 		return v, ownedBySelf
 	case v.State == record.Void || v.State == record.Running && i.voided[v.Attempt]:
 		return v, unowned
+	case v.State == record.Running && v.Host == i.Host && v.Incarnation == i.Incarnation:
+		// a is the active attempt of the id, so the one in the row has ended.
+		return v, outdated
 	default:
 		return v, ownedByOther
 	}
