Dispatch: the end of a request's time is no failure of a backend server

Callers saw 502 in the place of 504 when the time of an idempotent request ran out while its second attempt waited for a slot; a caller that had left was counted and logged as BackendFailed, its refusal was written, and one more attempt was taken from the retry budget. A request whose time ran out between getting its slot and being sent was reported as one whose caller left: `celeryreach serve` aborts the connection of such a caller, and this one still waited.

Cause: when an earlier attempt may have run, any last outcome that says "not run" became BackendFailed, also "the caller left" and "the time ran out". In send, each end of the context counted as the caller leaving.

Change: both outcomes stay what they are, with Ran unknown if an attempt may have run; send asks why the context ended.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,7 +142,11 @@
 	}
 	// The process may also have been paused after the wait for a slot, and the request
 	// may have ended during that pause.
-	if ctx.Err() != nil || !r.SendGate.Send() {
+	if ctx.Err() != nil {
+		s.Release(result.Unused)
+		return attempt{outcome: contextOutcome(ctx, false)}
+	}
+	if !r.SendGate.Send() {
 		s.Release(result.Unused)
 		return attempt{outcome: refuse(outcome.Left, "the caller left")}
 	}
--- a/dispatch/hedgedrequest.go
+++ b/dispatch/hedgedrequest.go
@@ -85,6 +85,11 @@
 	if !a.mayHaveRun || o.Ran != outcome.RanNo {
 		return o
 	}
+	if o.Outcome == outcome.Left || o.Outcome == outcome.DeadlineExceeded {
+		// The end of the request's context is no failure of a backend server.
+		o.Ran = outcome.RanUnknown
+		return o
+	}
 	return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: "an earlier attempt may have run; the last one ended with: " + o.Message}
 }
 
