Forward: a request whose time runs out in another domain is answered

Callers of `celeryreach serve` saw their connection closed without an answer when the time of a forwarded request ran out, in the place of 504: found in the look for other places where a context's end counts as the caller leaving.

Cause: the contexts of package deadline are canceled with a cause, and Err of such a context is Canceled. Forward asked Err, took each deadline for a caller that had left, and the entry aborts the connections of those. The local deadline always comes first: the other host learns of the same time one way later.

Change: the cause is asked, as everywhere else.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/hopheader"
 	"celeryreach.example/celeryreach/keepalive"
 	"celeryreach.example/celeryreach/outcome"
@@ -259,7 +260,7 @@
 		return o
 	case a.silent.Load():
 		o.Message = "the other failure domain went silent"
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case deadline.Exceeded(ctx):
 		o.Outcome = outcome.DeadlineExceeded
 		return o
 	case ctx.Err() != nil:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -16,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
@@ -30,6 +31,7 @@
 	targets []member.Member
 	scripts map[string][][]string
 	full    string
+	timeout time.Duration
 	mu      sync.Mutex
 	log     []string
 	bytes   int64
@@ -150,6 +152,9 @@
 func (r *harness) serve(method string, size int) {
 	x, f := context.WithCancel(context.Background())
 	r.cancel = f
+	if r.timeout > 0 {
+		x, f = deadline.With(x, r.clock, r.timeout)
+	}
 	r.ended = make(chan struct{})
 	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST"}
 	if size > 0 {
@@ -158,6 +163,7 @@
 	}
 	go func() {
 		defer close(r.ended)
+		defer f()
 		w := httptest.NewRecorder()
 		defer func() {
 			if p := recover(); p != nil {
@@ -193,6 +199,12 @@
 					r.scripts[a[0]] = [][]string{}
 				}
 			},
+			// timeout limits the time of each later request.
+			"timeout": func(s *testscript.TestScript, _ bool, a []string) {
+				d, err := time.ParseDuration(a[0])
+				s.Check(err)
+				get(s).timeout = d
+			},
 			"linkfull": func(s *testscript.TestScript, _ bool, a []string) { get(s).full = a[0] },
 			"serve": func(s *testscript.TestScript, _ bool, a []string) {
 				n, err := strconv.Atoi(a[1])
