Dispatch: time that runs out in the wait for a slot is not the caller leaving

Operators saw requests logged as Left that had run out of time while they waited for a slot or a permit: of callers that left, one in a hundred is logged. Callers got 502 in the place of 504 if an earlier attempt of the request may have run.

Cause: AcquireSlot of package gateway says Left for each end of the context. The wait in a queue was corrected for that, the other way was not.

Change: both ways are corrected in one place.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,6 +110,16 @@
 // waitForSlot returns a slot for r, or the outcome that explains why no slot is
 // available.
 func (d *Dispatch) waitForSlot(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
+	s, o := d.acquireSlot(ctx, r)
+	if o.Outcome == outcome.Left && ctx.Err() != nil {
+		o = contextOutcome(ctx, false)
+	}
+	return s, o
+}
+
+// acquireSlot waits for a slot. The outcome is Left if the context of r ends, for whatever
+// reason.
+func (d *Dispatch) acquireSlot(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
 	if d.AcquireSlot != nil {
 		return d.AcquireSlot(ctx, r)
 	}
@@ -121,11 +131,7 @@
 	if l <= 0 {
 		return slot.Slot{}, refuse(outcome.DeadlineExceeded, "the time ran out before the request was sent")
 	}
-	s, o := q.Wait(ctx, r.Credential.Account, min(d.Timeout(), l))
-	if o.Outcome == outcome.Left && ctx.Err() != nil {
-		o = contextOutcome(ctx, false)
-	}
-	return s, o
+	return q.Wait(ctx, r.Credential.Account, min(d.Timeout(), l))
 }
 
 // send sends r on a slot.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -15,7 +15,6 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/credential"
-	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/outcome"
@@ -34,7 +33,7 @@
 }
 
 // newDispatch returns a Dispatch with a mute backend server that has one slot. Requests
-// wait for a second slot until their context ends, which is told by calling waiting.
+// wait for a second slot until their context ends; waiting is called when they begin to.
 func newDispatch(c clockwork.Clock, waiting func()) *dispatch.Dispatch {
 	u := upstream.New(c, time.Second)
 	u.Dial = dialMute
@@ -49,11 +48,7 @@
 				waiting()
 				<-ctx.Done()
 				c.Sleep(time.Second) // the first attempt ends before this one
-				o := outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo}
-				if deadline.Exceeded(ctx) {
-					o.Outcome = outcome.DeadlineExceeded
-				}
-				return slot.Slot{}, o
+				return slot.Slot{}, outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo}
 			}
 			taken = true
 			return slot.Slot{Backend: backend.Backend{Name: "b", Address: "b:80"}, Release: func(result.Result) {}}, outcome.Outcome{}
@@ -91,6 +86,23 @@
 	}
 }
 
+// TestDeadlinePassesWhileWaiting guards against logging a request whose time ran out while it
+// waited for a slot as one whose caller left, of which only a sample is logged.
+func TestDeadlinePassesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := clockwork.NewRealClock()
+		d := newDispatch(c, nil)
+		d.AcquireSlot = func(ctx context.Context, _ *request.Request) (slot.Slot, outcome.Outcome) {
+			<-ctx.Done()
+			return slot.Slot{}, outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo}
+		}
+		r := &request.Request{ID: "1", Method: http.MethodPost, NonIdempotent: true, Target: "/", Deadline: c.Now().Add(time.Second)}
+		o := d.Serve(t.Context(), r, httptest.NewRecorder())
+		must.Eq(t, outcome.DeadlineExceeded, o.Outcome)
+		must.Eq(t, outcome.RanNo, o.Ran)
+	})
+}
+
 // TestDeadlinePassesBeforeSending guards against reporting a request whose deadline passed
 // while it got its slot as one whose caller left: the connection of such a caller is
 // aborted, and this one still waits.
