Scenario: the time of a forwarded request runs out

Plays with whole hosts what fixed: the backend servers of one domain are gone, those of the others run requests and do not answer.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -21,6 +21,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"celeryreach.example/celeryreach/account"
+	"celeryreach.example/celeryreach/backendfaults"
 	"celeryreach.example/celeryreach/cmd"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
@@ -78,6 +79,7 @@
 		"replace":  hostCommand(func(w *scriptState, h string) error { w.fleet.StartHost(h); return nil }),
 		"shutdown": hostCommand(func(w *scriptState, h string) error { return w.fleet.StopHost(h) }),
 		"down":     stopBackends,       // down BACKEND...: stop backend servers
+		"mute":     muteBackends,       // mute BACKEND...: make backend servers run requests without answering
 		"store":    setStoreFault,      // store ok|out|slow|lose: set the state of the platform's store
 		"operate":  operate,            // operate HOST ARGUMENT...: run the operators' command line against a host
 		"flip":     startPresetFlips,   // flip HOST N: switch between the presets N times in the background
@@ -207,6 +209,12 @@
 	}
 }
 
+func muteBackends(ts *testscript.TestScript, _ bool, args []string) {
+	for _, b := range args {
+		stateOf(ts).fleet.Backend(b).SetFaults(backendfaults.Backendfaults{Mute: true})
+	}
+}
+
 func setStoreFault(ts *testscript.TestScript, _ bool, args []string) {
 	k := map[string]platformfaults.Platformfaults{
 		"ok": {}, "out": {Outage: true}, "slow": {Delay: 3 * time.Second}, "lose": {LoseAnswers: 1},
