Reachability: a line and a gauge for a host's own paths to backend servers

A host now remembers for each backend server whether its last connection could be opened, tells others in its heartbeats (hashes of names, at most 128, 4 bytes each, only while there are any), and logs 'backend server out of reach' with how many other hosts reach it. Gauge Backends.Unreachable. No decision changes.

go test ./edge ./upstream ./platform ./membership: ok.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/discovery"
 	"celeryreach.example/celeryreach/dispatch"
+	"celeryreach.example/celeryreach/forwardhosts"
 	"celeryreach.example/celeryreach/gateway"
 	"celeryreach.example/celeryreach/heartbeatpeers"
 	"celeryreach.example/celeryreach/latency"
@@ -33,6 +34,7 @@
 	"celeryreach.example/celeryreach/peerserver"
 	"celeryreach.example/celeryreach/permits"
 	"celeryreach.example/celeryreach/placement"
+	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
@@ -135,6 +137,8 @@
 	storeSilence *storesilence.Storesilence
 	permitClient *peerclient.Peerclient // separate connections for permits, so that permits do not delay heartbeats
 	discovery    *discovery.Discovery
+	reachability *reachability.Reachability
+	forwardHosts *forwardhosts.Forwardhosts
 	borrower     *borrower.Borrower
 	mirrorSync   *mirrorsync.Mirrorsync
 }
@@ -208,6 +212,7 @@
 	e.borrower.OnReceived, e.borrower.RequestDone = e.tokens.Receive, e.tokens.BorrowingDone
 	e.setUpBackendLimits()
 	e.setUpBackoffs()
+	e.setUpReachability()
 	e.Upstream.OnResponse = e.observeResponse
 	e.setUpPermits()
 	e.placement = &placement.Placement{
@@ -215,7 +220,7 @@
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
-		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.placement.Set, Notify: e.membership.SendSoon,
+		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.setBackends, Notify: e.membership.SendSoon,
 	}
 	e.mirrorSync = mirrorsync.New()
 	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Fetch = e.Clock, e.Log, e.client.Fetch
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -88,6 +88,7 @@
 // accepts. Limits and departures count only if the response is proven to come from b. A
 // backoff counts unless another backend server is known to have sent it.
 func (e *Edge) observeResponse(b backend.Backend, sent time.Time, p *http.Response, err error) {
+	e.reachability.ObserveResponse(b.Address)
 	if err == nil || errors.Is(err, upstream.ErrNotRun) {
 		e.limits.Observe(b, sent, e.LimitValues(p.Header), err == nil && p.StatusCode < http.StatusInternalServerError)
 		if e.SaysLeaving(p.Header) {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -13,6 +13,7 @@
 	gaugeConfigStoreAge   = "StoreAge.Config"
 	gaugeBackendsStoreAge = "StoreAge.Backends"
 	gaugeLeaving          = "Backends.Leaving"
+	gaugeUnreachable      = "Backends.Unreachable"
 	gaugeLimited          = "BackendLimits.Limited"
 	gaugeIgnored          = "BackendLimits.Ignored"
 	gaugeBackoffs         = "BackendBackoffs.Active"
@@ -23,12 +24,13 @@
 	gaugeDenied           = "Permits.Denied"
 )
 
-// publishMetrics publishes the gauges of the store's age, leaving backend servers, the
-// limits and backoffs of backend servers, unreceived changes and permits.
+// publishMetrics publishes the gauges of the store's age, leaving and unreachable backend
+// servers, the limits and backoffs of backend servers, unreceived changes and permits.
 func (e *Edge) publishMetrics() {
 	metric.Metric{Name: gaugeConfigStoreAge}.SetFunc(storeAgeSeconds(e.Config))
 	metric.Metric{Name: gaugeBackendsStoreAge}.SetFunc(storeAgeSeconds(e.Backends))
 	metric.Metric{Name: gaugeLeaving}.SetFunc(func() any { return e.discovery.Leaving() })
+	metric.Metric{Name: gaugeUnreachable}.SetFunc(e.unreachableCount)
 	metric.Metric{Name: gaugeLimited}.SetFunc(func() any { return e.limits.Limited() })
 	metric.Metric{Name: gaugeIgnored}.SetFunc(func() any { return e.limits.Ignored() })
 	metric.Metric{Name: gaugeBackoffs}.SetFunc(func() any { return e.backoffs.Active() })
@@ -39,6 +41,12 @@
 	metric.Metric{Name: gaugeDenied}.SetFunc(func() any { return e.permits.Denied() })
 }
 
+// unreachableCount returns how many backend servers this host can't reach.
+func (e *Edge) unreachableCount() any {
+	_, n, _ := e.reachability.Lost()
+	return n
+}
+
 // storeAgeSeconds returns a function that returns the age of the store's last response
 // for a table, in seconds, or nil before the first response.
 func storeAgeSeconds(m *mirror.Mirror) func() any {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -75,6 +75,9 @@
 	// on which a request is about to be sent: opening one takes time, and net/http by
 	// itself sends requests again long after they were placed. Nil permits all requests.
 	MaySend func(b backend.Backend) bool
+	// OnDial is called when a connection to an address was opened or, with an error, could
+	// not be opened. Nil disables the call.
+	OnDial func(address string, err error)
 	// OnTransportRetry is called when net/http by itself sends a request to b again on
 	// another connection. Nil disables the call.
 	OnTransportRetry func(b backend.Backend)
@@ -215,20 +218,27 @@
 }
 
 // dial opens a connection that records whether anything was written to it.
-func (u *Upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if u.Dial != nil {
-		c, err := u.Dial(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return &sealableconn.Sealableconn{Conn: c}, nil
+func (u *Upstream) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	c, err := u.open(ctx, address)
+	// A dial that ended with its request says nothing about the path.
+	if u.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		u.OnDial(address, err)
 	}
-	d := net.Dialer{Timeout: u.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-	}}
-	c, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
 	return &sealableconn.Sealableconn{Conn: c}, nil
 }
+
+// open opens a connection within DialTimeout.
+func (u *Upstream) open(ctx context.Context, address string) (net.Conn, error) {
+	if u.Dial != nil {
+		x, f := context.WithTimeout(ctx, u.DialTimeout)
+		defer f()
+		return u.Dial(x, address)
+	}
+	d := net.Dialer{Timeout: u.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
+	return d.DialContext(ctx, "tcp", address)
+}
