Edge: a failing test of hosts that lose their links to backend servers

Nine hosts in three regions and twelve backend servers in virtual time, 150 requests a second. Links are lost from 10 s to 22 s: reset, hanging, or alive while new connections are refused; of one host, most of a region, a region, and to nine of twelve backend servers. From 4 s after the loss at most 1 in 50 first attempts may fail at these hosts (the users' figure), and none of the others may suffer.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -59,9 +59,10 @@
 	log              *logbuffer.Logbuffer
 	members          []member.Member
 	servers          map[string]*server
-	seed             uint64 // of the callers' random numbers
-	requestCount     int    // requests sent by callers
-	stopCallers      func() // stops the callers
+	seed             uint64   // of the callers' random numbers
+	requestCount     int      // requests sent by callers
+	stopCallers      func()   // stops the callers
+	kinds            []string // of the callers' requests; empty for idempotent ones only
 
 	mu       sync.Mutex
 	calls    []call
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -25,9 +25,13 @@
 
 // call is the end of one request of a caller.
 type call struct {
-	sent    time.Time
-	took    time.Duration
-	outcome string
+	host       string
+	sent       time.Time
+	took       time.Duration
+	outcome    string
+	message    string
+	retryAfter time.Duration
+	left       bool // the caller left
 }
 
 func saysLeaving(h http.Header) bool { return h.Get(leavingHeader) != "" }
@@ -111,10 +115,11 @@
 	s.backend.Started = clock.Now().UnixMilli()
 }
 
-func (w *deployment) recordCall(sent time.Time, outcome string) {
+func (w *deployment) recordCall(c call) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.calls = append(w.calls, call{sent: sent, took: clock.Since(sent), outcome: outcome})
+	c.took = clock.Since(c.sent)
+	w.calls = append(w.calls, c)
 }
 
 // checkRefused describes a request sent during the last d that was not refused at once,
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -70,6 +70,8 @@
 		return "", err
 	case "limits", "backoffs":
 		return w.excess(), nil
+	case "lose", "regain", "kinds", "served", "fast", "refusing":
+		return w.runLinkCommand(command, a)
 	case "refused":
 		return w.checkRefused(a[0])
 	case "told":
@@ -188,7 +190,9 @@
 // upstream returns a host's client for backend servers.
 func (w *deployment) upstream(host, region string) *upstream.Upstream {
 	u := upstream.New(clock, time.Second)
-	u.Dial = func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, "", region, a) }
+	u.Dial = func(ctx context.Context, a string) (net.Conn, error) {
+		return w.network.dialBackend(ctx, host, region, a)
+	}
 	u.SetHeaders = func(h http.Header, r *request.Request, _ backend.Backend, _ time.Duration) {
 		h.Set(upstream.IDHeader, r.ID)
 		h.Set(hostHeader, host)
@@ -267,7 +271,7 @@
 		}
 	}()
 	u := w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
-	w.recordCall(t, u.Outcome)
+	w.recordCall(call{host: host, sent: t, outcome: u.Outcome, message: u.Message, retryAfter: u.RetryAfter})
 	w.recordRefusal(host, t, u, len(r.AttemptedBackends.Names()))
 	if s := w.servers[a.Header().Get(backendHeader)]; s != nil {
 		s.markNotified(host, a.Header())
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	listeners map[string]*listener
 	conns     []pipe
 	cut       map[string]bool // hosts that are cut off from the others
+	links     links
 }
 
 // pipe is a connection between hosts, or to a backend server if from is empty.
@@ -42,25 +44,31 @@
 	return l
 }
 
-// dial opens a connection from a region to an address; from is the host that opens it,
-// empty for a connection to a backend server.
+// dial opens a connection from a host to another host.
 func (n *memoryNetwork) dial(ctx context.Context, from, region, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[address]
 	c := n.cut[from] || n.cut[address]
 	n.mu.Unlock()
 	if c {
 		return nil, errors.Errorf("no route from %s to %s", from, address)
 	}
+	return n.open(ctx, from, region, address, nil)
+}
+
+// open opens a connection whose bytes pass a gate, if there is one.
+func (n *memoryNetwork) open(ctx context.Context, from, region, address string, g *gate) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
 	if l == nil {
-		return nil, errors.Errorf("connection refused: no listener at %s", address)
+		return nil, refused(address)
 	}
 	d := time.Duration(0)
 	if l.region != region {
 		d = n.latency
 	}
 	a, b := net.Pipe()
-	x, y := delay(a, d), delay(b, d)
+	x, y := delay(a, d, g), delay(b, d, g)
 	n.mu.Lock()
 	n.conns = append(n.conns, pipe{from: from, to: address, ends: [2]net.Conn{x, y}})
 	n.mu.Unlock()
@@ -77,6 +85,7 @@
 // close closes the connections that hosts have left open, as the end of their processes
 // would.
 func (n *memoryNetwork) close() {
+	n.links.restoreAll()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.conns {
@@ -95,7 +104,7 @@
 	}
 	n.cut[host] = cut
 	for _, p := range n.conns {
-		if cut && (p.from == host || p.to == host) {
+		if cut && !strings.Contains(p.to, ":") && (p.from == host || p.to == host) {
 			p.close()
 		}
 	}
@@ -132,6 +141,7 @@
 type delayed struct {
 	net.Conn
 	latency time.Duration
+	gate    *gate
 	sent    chan segment
 	end     chan struct{}
 	once    sync.Once
@@ -142,11 +152,11 @@
 	bytes []byte
 }
 
-func delay(c net.Conn, way time.Duration) net.Conn {
-	if way == 0 {
+func delay(c net.Conn, way time.Duration, g *gate) net.Conn {
+	if way == 0 && g == nil {
 		return c
 	}
-	d := &delayed{Conn: c, latency: way, sent: make(chan segment, 1024), end: make(chan struct{})}
+	d := &delayed{Conn: c, latency: way, gate: g, sent: make(chan segment, 1024), end: make(chan struct{})}
 	go d.deliver()
 	return d
 }
@@ -170,6 +180,7 @@
 		case <-d.end:
 			if len(d.sent) == 0 {
 				clock.Sleep(d.latency) // until the other end notices
+				d.gate.pass()
 				return
 			}
 		}
@@ -179,6 +190,7 @@
 // write delivers a segment, and reports whether the reader has not closed.
 func (d *delayed) write(s segment) bool {
 	clock.Sleep(s.due.Sub(clock.Now()))
+	d.gate.pass()
 	_, err := d.Conn.Write(s.bytes)
 	return err == nil
 }
@@ -208,7 +220,7 @@
 		close(d.end)
 		n := clock.Now()
 		err = errors.Wrap(d.SetReadDeadline(n), "close")
-		if err == nil {
+		if err == nil && d.gate.isOpen() {
 			err = errors.Wrap(d.SetWriteDeadline(n.Add(closeTimeout)), "close")
 		}
 	})
