--- a/attempted/attempted.go
+++ b/attempted/attempted.go
@@ -1,13 +1,17 @@
 // Package attempted records which backend servers a request was sent to.
 package attempted
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Attempted is shared by all attempts of one request, so that a second attempt goes to
 // a backend server other than the first. A nil Attempted is empty.
 type Attempted struct {
-	mu    sync.Mutex
-	names map[string]bool
+	mu     sync.Mutex
+	names  map[string]bool
+	unsent map[string]bool // of names: no connection could be opened
 }
 
 // Add records a backend server.
@@ -23,6 +27,36 @@
 	t.names[name] = true
 }
 
+// AddUnsent records that no connection to a backend server could be opened, so that
+// nothing was sent.
+func (t *Attempted) AddUnsent(name string) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unsent == nil {
+		t.unsent = make(map[string]bool)
+	}
+	t.unsent[name] = true
+}
+
+// IsUnsent reports whether no connection to the backend server could be opened.
+func (t *Attempted) IsUnsent(name string) bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unsent[name]
+}
+
+// SentNames returns the names of the backend servers that may have received the request,
+// in no particular order.
+func (t *Attempted) SentNames() []string {
+	return slices.DeleteFunc(t.Names(), t.IsUnsent)
+}
+
 // Has reports whether the request was sent to the backend server.
 func (t *Attempted) Has(name string) bool {
 	if t == nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,8 +24,13 @@
 	"celeryreach.example/celeryreach/upstream"
 )
 
-// maxAttempts limits the attempts of one request, however large the retry budget is.
-const maxAttempts = 3
+const (
+	// maxAttempts limits the backend servers that one request is sent to, however large the
+	// retry budget is.
+	maxAttempts = 3
+	// maxTries limits the attempts including those of which nothing was sent.
+	maxTries = 4
+)
 
 // Messages of refusals after which another backend server may be tried. Refusals by
 // the queue are not among them, since they mean that no backend server has room.
@@ -56,6 +61,9 @@
 	ConfirmToken func(r *request.Request) bool
 	// Upstream sends requests to backend servers.
 	Upstream *upstream.Upstream
+	// Forward sends a request through another host, for slots that demand it. It writes the
+	// response to w, as Serve does.
+	Forward func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
 	// Timeout returns the longest wait for a slot.
 	Timeout func() time.Duration
 	// Budget limits second attempts.
@@ -77,6 +85,9 @@
 	slot    slot.Slot
 	outcome outcome.Outcome
 	index   int
+	// sent is how many of the request's attempts were used: none if it is proven that
+	// nothing was sent, and all that were left if another host may have sent them.
+	sent int
 }
 
 // Serve runs r and writes the response to w. Unless the outcome is Answered, Serve has
@@ -86,24 +97,36 @@
 func (d *Dispatch) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	x, f := deadline.With(ctx, d.Clock, r.Deadline.Sub(d.Clock.Now()))
 	defer f()
-	d.Budget.CountRequest(r.Service.Name)
+	if !r.Forwarded { // otherwise the host that forwarded it has counted it
+		d.Budget.CountRequest(r.Service.Name)
+	}
 	if !r.NonIdempotent {
 		return d.serveIdempotent(x, r, w)
 	}
-	t := d.attempt(x, r, !d.ReuseForNonIdempotent, func() {})
-	for n := 1; n < attemptLimit(r) && d.mayRetry(t.outcome, r); n++ {
-		t = d.attempt(x, r, true, func() {})
+	l := attemptLimit(r)
+	t := d.attempt(x, r, !d.ReuseForNonIdempotent, l, func() {})
+	n := t.sent
+	for i := 1; n < l && i < maxTries && d.mayRetry(t, r); i++ {
+		t = d.attempt(x, r, true, l-n, func() {})
+		n += t.sent
 	}
 	return d.copyAnswer(x, r, t, w)
 }
 
-// attempt waits for a slot and sends r. If the result has an outcome, the slot has
-// been released.
-func (d *Dispatch) attempt(ctx context.Context, r *request.Request, fresh bool, sent func()) attempt {
+// attempt waits for a slot and sends r, which has a number of attempts left. If the result
+// has an outcome, the slot has been released.
+func (d *Dispatch) attempt(ctx context.Context, r *request.Request, fresh bool, left int, sent func()) attempt {
 	s, o := d.waitForSlot(ctx, r)
 	if o.Outcome != "" {
 		return attempt{outcome: o}
 	}
+	if o := d.checkUnsent(ctx, r); o.Outcome != "" {
+		s.Release(result.Unused)
+		return attempt{outcome: o}
+	}
+	if s.Forward {
+		return d.forward(ctx, r, s, left)
+	}
 	return d.send(ctx, r, s, fresh, sent)
 }
 
@@ -134,41 +157,43 @@
 	return q.Wait(ctx, r.Credential.Account, min(d.Timeout(), l))
 }
 
+// checkUnsent returns the outcome of a request that may no longer be sent, after a wait.
+func (d *Dispatch) checkUnsent(ctx context.Context, r *request.Request) outcome.Outcome {
+	switch {
+	case !d.IsKeyValid(r.Credential):
+		return refuse(outcome.KeyUnknown, "the key was withdrawn")
+	case !d.ConfirmToken(r):
+		// The process may have been paused since the request was admitted.
+		return refuse(outcome.OverRate, "the token is too old")
+	case ctx.Err() != nil:
+		// The process may also have been paused after the wait for a slot, and the request
+		// may have ended during that pause.
+		return contextOutcome(ctx, false)
+	case !r.SendGate.Send():
+		return refuse(outcome.Left, "the caller left")
+	}
+	return outcome.Outcome{}
+}
+
 // send sends r on a slot.
 func (d *Dispatch) send(ctx context.Context, r *request.Request, s slot.Slot, fresh bool, sent func()) attempt {
-	// The key may have been withdrawn while the request waited.
-	if !d.IsKeyValid(r.Credential) {
-		s.Release(result.Unused)
-		return attempt{outcome: refuse(outcome.KeyUnknown, "the key was withdrawn")}
-	}
-	// The process may have been paused since the request was admitted.
-	if !d.ConfirmToken(r) {
-		s.Release(result.Unused)
-		return attempt{outcome: refuse(outcome.OverRate, "the token is too old")}
-	}
-	// The process may also have been paused after the wait for a slot, and the request
-	// may have ended during that pause.
-	if ctx.Err() != nil {
-		s.Release(result.Unused)
-		return attempt{outcome: contextOutcome(ctx, false)}
-	}
-	if !r.SendGate.Send() {
-		s.Release(result.Unused)
-		return attempt{outcome: refuse(outcome.Left, "the caller left")}
-	}
 	sent()
 	t := d.Clock.Now()
 	p, n, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // copyAnswer or close closes it
 	if err == nil {
 		d.Hedge.Observe(r.Service.Name, d.Clock.Since(t))
 		s.OnResponse(p.StatusCode, p.Header)
-		return attempt{answer: p, slot: s}
+		return attempt{answer: p, slot: s, sent: 1}
 	}
 	o := d.handleSendError(ctx, r, s, n, err)
 	if o.Ran == outcome.RanNo && !r.SendGate.Unsend() {
 		o = refuse(outcome.Left, "the caller left")
 	}
-	return attempt{outcome: o}
+	a := attempt{outcome: o, sent: 1}
+	if !n && !errors.Is(err, upstream.ErrNotRun) && !errors.Is(err, upstream.ErrWrongBackend) {
+		a.sent = 0
+	}
+	return a
 }
 
 // handleSendError releases the slot of a request without a response and returns the
@@ -206,15 +231,17 @@
 	return o
 }
 
-// mayRetry reports whether r may be sent again after an attempt with outcome o. If it
-// returns true, mayRetry has rewound the body and taken the retry from the budget.
-func (d *Dispatch) mayRetry(o outcome.Outcome, r *request.Request) bool {
+// mayRetry reports whether r may be sent again after attempt t. If it returns true,
+// mayRetry has rewound the body and, if t reached a backend server, taken the retry from
+// the budget.
+func (d *Dispatch) mayRetry(t attempt, r *request.Request) bool {
+	o := t.outcome
 	s := o.Outcome == outcome.NoCapacity && (o.Message == msgNoRoom || o.Message == msgNoConnection || o.Message == msgNotWanted)
 	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
 	if !s && !b || !rewindBody(r) {
 		return false
 	}
-	return d.Budget.TakeRetry(r.Service.Name)
+	return t.sent == 0 || d.Budget.TakeRetry(r.Service.Name)
 }
 
 // copyAnswer copies the response of an attempt to the caller. If the attempt has no
--- a/dispatch/hedgedrequest.go
+++ b/dispatch/hedgedrequest.go
@@ -19,6 +19,8 @@
 	sent     chan struct{}
 	cancels  []context.CancelFunc
 	running  int
+	// used is how many attempts are used, counting each that runs as one.
+	used int
 	// mayHaveRun is set if an attempt that ended without a response may have run.
 	mayHaveRun bool
 }
@@ -27,12 +29,12 @@
 // may have gone silent or the backend server may be slow. A second attempt on a new
 // connection helps in both cases, and the first response is used.
 func (d *Dispatch) serveIdempotent(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	a := &hedgedRequest{dispatch: d, request: r, results: make(chan attempt, maxAttempts), sent: make(chan struct{}, maxAttempts)}
+	a := &hedgedRequest{dispatch: d, request: r, results: make(chan attempt, maxTries), sent: make(chan struct{}, maxTries)}
 	defer a.close()
 	a.startAttempt(ctx, false)
 	o := d.copyAnswer(ctx, r, a.firstAnswer(ctx), w)
 	// A response that was truncated while it was buffered can be requested again.
-	for o.Outcome == outcome.BackendFailed && a.canStart() && d.mayRetry(o, r) {
+	for o.Outcome == outcome.BackendFailed && a.canStart() && d.mayRetry(attempt{outcome: o, sent: 1}, r) {
 		a.mayHaveRun = true
 		a.startAttempt(ctx, true)
 		o = d.copyAnswer(ctx, r, a.firstAnswer(ctx), w)
@@ -60,24 +62,31 @@
 			}
 		case t := <-a.results:
 			a.running--
+			a.used += t.sent - 1
 			if t.outcome.Outcome == "" {
 				a.cancelOthers(t)
 				return t
 			}
-			a.cancels[t.index]()
-			a.mayHaveRun = a.mayHaveRun || t.outcome.Ran != outcome.RanNo
-			if a.running > 0 {
-				continue
-			}
-			if !a.canStart() || !a.dispatch.mayRetry(t.outcome, a.request) {
+			if !a.retry(ctx, t) && a.running == 0 {
 				t.outcome = a.combinedOutcome(t.outcome)
 				return t
 			}
-			a.startAttempt(ctx, true)
 		}
 	}
 }
 
+// retry starts another attempt after t, which has no response, if one is allowed. While
+// another attempt is running, it only replaces one of which nothing was sent.
+func (a *hedgedRequest) retry(ctx context.Context, t attempt) bool {
+	a.cancels[t.index]()
+	a.mayHaveRun = a.mayHaveRun || t.outcome.Ran != outcome.RanNo
+	if a.running > 0 && t.sent > 0 || !a.canStart() || !a.dispatch.mayRetry(t, a.request) {
+		return false
+	}
+	a.startAttempt(ctx, true)
+	return true
+}
+
 // combinedOutcome turns the outcome of the last attempt into that of the request. If
 // an earlier attempt may have run, the caller must not be informed that the request
 // did not run.
@@ -95,7 +104,7 @@
 
 // canStart reports whether the request may have another attempt.
 func (a *hedgedRequest) canStart() bool {
-	return len(a.cancels) < attemptLimit(a.request)
+	return a.used < attemptLimit(a.request) && len(a.cancels) < maxTries
 }
 
 // startAttempt starts an attempt in its own goroutine, on a new connection if fresh is
@@ -104,9 +113,11 @@
 	x, f := context.WithCancel(ctx)
 	n := len(a.cancels)
 	a.cancels = append(a.cancels, f)
+	l := attemptLimit(a.request) - a.used
 	a.running++
+	a.used++
 	go func(r request.Request) {
-		t := a.dispatch.attempt(x, &r, fresh, func() { a.sent <- struct{}{} })
+		t := a.dispatch.attempt(x, &r, fresh, l, func() { a.sent <- struct{}{} })
 		t.index = n
 		a.results <- t
 	}(*a.request)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,9 +22,11 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/discovery"
 	"celeryreach.example/celeryreach/dispatch"
+	"celeryreach.example/celeryreach/forward"
 	"celeryreach.example/celeryreach/forwardhosts"
 	"celeryreach.example/celeryreach/gateway"
 	"celeryreach.example/celeryreach/heartbeatpeers"
+	"celeryreach.example/celeryreach/inflight"
 	"celeryreach.example/celeryreach/latency"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
@@ -35,10 +37,12 @@
 	"celeryreach.example/celeryreach/permits"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/reachability"
+	"celeryreach.example/celeryreach/receive"
 	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/storesilence"
+	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/supervisor"
 	"celeryreach.example/celeryreach/tokens"
 	"celeryreach.example/celeryreach/upstream"
@@ -119,6 +123,8 @@
 	// to a backend server that states a limit.
 	LimitOverage, LimitSlack float64
 	LimitWindow              time.Duration
+	// DrainTime is how long a leaving host waits for requests that others forwarded to it.
+	DrainTime time.Duration
 	// RetryRatio and RetrySlack bound retries over all hosts: RetryRatio for each first
 	// try, plus RetrySlack at any time.
 	RetryRatio, RetrySlack float64
@@ -139,8 +145,13 @@
 	discovery    *discovery.Discovery
 	reachability *reachability.Reachability
 	forwardHosts *forwardhosts.Forwardhosts
-	borrower     *borrower.Borrower
-	mirrorSync   *mirrorsync.Mirrorsync
+	streams      *streampool.Streampool
+	forward      *forward.Forward
+	receive      *receive.Receive
+	// forwardedInFlight counts the requests that other hosts forwarded to this one.
+	forwardedInFlight inflight.Inflight
+	borrower          *borrower.Borrower
+	mirrorSync        *mirrorsync.Mirrorsync
 }
 
 // Run runs the host until ctx ends. The children in serving accept requests from
@@ -149,7 +160,7 @@
 	e.assemble()
 	s := &peerserver.Peerserver{
 		Listener: e.Peers, OnHeartbeat: e.membership.Receive, OnFetch: e.mirrorSync.Answer, OnBorrow: e.lendTokens, OnLend: e.receiveTokens,
-		OnNotify: e.answerNotice, OnForward: rejectForward, OnPermit: e.permits.HandleRequest,
+		OnNotify: e.answerNotice, OnForward: e.receive.Stream, OnPermit: e.permits.HandleRequest,
 	}
 	defer e.client.Close()
 	defer e.permitClient.Close()
@@ -161,6 +172,8 @@
 			child.Child{Name: "tokens", Run: e.tokens.Run},
 			child.Child{Name: "borrower", Run: e.borrower.Run},
 			child.Child{Name: "copier", Run: e.mirrorSync.Run},
+			child.Child{Name: "reachability", Run: e.reachability.Run},
+			child.Child{Name: "streams", Run: e.streams.Run},
 		),
 		e.branch("store",
 			child.Child{Name: "announce", Run: e.announce},
@@ -169,7 +182,7 @@
 			child.Child{Name: "discovery", Run: e.discovery.Run},
 			child.Child{Name: "silence", Run: e.storeSilence.Run},
 		),
-		e.branch("serving", serving...),
+		e.branch("serving", append(serving, child.Child{Name: "forwarded", Run: e.drainForwarded})...),
 	).Run(ctx)
 }
 
@@ -213,10 +226,12 @@
 	e.setUpBackendLimits()
 	e.setUpBackoffs()
 	e.setUpReachability()
+	e.setUpForwarding()
 	e.Upstream.OnResponse = e.observeResponse
 	e.setUpPermits()
 	e.placement = &placement.Placement{
 		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits, Backoff: e.backoffs,
+		Reachability: e.reachability, ReachedByOthers: e.forwardHosts.Reach,
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
@@ -242,7 +257,7 @@
 func (e *Edge) dispatch() *dispatch.Dispatch {
 	return &dispatch.Dispatch{
 		Clock: e.Clock, AcquireSlot: e.Gateway.AcquireSlot, ReuseForNonIdempotent: true, IsKeyValid: e.Gateway.IsKeyValid, ConfirmToken: tokenAlwaysValid,
-		Upstream: e.Upstream, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
+		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
 		Budget: &retrybudget.Retrybudget{Ratio: func() float64 { return e.RetryRatio * retryBudgetFraction }, Limit: e.retryLimit},
 	}
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -59,7 +59,8 @@
 //	cold NAME                        it turns cold without updating its entry
 //	cold-entry NAME                  its entry in the store shows that it is cold
 //
-// runLeavingCommand has the commands for backend servers that leave.
+// runProcessCommand has the commands for backend servers that leave, and runLinkCommand
+// those for links.
 func (w *deployment) runBackendCommand(command string, a []string) (string, error) {
 	switch command {
 	case "backend":
@@ -70,8 +71,6 @@
 		return "", err
 	case "limits", "backoffs":
 		return w.excess(), nil
-	case "lose", "regain", "kinds", "served", "fast", "refusing":
-		return w.runLinkCommand(command, a)
 	case "refused":
 		return w.checkRefused(a[0])
 	case "told":
@@ -80,7 +79,7 @@
 	}
 	s := w.servers[a[0]]
 	if s == nil {
-		return "", errors.Errorf("no such command or backend server: %s %s", command, a)
+		return w.runLinkCommand(command, a)
 	}
 	switch command {
 	case "work":
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -170,7 +170,7 @@
 	case "refusing":
 		return w.checkRefusing(strings.Split(a[0], ","), a[1])
 	default:
-		return "", errors.Errorf("no such command: %s", command)
+		return "", errors.Errorf("no such command or backend server: %s %s", command, a)
 	}
 	return "", nil
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/metric"
 	"celeryreach.example/celeryreach/routeindex"
@@ -96,12 +94,6 @@
 	return &wire.Notice{Versions: e.mirrorSync.Versions()}
 }
 
-// rejectForward rejects forwarded requests. Only hosts of the other deployment kind
-// forward; the hosts here connect to backend servers directly.
-func rejectForward(wire.DRPCPeer_ForwardStream) error {
-	return errors.New("this host does not accept forwarded requests")
-}
-
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -127,6 +127,9 @@
 		IdempotencyId: r.IdempotencyID, ConfigVersion: a.forward.Version(), KeyId: r.Credential.Hash,
 		FromRegion: a.forward.Region, HasBody: r.Body != nil, Length: a.body.knownLength(r),
 	}
+	if a.forward.Complete != nil {
+		a.forward.Complete(h, r)
+	}
 	if err := a.stream.Send(&wire.Frame{Part: &wire.Frame_Request{Request: h}}); err != nil {
 		return err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,9 +40,10 @@
 	Region string
 	// Version returns the version of the configuration in force.
 	Version func() uint64
-	// Targets returns hosts of other failure domains that may run a request of
-	// a service, best first.
-	Targets func(service string) []member.Member
+	// Targets returns the hosts that may run a request, best first.
+	Targets func(r *request.Request) []member.Member
+	// Complete adds to a message what the receiving host can't look up; nil adds nothing.
+	Complete func(m *wire.Request, r *request.Request)
 	// ReserveLink reserves the bytes of a request on the link to a region. The
 	// function that it returns corrects the reservation to the bytes that were
 	// sent.
@@ -72,7 +73,7 @@
 	}
 	o := refuse("no failure domain has a free slot", time.Second)
 	n := 0
-	for _, m := range f.Targets(r.Service.Name) {
+	for _, m := range f.Targets(r) {
 		if n == maxTargets || b.isConsumed() || ctx.Err() != nil {
 			break
 		}
@@ -134,6 +135,7 @@
 
 // body is the body of a caller's request, buffered completely if it is short.
 type body struct {
+	rewind   func() io.Reader // nil if the body is not buffered by the caller of Serve
 	buffered []byte
 	unread   io.Reader
 	length   int64
@@ -144,6 +146,9 @@
 	if r.Body == nil {
 		return &body{}, nil
 	}
+	if r.Rewind != nil && r.Length >= 0 {
+		return &body{rewind: r.Rewind, length: r.Length}, nil
+	}
 	if r.Length > maxBufferedBodyBytes {
 		return &body{unread: r.Body, length: r.Length}, nil
 	}
@@ -165,6 +170,9 @@
 
 // reader returns the body from its start.
 func (b *body) reader() io.Reader {
+	if b.rewind != nil {
+		return b.rewind()
+	}
 	if b.unread == nil {
 		return bytes.NewReader(b.buffered)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -44,7 +44,7 @@
 	r := &harness{clock: clockwork.NewFakeClock(), scripts: map[string][][]string{}}
 	r.forward = &Forward{
 		Clock: r.clock, Region: "here", Version: func() uint64 { return 7 }, Limit: 2, Open: r.open,
-		Targets: func(string) []member.Member { return r.targets },
+		Targets: func(*request.Request) []member.Member { return r.targets },
 		ReserveLink: func(region string, n int64) (func(int64), time.Duration, bool) {
 			if region == r.full {
 				return nil, 3 * time.Second, false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +22,7 @@
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/request"
-	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/routeindex"
-	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/split"
 	"celeryreach.example/celeryreach/tokens"
 )
@@ -42,6 +39,9 @@
 	// requested. It applies even if no waiting time is left, as on a second attempt or
 	// after a permit request to another region.
 	minPermitRequests = 2
+	// maxBufferedBytes of the body of a forwarded request are buffered, so that it can be
+	// sent again.
+	maxBufferedBytes = 256 << 10
 	// retryAfter is the delay after which a refused request may be sent again, about
 	// the time in which a backend server finishes its running requests.
 	retryAfter = 250 * time.Millisecond
@@ -113,6 +113,22 @@
 	return o
 }
 
+// ServeForwarded runs r, which another host admitted and forwarded to this one. If the
+// outcome is not Answered, it is the reason, and nothing was written to w.
+func (g *Gateway) ServeForwarded(ctx context.Context, r *request.Request, w http.ResponseWriter) (o outcome.Outcome) {
+	n := g.Clock.Now()
+	r.Forwarded, r.Admitted = true, n
+	r.DecisionLog = new(decisionlog.Decisionlog)
+	if err := r.BufferBody(maxBufferedBytes); err != nil {
+		return refuse(outcome.Left, "the request body ended early", 0)
+	}
+	// As in Serve, also if Dispatch panics.
+	o = outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanYes, Message: "the answer broke off after its head"}
+	defer func() { g.logEnd(r, o, g.Clock.Since(n), g.Index().Config.Version) }()
+	o = g.run(ctx, r, w)
+	return o
+}
+
 // admit finds the route and the client account of r and takes a token from the
 // account's rate.
 func (g *Gateway) admit(ctx context.Context, b *routeindex.Routeindex, r *request.Request, path, key string) (*ingress.Ingress, outcome.Outcome) {
@@ -233,110 +249,18 @@
 	if o.Outcome == outcome.NoCapacity && o.Ran == outcome.RanNo && o.RetryAfter == 0 {
 		o.RetryAfter = g.retryDelay(r)
 	}
-	if o.Ran == outcome.RanNo && r.Account != "" {
+	if o.Ran == outcome.RanNo && r.Account != "" && !r.Forwarded {
 		g.Tokens.Refund(r.Account)
 	}
 	return o
 }
 
-// AcquireSlot waits for a slot on a backend server until r.MaxWait has passed since r
-// was admitted.
-func (g *Gateway) AcquireSlot(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
-	u := r.Admitted.Add(r.MaxWait)
-	n := 0 // permits denied or not used
-	for {
-		c := g.Placement.Freed()
-		b, ok, m := g.Placement.Acquire(r)
-		if ok && g.requestPermit(ctx, r, b) {
-			return g.newSlot(r, b), outcome.Outcome{}
-		}
-		if ok {
-			n++
-		}
-		d := u.Sub(g.Clock.Now())
-		switch {
-		case ok && ctx.Err() != nil:
-			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
-		case ok && (d > 0 || n < minPermitRequests):
-			continue // there may be a permit for another backend server
-		case !m || d <= 0:
-			r.DecisionLog.Add(g.Clock.Now(), "request not placed", append([]any{
-				"Service", r.Service.Name, "Usable", m, "Patience", r.MaxWait, "Priority", r.Priority,
-			}, g.Placement.UnavailableFields(r)...)...)
-			return slot.Slot{}, refuse(outcome.NoCapacity, "no backend server has room", g.retryDelay(r))
-		}
-		select {
-		case <-c:
-		case <-g.Clock.After(d):
-		case <-ctx.Done():
-			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
-		}
-	}
-}
-
-// requestPermit reports whether r may be sent to the backend server that was chosen for
-// it. If not, r no longer counts as load there.
-func (g *Gateway) requestPermit(ctx context.Context, r *request.Request, b backend.Backend) bool {
-	if g.RequestPermit == nil {
-		return true
-	}
-	d, ok := g.RequestPermit(ctx, b)
-	switch {
-	case !ok:
-		r.DecisionLog.Add(g.Clock.Now(), "no permit", "Backend", b.Name, "Again", d)
-	case g.Placement.BackedOff(b): // since the permit was requested
-		r.DecisionLog.Add(g.Clock.Now(), "permit not used", "Backend", b.Name)
-	default:
-		return true
-	}
-	g.Placement.ReleaseUnsent(b.Name, r, d)
-	return false
-}
-
-// retryDelay returns when a request that no backend server served may be sent again: not
-// before one of them may be sent requests.
-func (g *Gateway) retryDelay(r *request.Request) time.Duration {
-	d := g.Placement.RetryAfter(r)
-	if d <= retryAfter {
-		return retryAfter
-	}
-	if g.Random != nil {
-		d += time.Duration(g.Random() * float64(min(d/spreadDivisor, maxSpread)))
-	}
-	return d
-}
-
-// newSlot returns the slot of a request on a backend server.
-func (g *Gateway) newSlot(r *request.Request, b backend.Backend) slot.Slot {
-	r.AttemptedBackends.Add(b.Name)
-	return slot.Slot{
-		Backend: b,
-		OnResponse: func(status int, h http.Header) {
-			n, m, ok := g.ReportedLoad(h)
-			if ok {
-				g.Placement.RecordLoad(b.Name, n, m)
-			}
-			r.DecisionLog.Add(g.Clock.Now(), "backend server answered", "Backend", b.Name, "Status", status, "Running", n, "Waiting", m)
-		},
-		Release: releaseOnce(func(v result.Result) {
-			g.Placement.Release(b.Name, r, v)
-			r.DecisionLog.Add(g.Clock.Now(), "backend server released", "Backend", b.Name, "Result", v)
-		}),
-	}
-}
-
 // IsKeyValid reports whether the key that a request came with is still in force. A request
 // without a key is always valid.
 func (g *Gateway) IsKeyValid(c credential.Credential) bool {
 	return c.Hash == "" || g.Index().HasKey(c.Hash)
 }
 
-// releaseOnce returns a function that calls f on its first call only.
-func releaseOnce(f func(result.Result)) func(result.Result) {
-	var o sync.Once
-	return func(r result.Result) { o.Do(func() { f(r) }) }
-}
-
 // recordEnd counts and logs the end of a request, and records the latency of an
 // answered one.
 func (g *Gateway) recordEnd(b *routeindex.Routeindex, r *request.Request, i *ingress.Ingress, o outcome.Outcome, d time.Duration) {
@@ -344,17 +268,22 @@
 	if o.Outcome == outcome.Answered {
 		g.Latency.Observe(r.Route, d)
 	}
+	if i != nil {
+		r.Route = i.Name
+	}
+	g.logEnd(r, o, d, b.Config.Version)
+}
+
+// logEnd logs the end of a request, unless it was answered or its caller left and it is
+// not in the sample.
+func (g *Gateway) logEnd(r *request.Request, o outcome.Outcome, d time.Duration, version uint64) {
 	if (o.Outcome == outcome.Answered || o.Outcome == outcome.Left) && g.sampleCount.Add(1)%logSampleInterval != 0 {
 		return
 	}
-	n := ""
-	if i != nil {
-		n = i.Name
-	}
 	r.DecisionLog.Write(g.Log, r.ID, g.Clock.Now())
-	g.Log.Info("request ended", "Request", r.ID, "Route", n, "Account", r.Account, "Service", r.Service.Name,
+	g.Log.Info("request ended", "Request", r.ID, "Route", r.Route, "Account", r.Account, "Service", r.Service.Name,
 		"Outcome", o.Outcome, "Ran", o.Ran, "Cause", o.Message, "RetryAfter", o.RetryAfter,
-		"Backends", r.AttemptedBackends.Names(), "Took", d, "Version", b.Config.Version)
+		"Backends", r.AttemptedBackends.Names(), "Forwarded", r.Forwarded, "Took", d, "Version", version)
 }
 
 // refuse returns the outcome of a request that was not run.
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -23,11 +23,13 @@
 	cold      bool // this host's part of the rate of a cold backend server is used up
 	limited   bool // this host's part of its rate limit is used up
 	backedOff bool // it wants no requests
+	lost      bool // this host can't reach it
+	unsent    bool // this host could not open a connection to it for this request
 }
 
 // unavailable reports whether the backend server can't be sent a request at the moment.
 func (c candidate) unavailable() bool {
-	return c.denied || c.ejected || c.cold || c.limited || c.backedOff
+	return c.denied || c.ejected || c.cold || c.limited || c.backedOff || c.lost
 }
 
 // candidates returns the backend servers that may serve r in descending order of the
@@ -40,7 +42,13 @@
 	var l []candidate
 	for _, s := range g.servers {
 		b := s.backend
-		if r.AllowsRegion != nil && !r.AllowsRegion(b.Region) || r.AttemptedBackends.Has(b.Name) {
+		if r.AllowsRegion != nil && !r.AllowsRegion(b.Region) {
+			continue
+		}
+		// One that was tried is no candidate, unless the try shows only that this host can't
+		// reach it.
+		t := p.IsLost(b) && r.AttemptedBackends.IsUnsent(b.Name)
+		if !t && r.AttemptedBackends.Has(b.Name) {
 			continue
 		}
 		w := float64(b.Slots) * g.availability.Available(b.Region)
@@ -48,6 +56,7 @@
 			w *= p.RemoteWeight
 		}
 		c := p.newCandidate(g, s, now)
+		c.lost, c.unsent = t || !p.reaches(b), t
 		c.score = rendezvous.Score(k, b.Name, w)
 		l = append(l, c)
 	}
@@ -64,7 +73,7 @@
 	b := s.backend
 	return candidate{
 		server: s, denied: s.deniedUntil.After(now), ejected: g.outlier.Ejected(b.Name, now),
-		cold:      s.coldUntil.After(now) && !s.withinColdRate(p.coldShare(b), now),
+		cold:      s.coldEnd().After(now) && !s.withinColdRate(p.coldShare(b), now),
 		limited:   p.Limit != nil && !p.Limit.Allow(b),
 		backedOff: p.BackedOff(b),
 	}
@@ -84,7 +93,7 @@
 	q.AttemptedBackends = nil
 	n := p.Clock.Now()
 	var d time.Duration
-	for i, c := range p.preferred(p.candidates(g, &q, n)) {
+	for i, c := range p.preferred(&q, p.candidates(g, &q, n)) {
 		if u := p.untilAvailable(g, c, n); i == 0 || u < d {
 			d = u
 		}
@@ -98,6 +107,9 @@
 	s := c.server
 	// Both times are zero or past if they don't apply.
 	d := max(s.deniedUntil.Sub(now), g.outlier.EjectedUntil(s.backend.Name).Sub(now), 0)
+	if c.lost {
+		d = max(d, p.Reachability.RetryAfter(s.backend))
+	}
 	if c.backedOff {
 		d = max(d, p.Backoff.RetryAfter(s.backend))
 	}
@@ -105,7 +117,7 @@
 		d = max(d, p.Limit.RetryAfter(s.backend))
 	}
 	if c.cold {
-		u := s.coldUntil.Sub(now)
+		u := s.coldEnd().Sub(now)
 		if v, ok := coldrate.RetryAfter(s.coldSends, p.coldShare(s.backend), now); ok {
 			u = min(u, v)
 		}
@@ -144,15 +156,16 @@
 	if g == nil {
 		return nil
 	}
-	var b, l, e, c, d int
+	var b, l, e, c, d, u int
 	for _, v := range p.candidates(g, r, p.Clock.Now()) {
 		b += toInt(v.backedOff)
 		l += toInt(v.limited)
 		e += toInt(v.ejected)
 		c += toInt(v.cold)
 		d += toInt(v.denied)
+		u += toInt(v.lost)
 	}
-	return []any{"BackedOff", b, "Limited", l, "Ejected", e, "Cold", c, "Denied", d}
+	return []any{"Unreachable", u, "BackedOff", b, "Limited", l, "Ejected", e, "Cold", c, "Denied", d}
 }
 
 func toInt(b bool) int {
--- a/placement/choice.go
+++ b/placement/choice.go
@@ -34,7 +34,13 @@
 	u := !anyCached(c, r)
 	for _, v := range c {
 		s := v.server
-		if s.fullUntil.After(now) || p.isProbed(s) || p.hasOverdue(s, now) || !p.admits(s, r, now) {
+		if p.hasOverdue(s, now) {
+			if p.Reachability != nil {
+				p.Reachability.Suspect(s.backend)
+			}
+			continue
+		}
+		if s.fullUntil.After(now) || p.isProbed(s) || !p.admits(s, r, now) {
 			continue
 		}
 		if s.load(now) < p.loadThreshold(v.position, u)*float64(s.backend.Slots) {
@@ -48,9 +54,9 @@
 }
 
 // available returns the preferred candidates that can be sent a request now.
-func (p *Placement) available(c []candidate) []candidate {
+func (p *Placement) available(r *request.Request, c []candidate) []candidate {
 	var l []candidate
-	for _, v := range p.preferred(c) {
+	for _, v := range p.preferred(r, c) {
 		if !v.unavailable() {
 			l = append(l, v)
 		}
@@ -65,14 +71,14 @@
 // and a fourth backend server would cache the object, each time with a late answer, and
 // the object would never move back. More candidates are added only if all preferred ones
 // are unavailable for reasons other than a missing permit, since permits are scarce for
-// all backend servers at the same time.
-func (p *Placement) preferred(c []candidate) []candidate {
+// all backend servers at the same time, and none of them can be served by another host.
+func (p *Placement) preferred(r *request.Request, c []candidate) []candidate {
 	s := false
 	for i, v := range c {
 		if i >= p.backendsPerObject() && s {
 			return c[:i]
 		}
-		s = s || !v.unavailable() || v.denied
+		s = s || !v.unavailable() || v.denied || p.isForwardable(r, v)
 	}
 	return c
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,7 @@
 	"celeryreach.example/celeryreach/coldrate"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/outlier"
+	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/regionavailability"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
@@ -66,6 +67,13 @@
 	Limit *backendlimit.Backendlimit
 	// Backoff holds the times for which backend servers want no requests; nil means none.
 	Backoff *backendbackoff.Backendbackoff
+	// Reachability holds to which backend servers this host can open connections; nil means
+	// all.
+	Reachability *reachability.Reachability
+	// ReachedByOthers reports whether another host, to which requests can be forwarded,
+	// reaches a backend server that this host lost at the given time. Nil means that no
+	// requests are forwarded.
+	ReachedByOthers func(b backend.Backend, lostAt time.Time) bool
 	// ColdCapacity returns the rate that a cold backend server of a service can handle,
 	// in requests per second, and how long it stays cold after its start.
 	ColdCapacity func(service string) (perSecond float64, warmUp time.Duration)
@@ -180,13 +188,13 @@
 		return backend.Backend{}, false, false
 	}
 	n := p.Clock.Now()
-	c := p.available(p.candidates(g, r, n))
+	c := p.available(r, p.candidates(g, r, n))
 	s := p.choose(c, r, n)
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0
 	}
 	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Load", s.load(n), "Slots", s.backend.Slots,
-		"ReportAge", n.Sub(s.reportedAt), "Known", s.hasCached(r), "Candidates", len(c), "Cold", s.coldUntil.After(n))
+		"ReportAge", n.Sub(s.reportedAt), "Known", s.hasCached(r), "Candidates", len(c), "Cold", s.coldEnd().After(n))
 	s.add(r, n, !s.hasCached(r))
 	s.addObject(r)
 	if p.Limit != nil {
@@ -238,7 +246,7 @@
 	if s == nil {
 		return
 	}
-	if f, ok := s.remove(q); ok {
+	if f, ok := s.remove(q); ok && (r == result.Succeeded || !p.IsLost(s.backend)) {
 		p.observeDuration(s, q.Route, p.Clock.Since(f.startedAt), r)
 	}
 	switch r {
@@ -268,6 +276,10 @@
 	switch r {
 	case result.Succeeded:
 		g.outlier.Succeed(s.backend.Name)
+		if p.IsLost(s.backend) {
+			// The connection is older than the loss, so the process has not restarted.
+			s.maybeColdUntil = time.Time{}
+		}
 	case result.Shed:
 		s.markFull(now)
 		if s.load(now) < float64(s.backend.Slots) {
@@ -276,11 +288,14 @@
 			p.recordFailure(g, s, now)
 		}
 	case result.Failed, result.Refused:
-		p.recordFailure(g, s, now)
-		if r == result.Refused {
+		u := p.IsLost(s.backend)
+		if !u {
+			p.recordFailure(g, s, now)
+		}
+		if r == result.Refused && (!u || !p.reaches(s.backend)) {
 			// It may be restarting and will then be cold.
 			_, w := p.ColdCapacity(s.backend.Service)
-			s.coldUntil = deadline.Later(s.coldUntil, now.Add(w+firstEjection))
+			s.maybeColdUntil = now.Add(w + firstEjection)
 		}
 	case result.Canceled, result.Unused:
 	}
--- /dev/null
+++ b/placement/reach.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/request"
+)
+
+// NeedsForward reports whether r, for which Acquire found no backend server, should be sent
+// by another host: one of its preferred backend servers is out of this host's reach only,
+// or all that may serve it are out of reach.
+func (p *Placement) NeedsForward(r *request.Request) bool {
+	if p.ReachedByOthers == nil || r.Forwarded {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.pools[r.Service.Name]
+	if g == nil {
+		return false
+	}
+	l := p.candidates(g, r, p.Clock.Now())
+	if slices.ContainsFunc(p.preferred(r, l), func(c candidate) bool { return p.isForwardable(r, c) }) {
+		return true
+	}
+	return len(l) > 0 && !slices.ContainsFunc(l, func(c candidate) bool { return !c.lost })
+}
+
+// isForwardable reports whether a backend server that this host can't reach can be sent r
+// by another host. If r itself could not be sent there, the host to which it is forwarded
+// may find out.
+func (p *Placement) isForwardable(r *request.Request, c candidate) bool {
+	if !c.lost || r.Forwarded || p.ReachedByOthers == nil {
+		return false
+	}
+	return c.unsent || p.ReachedByOthers(c.server.backend, p.Reachability.LostAt(c.server.backend))
+}
+
+// Restore ends what this host assumed of a backend server while it could not reach it. If
+// reachedByOthers is set, other hosts did meanwhile, so it neither restarted nor failed.
+func (p *Placement) Restore(b backend.Backend, reachedByOthers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[b.Name]
+	if s == nil {
+		return
+	}
+	s.restoredAt = p.Clock.Now()
+	if reachedByOthers {
+		s.maybeColdUntil = time.Time{}
+		p.pools[b.Service].outlier.Forget(b.Name)
+	}
+	p.notifyFreed()
+}
+
+// IsLost reports whether this host can't open connections to a backend server.
+func (p *Placement) IsLost(b backend.Backend) bool {
+	return p.Reachability != nil && p.Reachability.IsLost(b)
+}
+
+// reaches reports whether b may be sent requests over this host's own links.
+func (p *Placement) reaches(b backend.Backend) bool {
+	return p.Reachability == nil || p.Reachability.Reaches(b)
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -7,6 +7,7 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/coldrate"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/request"
 )
 
@@ -44,8 +45,11 @@
 	meanDuration time.Duration   // of this host's requests there, queueing included
 	fullUntil    time.Time       // counts as full until then
 	coldUntil    time.Time       // cold until then
-	deniedUntil  time.Time       // no permit to send requests until then
-	coldSends    []time.Time     // times of recent requests sent while it was cold
+	// maybeColdUntil is until when it is cold if it restarted when it refused a connection.
+	maybeColdUntil time.Time
+	restoredAt     time.Time   // when this host reached it again
+	deniedUntil    time.Time   // no permit to send requests until then
+	coldSends      []time.Time // times of recent requests sent while it was cold
 	// objects are the objects that the backend server has recently worked on
 	// for this host.
 	objects *simplelru.LRU[string, struct{}]
@@ -122,11 +126,16 @@
 
 func (s *server) add(r *request.Request, now time.Time, addedObject bool) {
 	s.running = append(s.running, activeRequest{id: r.ID, route: r.Route, startedAt: now, addedObject: addedObject})
-	if s.coldUntil.After(now) {
+	if s.coldEnd().After(now) {
 		s.coldSends = append(s.coldSends, now)
 	}
 }
 
+// coldEnd returns until when the backend server may be cold.
+func (s *server) coldEnd() time.Time {
+	return deadline.Later(s.coldUntil, s.maybeColdUntil)
+}
+
 // remove deletes a request from the active ones and returns it.
 func (s *server) remove(r *request.Request) (activeRequest, bool) {
 	for i, f := range s.running {
@@ -140,11 +149,12 @@
 
 // hasOverdue reports whether a request runs there for much longer than the mean of its
 // route: the backend server is then slow, does not respond, or has a queue that no
-// load report includes yet.
+// load report includes yet. A request that began before a lost path was restored says
+// nothing about the backend server.
 func (p *Placement) hasOverdue(s *server, now time.Time) bool {
 	for _, f := range s.running {
 		u, ok := p.routeDurations[f.route]
-		if ok && now.Sub(f.startedAt) > max(overdueFactor*u, overdueMin) {
+		if ok && f.startedAt.After(s.restoredAt) && now.Sub(f.startedAt) > max(overdueFactor*u, overdueMin) {
 			return true
 		}
 	}
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -3,6 +3,7 @@
 package reachability
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -13,8 +14,13 @@
 	"celeryreach.example/celeryreach/backend"
 )
 
-// maxReported limits the backend servers that a heartbeat lists.
-const maxReported = 128
+const (
+	// maxReported limits the backend servers that a heartbeat lists.
+	maxReported = 128
+	// openConnectionLife is how long after a response the connections that are open to a
+	// backend server count as working while no new ones can be opened.
+	openConnectionLife = time.Second
+)
 
 // Reachability holds the state of this host's paths to backend servers.
 type Reachability struct {
@@ -23,13 +29,22 @@
 	// Log receives one line for each backend server that gets out of reach and for each
 	// that is reached again.
 	Log *log.Logger
+	// Probe opens a connection to an address and closes it. The result is passed to
+	// ObserveDial by Probe itself.
+	Probe func(ctx context.Context, address string)
 	// CountHosts returns how many other hosts reach a backend server and how many don't.
 	CountHosts func(b backend.Backend) (reached, lost int)
-	// OnChange is called when a backend server gets out of reach or is reached again.
-	OnChange func(b backend.Backend, reached bool)
+	// OnReached is called when a backend server is reached again; lostAt is since when it
+	// was out of reach.
+	OnReached func(b backend.Backend, lostAt time.Time)
+	// Notify is called when other hosts should be told at once what this host can't reach.
+	Notify func()
 
-	mu    sync.Mutex
-	paths map[string]*path // by address
+	mu       sync.Mutex
+	paths    map[string]*path // by address
+	lost     int              // the number of paths that are lost
+	notifyAt time.Time        // when Notify is due; zero if it is not
+	wake     chan struct{}
 }
 
 // path is the state of the path to one address.
@@ -37,6 +52,14 @@
 	backend backend.Backend
 	lostAt  time.Time // when a connection could not be opened; zero if the last one could
 	heardAt time.Time // the last response or opened connection
+	probeAt time.Time // when a probe is due; zero if none is
+	probed  time.Time // the start of the last probe
+	probing bool
+}
+
+// New returns a Reachability without backend servers.
+func New() *Reachability {
+	return &Reachability{wake: make(chan struct{}, 1)}
 }
 
 // Hash returns the number by which hosts name a backend server to each other.
@@ -46,18 +69,27 @@
 
 // Set replaces the list of backend servers.
 func (r *Reachability) Set(l []backend.Backend) {
+	n := r.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.paths
 	r.paths = make(map[string]*path, len(l))
+	r.lost = 0
 	for _, b := range l {
 		p := o[b.Address]
-		if p == nil {
-			p = new(path)
+		switch {
+		case p == nil:
+			p = &path{heardAt: n}
+		case !p.lostAt.IsZero() && (p.backend.Name != b.Name || p.backend.Started != b.Started):
+			p.probeAt = n // another process has registered the address
 		}
 		p.backend = b
 		r.paths[b.Address] = p
+		if !p.lostAt.IsZero() {
+			r.lost++
+		}
 	}
+	r.wakeUp()
 }
 
 // ObserveDial records that a connection to an address was opened or, if err is not nil,
@@ -71,24 +103,25 @@
 		return
 	}
 	b, t := p.backend, p.lostAt
-	if err == nil {
-		p.lostAt, p.heardAt = time.Time{}, n
-	} else if t.IsZero() {
-		p.lostAt = n
+	switch {
+	case err == nil:
+		r.restore(p, n)
+	case t.IsZero():
+		r.lose(p, n)
+	default:
+		p.probeAt = n.Add(r.probeDelay())
 	}
-	c, k := r.countLost(), len(r.paths)
+	c, k := r.lost, len(r.paths)
 	r.mu.Unlock()
-	if t.IsZero() == (err == nil) {
-		return // no change
-	}
-	reached, lost := r.CountHosts(b)
-	if err == nil {
+	switch {
+	case err == nil && !t.IsZero():
 		r.Log.Info("backend server reached again", "Backend", b.Name, "Service", b.Service, "Region", b.Region, "After", n.Sub(t), "Lost", c, "Of", k)
-	} else {
+		r.OnReached(b, t)
+	case err != nil && t.IsZero():
+		y, m := r.CountHosts(b)
 		r.Log.Warn("backend server out of reach", "Backend", b.Name, "Service", b.Service, "Region", b.Region,
-			"Error", err, "Lost", c, "Of", k, "HostsReaching", reached, "HostsNotReaching", lost)
+			"Error", err, "Lost", c, "Of", k, "HostsReaching", y, "HostsNotReaching", m)
 	}
-	r.OnChange(b, err == nil)
 }
 
 // ObserveResponse records a response from an address.
@@ -100,25 +133,63 @@
 	}
 }
 
+// MayDial reports whether a new connection to an address may be tried for a request. If
+// the last one could not be opened, only probes try.
+func (r *Reachability) MayDial(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.paths[address]
+	return p == nil || p.lostAt.IsZero()
+}
+
+// IsLost reports whether the last connection to a backend server could not be opened.
+func (r *Reachability) IsLost(b backend.Backend) bool {
+	return !r.MayDial(b.Address)
+}
+
+// Reaches reports whether b may be sent requests: new connections to it can be opened, or
+// open ones still deliver responses.
+func (r *Reachability) Reaches(b backend.Backend) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.paths[b.Address]
+	return p == nil || p.lostAt.IsZero() || p.heardAt.After(p.lostAt) && r.Clock.Since(p.heardAt) < openConnectionLife
+}
+
+// LostAt returns since when no connection to b can be opened, zero if one can.
+func (r *Reachability) LostAt(b backend.Backend) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.paths[b.Address]; p != nil {
+		return p.lostAt
+	}
+	return time.Time{}
+}
+
+// RetryAfter returns the time until the next probe of b has a result, zero if b is not out
+// of reach.
+func (r *Reachability) RetryAfter(b backend.Backend) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.paths[b.Address]
+	if p == nil || p.lostAt.IsZero() {
+		return 0
+	}
+	return max(p.probeAt.Sub(r.Clock.Now()), 0) + firstProbeDelay
+}
+
 // Lost returns the hashes of backend servers that are out of reach, at most maxReported,
 // how many there are, and the number of all backend servers.
 func (r *Reachability) Lost() (hashes []uint32, lost, all int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.lost == 0 {
+		return nil, 0, len(r.paths)
+	}
 	for _, p := range r.paths {
 		if !p.lostAt.IsZero() && len(hashes) < maxReported {
 			hashes = append(hashes, Hash(p.backend.Name))
 		}
 	}
-	return hashes, r.countLost(), len(r.paths)
-}
-
-func (r *Reachability) countLost() int {
-	n := 0
-	for _, p := range r.paths {
-		if !p.lostAt.IsZero() {
-			n++
-		}
-	}
-	return n
+	return hashes, r.lost, len(r.paths)
 }
--- a/receive/bench_test.go
+++ b/receive/bench_test.go
@@ -62,7 +62,7 @@
 	return &forward.Forward{
 		Clock: c, Version: func() uint64 { return 0 }, Limit: 10, Open: p.Open,
 		ReserveLink: func(string, int64) (func(int64), time.Duration, bool) { return func(int64) {}, 0, true },
-		Targets:     func(string) []member.Member { return []member.Member{{PeerAddress: l.Addr().String()}} },
+		Targets:     func(*request.Request) []member.Member { return []member.Member{{PeerAddress: l.Addr().String()}} },
 	}
 }
 
--- a/receive/receive.go
+++ b/receive/receive.go
@@ -27,6 +27,9 @@
 	Clock clockwork.Clock
 	// Snapshot returns the configuration in force, nil before the first one.
 	Snapshot func() *snapshot.Snapshot
+	// Resolve sets what r needs beside the fields that it has from h, or returns the outcome
+	// that refuses r. Nil looks them up in Snapshot.
+	Resolve func(h *wire.Request, r *request.Request) outcome.Outcome
 	// Admit admits a request from a region, or returns the outcome that refuses
 	// it. The function that it returns is called with the outcome of the
 	// request and the number of bytes sent as its answer.
@@ -117,9 +120,17 @@
 	for _, x := range h.Headers {
 		r.Header[x.Name] = x.Values
 	}
+	if v.Resolve != nil {
+		return r, v.Resolve(h, r)
+	}
+	return r, v.resolve(h, r)
+}
+
+// resolve finds the service and the key of a request in Snapshot.
+func (v *Receive) resolve(h *wire.Request, r *request.Request) outcome.Outcome {
 	s := v.Snapshot()
 	if s == nil {
-		return r, refusedOutcome(outcome.NoCapacity, "the receiving host has no configuration yet")
+		return refusedOutcome(outcome.NoCapacity, "the receiving host has no configuration yet")
 	}
 	c, ok := s.Key(h.KeyId)
 	switch {
@@ -127,19 +138,19 @@
 	case s.Config.Version < h.ConfigVersion:
 		// The sender has a newer configuration, so the key may be new. It must
 		// not be reported as withdrawn.
-		return r, refusedOutcome(outcome.NoCapacity, "the host has an older configuration")
+		return refusedOutcome(outcome.NoCapacity, "the host has an older configuration")
 	default:
-		return r, refusedOutcome(outcome.KeyUnknown, "the key was withdrawn")
+		return refusedOutcome(outcome.KeyUnknown, "the key was withdrawn")
 	}
 	r.Credential = c
 	for _, x := range s.Config.Services {
 		if x.Name == h.Service {
 			r.Service = x
 			r.NonIdempotent = x.NonIdempotent || h.Method == http.MethodPost || h.Method == http.MethodPatch
-			return r, outcome.Outcome{}
+			return outcome.Outcome{}
 		}
 	}
-	return r, refusedOutcome(outcome.NoCapacity, "the service is not configured on the receiving host")
+	return refusedOutcome(outcome.NoCapacity, "the service is not configured on the receiving host")
 }
 
 func refusedOutcome(o, m string) outcome.Outcome {
--- a/request/request.go
+++ b/request/request.go
@@ -3,11 +3,14 @@
 package request
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/decisionlog"
@@ -72,7 +75,32 @@
 	NonIdempotent bool
 	// IdempotencyID is the id that the caller gave a non-idempotent request.
 	IdempotencyID string
+	// Forwarded is set if another host admitted the request and forwarded it to this one,
+	// which may not forward it again.
+	Forwarded bool
 	// SendGate decides once whether the request is sent or given up; nil if only the
 	// request's context decides.
 	SendGate *sendgate.Sendgate
 }
+
+// BufferBody reads a body of up to limit bytes, so that Rewind can return it again. A
+// longer one stays to be read once.
+func (r *Request) BufferBody(limit int64) error {
+	if r.Body == nil || r.Length == 0 || r.Length > limit {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return errors.Wrap(err, "request body")
+	}
+	if int64(len(b)) > limit {
+		r.Body = io.MultiReader(bytes.NewReader(b), r.Body)
+		return nil
+	}
+	if r.Length > 0 {
+		r.Length = int64(len(b))
+	}
+	r.Rewind = func() io.Reader { return bytes.NewReader(b) }
+	r.Body = r.Rewind()
+	return nil
+}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -11,6 +11,9 @@
 // Slot is held from before a request is sent until the backend server has
 // stopped working on it.
 type Slot struct {
+	// Forward is set if this host reaches none of the request's backend servers and another
+	// host has to send it. Backend and OnResponse are then not set.
+	Forward bool
 	// Backend is the backend server that runs the request.
 	Backend backend.Backend
 	// OnResponse is called with the status and header of the answer when they
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,9 +29,11 @@
 
 const (
 	maxHeaderBytes = 64 << 10
-	// TCP keepalive probes close a connection whose peer does not respond for 5 s,
-	// even while a request waits on it: a peer that has lost the state of the
-	// connection would never send the response.
+	// TCP keepalive probes close a connection whose peer does not respond for 5 s, also
+	// while a request waits on it whose bytes the peer has acknowledged: a peer that has
+	// lost the state of the connection would never send the response. They don't start
+	// while bytes are unacknowledged, so a request written to a dead link waits until its
+	// deadline.
 	probeIdle     = 2 * time.Second
 	probeInterval = time.Second
 	probeCount    = 3
@@ -49,6 +51,8 @@
 // part of this one was written.
 var ErrNotWanted = errors.New("the backend server wants no requests at the moment")
 
+var errOutOfReach = errors.New("the last connection could not be opened")
+
 // Upstream sends requests through the transports of net/http.
 type Upstream struct {
 	// Clock measures the time until deadlines.
@@ -75,6 +79,9 @@
 	// on which a request is about to be sent: opening one takes time, and net/http by
 	// itself sends requests again long after they were placed. Nil permits all requests.
 	MaySend func(b backend.Backend) bool
+	// MayDial reports whether a new connection to an address may be opened for a request.
+	// Nil permits all.
+	MayDial func(address string) bool
 	// OnDial is called when a connection to an address was opened or, with an error, could
 	// not be opened. Nil disables the call.
 	OnDial func(address string, err error)
@@ -217,21 +224,39 @@
 	}
 }
 
+// Probe opens a connection to an address and closes it.
+func (u *Upstream) Probe(ctx context.Context, address string) {
+	c, err := u.open(ctx, address)
+	if err != nil {
+		return // OnDial was called with the error
+	}
+	_ = c.Close() // nothing was written
+}
+
 // dial opens a connection that records whether anything was written to it.
 func (u *Upstream) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	c, err := u.open(ctx, address)
-	// A dial that ended with its request says nothing about the path.
-	if u.OnDial != nil && (err == nil || ctx.Err() == nil) {
-		u.OnDial(address, err)
+	if u.MayDial != nil && !u.MayDial(address) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errOutOfReach}
 	}
+	c, err := u.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return &sealableconn.Sealableconn{Conn: c}, nil
 }
 
-// open opens a connection within DialTimeout.
+// open opens a connection and passes the result to OnDial.
 func (u *Upstream) open(ctx context.Context, address string) (net.Conn, error) {
+	c, err := u.connect(ctx, address)
+	// A dial that ended with its request says nothing about the path.
+	if u.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		u.OnDial(address, err)
+	}
+	return c, err
+}
+
+// connect opens a connection within DialTimeout.
+func (u *Upstream) connect(ctx context.Context, address string) (net.Conn, error) {
 	if u.Dial != nil {
 		x, f := context.WithTimeout(ctx, u.DialTimeout)
 		defer f()
