Edge: forwarded requests keep their promises; reports of lost links are confirmed

Three more scripts: non-idempotent requests, bodies of 2 KB and 512 KB, homes, callers that leave, backend servers that break off, two losses in a row; beside a silent store, a new configuration, a withdrawn key, a cold and a leaving backend server and a host that lost some links; and all hosts cut off at once.

Found by reading: a host that had heard a backend server within 300 ms did not probe it when another had lost it, and so could vouch for one that had just crashed; the other would then have taken it for warm. It probes now in any case.

--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +47,7 @@
 	backend backend.Backend
 	http    http.Server
 	done    chan error
+	runs    *runs
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -92,14 +95,23 @@
 		clock.Sleep(stalls)
 		broken = true
 	}
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		return // the request is not complete, and does not run
+	}
+	id := q.Header.Get(upstream.IDHeader)
+	s.runs.start(id, q, s.backend)
 	if broken {
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasPrefix(q.URL.Path, slowPath) {
+		d = slowWork
+	}
 	select {
 	case <-clock.After(d):
 	case <-q.Context().Done(): // the host has closed the connection
 		return
 	}
+	s.runs.finish(id)
 	s.mu.Lock()
 	v, l := s.value, s.leaving
 	s.mu.Unlock()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -42,9 +42,10 @@
 	// startInterval is the time between the starts of two hosts.
 	startInterval = 83 * time.Millisecond
 	// evacuate is how long an evacuated failure domain may still receive requests.
-	evacuate  = 5 * time.Second
-	rowKey    = "config"
-	evacuated = "evacuated/" // followed by the failure domain; an empty value ends the evacuation
+	evacuate    = 5 * time.Second
+	accountRate = 100
+	rowKey      = "config"
+	evacuated   = "evacuated/" // followed by the failure domain; an empty value ends the evacuation
 )
 
 // clock is the real clock, which returns virtual time inside a synctest bubble.
@@ -63,6 +64,7 @@
 	requestCount     int      // requests sent by callers
 	stopCallers      func()   // stops the callers
 	kinds            []string // of the callers' requests; empty for idempotent ones only
+	runs             runs
 
 	mu       sync.Mutex
 	calls    []call
@@ -187,7 +189,7 @@
 	if err != nil {
 		return errors.Wrap(err, "version")
 	}
-	c := config.Config{Version: v, Accounts: []account.Account{{Name: "unity", Rate: 100, Burst: 100}}}
+	c := config.Config{Version: v, Accounts: []account.Account{{Name: "unity", Rate: accountRate, Burst: accountRate}}}
 	addRoutes(&c)
 	for _, k := range a[1:] {
 		c.Keys = append(c.Keys, credential.Credential{Account: "unity", Hash: credential.Hash(k)})
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math"
@@ -20,6 +21,7 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/ingress"
+	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/service"
@@ -30,6 +32,8 @@
 const (
 	callerHost     = "camps.example"
 	listingPath    = "/listings/"
+	enrolPath      = "/enrol/"
+	homePath       = "/home/"
 	listings       = "listings"
 	objects        = 60
 	requestTimeout = 2 * time.Second
@@ -41,6 +45,12 @@
 var routes = []ingress.Ingress{{
 	Name: "view", Host: callerHost, Prefix: listingPath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, Priority: 2,
 	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Public: true, Sticky: true,
+}, {
+	Name: "enrol", Host: callerHost, Prefix: enrolPath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, NonIdempotent: true,
+	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Sticky: true,
+}, {
+	Name: "home", Host: callerHost, Prefix: homePath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, Homes: []string{"lagos"},
+	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Public: true, Sticky: true,
 }}
 
 var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
@@ -154,7 +164,7 @@
 	}
 	s := &server{
 		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
-		work:    d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		runs:    &w.runs, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
@@ -254,12 +264,29 @@
 	if !w.hosts[host].IsReady() {
 		return
 	}
-	p := listingPath + object
+	k := w.kind(id)
+	p := k.path + object
 	r := &request.Request{
 		ID: id, Host: callerHost, Method: http.MethodGet, Target: p, Object: object,
 		Header: make(http.Header), Deadline: clock.Now().Add(requestTimeout),
 	}
+	if k.body > 0 {
+		r.Method, r.Length = http.MethodPost, int64(k.body)
+		r.Body = bytes.NewReader(make([]byte, k.body))
+		if err := r.BufferBody(maxBuffered); err != nil {
+			panic(err) // the body is in memory
+		}
+	}
+	ctx, f := context.WithCancel(context.Background())
+	defer f()
 	t := clock.Now()
+	if k.leaves > 0 {
+		x := clock.AfterFunc(k.leaves, func() {
+			w.runs.leave(id)
+			f()
+		})
+		defer x.Stop()
+	}
 	r.Header.Set(sentHeader, strconv.FormatInt(t.UnixNano(), 10))
 	a := httptest.NewRecorder()
 	defer func() {
@@ -269,8 +296,9 @@
 			panic(v)
 		}
 	}()
-	u := w.hosts[host].Gateway.Serve(context.Background(), r, p, "", a)
-	w.recordCall(call{host: host, sent: t, outcome: u.Outcome, message: u.Message, retryAfter: u.RetryAfter})
+	u := w.hosts[host].Gateway.Serve(ctx, r, p, k.key, a)
+	w.runs.end(id, u.Ran == outcome.RanNo)
+	w.recordCall(call{host: host, sent: t, outcome: u.Outcome, message: u.Message, retryAfter: u.RetryAfter, left: ctx.Err() != nil})
 	w.recordRefusal(host, t, u, len(r.AttemptedBackends.Names()))
 	if s := w.servers[a.Header().Get(backendHeader)]; s != nil {
 		s.markNotified(host, a.Header())
@@ -289,6 +317,7 @@
 			}
 		}
 	}
+	l = append(l, w.runs.wrong()...)
 	slices.Sort(l)
 	return strings.Join(l, "; ")
 }
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -236,6 +236,24 @@
 	}
 }
 
+// Guards against a forwarded request that runs twice, is reported as not run after it ran,
+// loses its body, leaves its homes, or goes on after its caller has left.
+func TestForwardedRequestsKeepPromises(t *testing.T) {
+	for _, n := range []string{"links-kinds", "links-beside-faults"} {
+		for _, s := range []string{linkResets, linkHangs, linkKeeps} {
+			t.Run(n+"/"+s, func(t *testing.T) { runLinkScript(t, n, s) })
+		}
+	}
+}
+
+// Guards against hosts that wait, or forward requests in a circle, when no host reaches a
+// backend server.
+func TestNoHostReachesBackends(t *testing.T) {
+	for _, s := range []string{linkResets, linkHangs} {
+		t.Run(s, func(t *testing.T) { runLinkScript(t, "links-all-hosts", s) })
+	}
+}
+
 // runLinkScript runs a script in which STATE is the state of lost links.
 func runLinkScript(t *testing.T, name, state string) {
 	runInBubbles(t, name, seedCount, func(t *testing.T, script string, i int) {
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -50,7 +50,7 @@
 	s.restoredAt = p.Clock.Now()
 	if reachedByOthers {
 		s.maybeColdUntil = time.Time{}
-		p.pools[b.Service].outlier.Forget(b.Name)
+		p.pools[s.backend.Service].outlier.Forget(b.Name)
 	}
 	p.notifyFreed()
 }
--- a/reachability/probes.go
+++ b/reachability/probes.go
@@ -23,8 +23,11 @@
 	// loss costs few connections.
 	probesPerChange = 4
 	// recentlyHeard is the time since the last response of a backend server within which
-	// it isn't probed to confirm its path.
+	// a late request is no reason to probe it.
 	recentlyHeard = 300 * time.Millisecond
+	// confirmInterval is the time between two probes of a backend server that other hosts
+	// have lost.
+	confirmInterval = 300 * time.Millisecond
 	// notifyDelay collects paths that are lost together into one report to other hosts.
 	notifyDelay = 100 * time.Millisecond
 )
@@ -76,8 +79,9 @@
 	}
 }
 
-// Confirm probes the backend servers that another host has lost, unless they were heard
-// recently, so that all hosts know soon whether a backend server or a link is down.
+// Confirm probes the backend servers that another host has lost, so that all hosts know soon
+// whether a backend server or a link is down. A response from before it went down proves
+// nothing.
 func (r *Reachability) Confirm(hashes []uint32) {
 	if len(hashes) == 0 {
 		return
@@ -86,7 +90,7 @@
 	defer r.mu.Unlock()
 	n := r.Clock.Now()
 	for _, p := range r.paths {
-		if p.lostAt.IsZero() && n.Sub(p.heardAt) >= recentlyHeard && n.Sub(p.probed) >= recentlyHeard && slices.Contains(hashes, Hash(p.backend.Name)) {
+		if p.lostAt.IsZero() && n.Sub(p.probed) >= confirmInterval && slices.Contains(hashes, Hash(p.backend.Name)) {
 			r.schedule(p, n)
 		}
 	}
