Reachability: no lock while nothing is lost

Placement asks twice for each candidate, 112 of them on the larger size: two locks each, some 6 us of a request (an estimate, not measured). One atomic read now while every backend server is reached. The scripts of lost links pass.

--- a/reachability/probes.go
+++ b/reachability/probes.go
@@ -145,6 +145,7 @@
 func (r *Reachability) lose(p *path, now time.Time) {
 	p.lostAt = now
 	r.lost++
+	r.updateAnyLost()
 	p.probeAt = now.Add(firstProbeDelay)
 	if r.notifyAt.IsZero() {
 		r.notifyAt = now.Add(notifyDelay)
@@ -160,6 +161,7 @@
 	}
 	p.lostAt = time.Time{}
 	r.lost--
+	r.updateAnyLost()
 	if r.notifyAt.IsZero() {
 		r.notifyAt = now.Add(notifyDelay)
 	}
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,7 @@
 	mu       sync.Mutex
 	paths    map[string]*path // by address
 	lost     int              // the number of paths that are lost
+	anyLost  atomic.Bool      // whether lost is above zero, so that most calls need no lock
 	notifyAt time.Time        // when Notify is due; zero if it is not
 	wake     chan struct{}
 }
@@ -75,6 +77,7 @@
 	o := r.paths
 	r.paths = make(map[string]*path, len(l))
 	r.lost = 0
+	defer r.updateAnyLost()
 	for _, b := range l {
 		p := o[b.Address]
 		switch {
@@ -136,6 +139,9 @@
 // MayDial reports whether a new connection to an address may be tried for a request. If
 // the last one could not be opened, only probes try.
 func (r *Reachability) MayDial(address string) bool {
+	if !r.anyLost.Load() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.paths[address]
@@ -150,6 +156,9 @@
 // Reaches reports whether b may be sent requests: new connections to it can be opened, or
 // open ones still deliver responses.
 func (r *Reachability) Reaches(b backend.Backend) bool {
+	if !r.anyLost.Load() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.paths[b.Address]
@@ -193,3 +202,7 @@
 	}
 	return hashes, r.lost, len(r.paths)
 }
+
+func (r *Reachability) updateAnyLost() {
+	r.anyLost.Store(r.lost > 0)
+}
