--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -48,6 +48,7 @@
 	http    http.Server
 	done    chan error
 	runs    *runs
+	links   *links
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -101,6 +102,7 @@
 	id := q.Header.Get(upstream.IDHeader)
 	s.runs.start(id, q, s.backend)
 	if broken {
+		s.runs.breakOff(id)
 		panic(http.ErrAbortHandler)
 	}
 	if strings.HasPrefix(q.URL.Path, slowPath) {
@@ -111,7 +113,10 @@
 	case <-q.Context().Done(): // the host has closed the connection
 		return
 	}
-	s.runs.finish(id)
+	// A link that hangs holds up the news that the caller has left.
+	if _, v := s.links.gate(link{h, s.backend.Address}); v != linkHangs {
+		s.runs.finish(id)
+	}
 	s.mu.Lock()
 	v, l := s.value, s.leaving
 	s.mu.Unlock()
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -25,6 +25,7 @@
 
 // call is the end of one request of a caller.
 type call struct {
+	id         string
 	host       string
 	sent       time.Time
 	took       time.Duration
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -178,8 +178,8 @@
 }
 
 // checkServed describes what hosts served of the requests that were sent to them during
-// the last d, empty if that is at least a share of them. Requests of callers that left
-// don't count.
+// the last d, empty if that is at least a share of them. Requests of callers that left and
+// those that a backend server broke off and that must not be repeated don't count.
 func (w *deployment) checkServed(hosts []string, share, d string, fast bool) (string, error) {
 	v, err := strconv.ParseFloat(share, 64)
 	if err != nil {
@@ -194,6 +194,9 @@
 		if !slices.Contains(hosts, c.host) || clock.Since(c.sent) >= u || c.left {
 			continue
 		}
+		if c.outcome == outcome.OutcomeUnknown && w.runs.isBroken(c.id) {
+			continue
+		}
 		n++
 		if c.outcome == outcome.Answered && (!fast || c.took <= routes[0].Objective) {
 			k++
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -58,6 +58,7 @@
 	started map[string]int       // by request
 	left    map[string]time.Time // when the caller left
 	refused map[string]bool      // reported as not run
+	broken  map[string]bool      // broken off by their backend server
 	errors  []string
 	gone    int // requests at work too long after their caller had left
 }
@@ -79,6 +80,21 @@
 	}
 }
 
+func (r *runs) breakOff(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.broken == nil {
+		r.broken = make(map[string]bool)
+	}
+	r.broken[id] = true
+}
+
+func (r *runs) isBroken(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.broken[id]
+}
+
 func (r *runs) finish(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
