Reachability: a single failed dial is no loss; no second decision for unplaced requests

Causes found by reading: a request that was not placed decided twice, at each of its waits; hosts that are late see dials time out, and each of these was told to all peers, which probed the same backend server, and probed four others.

A dial that took longer than its time limit allows says nothing now; a loss counts for other hosts and for other paths when a second dial fails, or the first within a second of another loss; placement decides once, and does no more than before while nothing is lost.

--- a/gateway/slot.go
+++ b/gateway/slot.go
@@ -21,13 +21,13 @@
 	n := 0 // permits denied or not used
 	for {
 		c := g.Placement.Freed()
-		b, ok, m := g.Placement.Acquire(r)
+		b, ok, m, f := g.Placement.AcquireOrForward(r)
 		if ok && g.requestPermit(ctx, r, b) {
 			return g.newSlot(r, b), outcome.Outcome{}
 		}
 		if ok {
 			n++
-		} else if g.Placement.NeedsForward(r) {
+		} else if f {
 			return g.forwardSlot(r), outcome.Outcome{}
 		}
 		d := u.Sub(g.Clock.Now())
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -181,17 +181,26 @@
 // ReleaseUnsent. If ok is false, wait reports whether a backend server may have room soon;
 // otherwise none is available at all.
 func (p *Placement) Acquire(r *request.Request) (b backend.Backend, ok, wait bool) {
+	b, ok, wait, _ = p.AcquireOrForward(r)
+	return b, ok, wait
+}
+
+// AcquireOrForward is like Acquire. If ok is false, forward reports whether another host
+// should send r: one of its preferred backend servers is out of this host's reach only, or
+// all that may serve it are out of reach.
+func (p *Placement) AcquireOrForward(r *request.Request) (b backend.Backend, ok, wait, forward bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.pools[r.Service.Name]
 	if g == nil {
-		return backend.Backend{}, false, false
+		return backend.Backend{}, false, false, false
 	}
 	n := p.Clock.Now()
-	c := p.available(r, p.candidates(g, r, n))
+	l := p.candidates(g, r, n)
+	c := p.available(r, l)
 	s := p.choose(c, r, n)
 	if s == nil {
-		return backend.Backend{}, false, len(c) > 0
+		return backend.Backend{}, false, len(c) > 0, p.needsForward(r, l)
 	}
 	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Load", s.load(n), "Slots", s.backend.Slots,
 		"ReportAge", n.Sub(s.reportedAt), "Known", s.hasCached(r), "Candidates", len(c), "Cold", s.coldEnd().After(n))
@@ -200,7 +209,7 @@
 	if p.Limit != nil {
 		p.Limit.RecordSent(s.backend)
 	}
-	return s.backend, true, false
+	return s.backend, true, false, false
 }
 
 // Freed returns a channel that is closed when a backend server may have room again.
--- a/placement/reach.go
+++ b/placement/reach.go
@@ -8,24 +8,16 @@
 	"celeryreach.example/celeryreach/request"
 )
 
-// NeedsForward reports whether r, for which Acquire found no backend server, should be sent
-// by another host: one of its preferred backend servers is out of this host's reach only,
-// or all that may serve it are out of reach.
-func (p *Placement) NeedsForward(r *request.Request) bool {
-	if p.ReachedByOthers == nil || r.Forwarded {
+// needsForward reports whether another host should send r, for which none of the candidates
+// was chosen.
+func (p *Placement) needsForward(r *request.Request, l []candidate) bool {
+	if p.ReachedByOthers == nil || r.Forwarded || !slices.ContainsFunc(l, func(c candidate) bool { return c.lost }) {
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.pools[r.Service.Name]
-	if g == nil {
-		return false
-	}
-	l := p.candidates(g, r, p.Clock.Now())
 	if slices.ContainsFunc(p.preferred(r, l), func(c candidate) bool { return p.isForwardable(r, c) }) {
 		return true
 	}
-	return len(l) > 0 && !slices.ContainsFunc(l, func(c candidate) bool { return !c.lost })
+	return !slices.ContainsFunc(l, func(c candidate) bool { return !c.lost })
 }
 
 // isForwardable reports whether a backend server that this host can't reach can be sent r
--- a/reachability/probes.go
+++ b/reachability/probes.go
@@ -16,6 +16,9 @@
 	// reach, and minProbeSpacing the time between two probes of any of them.
 	probeInterval   = 500 * time.Millisecond
 	minProbeSpacing = 50 * time.Millisecond
+	// confirmedTogether is how long after a confirmed loss a single failed dial confirms the
+	// next.
+	confirmedTogether = time.Second
 	// maxProbes limits the probes that run at the same time.
 	maxProbes = 32
 	// probesPerChange is how many other paths are probed when one is lost or restored.
@@ -141,19 +144,30 @@
 	}
 }
 
-// lose records that a path is lost, and probes some of the others.
+// lose records a failed dial. A loss that it confirms probes some of the other paths.
 func (r *Reachability) lose(p *path, now time.Time) {
-	p.lostAt = now
-	r.lost++
-	r.updateAnyLost()
-	p.probeAt = now.Add(firstProbeDelay)
-	if r.notifyAt.IsZero() {
-		r.notifyAt = now.Add(notifyDelay)
+	first := p.lostAt.IsZero()
+	if first {
+		p.lostAt = now
+		r.lost++
+		r.updateAnyLost()
+	}
+	switch {
+	case p.confirmed:
+		p.probeAt = now.Add(r.probeDelay())
+	case first && now.Sub(r.lastLoss) > confirmedTogether:
+		p.probeAt = now.Add(firstProbeDelay)
+		r.wakeUp()
+	default:
+		p.confirmed, r.lastLoss = true, now
+		p.probeAt = now.Add(r.probeDelay())
+		r.notifySoon(now)
+		r.probeOthers(func(v *path) bool { return v.lostAt.IsZero() && v.heardAt.Before(now) }, now)
 	}
-	r.probeOthers(func(v *path) bool { return v.lostAt.IsZero() && v.heardAt.Before(now) }, now)
 }
 
-// restore records that a path is whole, and probes some of those that are lost.
+// restore records an opened connection. The end of a confirmed loss probes some of the paths
+// that are lost.
 func (r *Reachability) restore(p *path, now time.Time) {
 	p.heardAt, p.probeAt = now, time.Time{}
 	if p.lostAt.IsZero() {
@@ -162,10 +176,19 @@
 	p.lostAt = time.Time{}
 	r.lost--
 	r.updateAnyLost()
+	if !p.confirmed {
+		return
+	}
+	p.confirmed = false
+	r.notifySoon(now)
+	r.probeOthers(func(v *path) bool { return !v.lostAt.IsZero() }, now)
+}
+
+func (r *Reachability) notifySoon(now time.Time) {
 	if r.notifyAt.IsZero() {
 		r.notifyAt = now.Add(notifyDelay)
 	}
-	r.probeOthers(func(v *path) bool { return !v.lostAt.IsZero() }, now)
+	r.wakeUp()
 }
 
 // probeOthers probes up to probesPerChange of the matching paths, those first that were
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	paths    map[string]*path // by address
 	lost     int              // the number of paths that are lost
+	lastLoss time.Time        // when a loss was last confirmed
 	anyLost  atomic.Bool      // whether lost is above zero, so that most calls need no lock
 	notifyAt time.Time        // when Notify is due; zero if it is not
 	wake     chan struct{}
@@ -54,9 +55,13 @@
 	backend backend.Backend
 	lostAt  time.Time // when a connection could not be opened; zero if the last one could
 	heardAt time.Time // the last response or opened connection
-	probeAt time.Time // when a probe is due; zero if none is
-	probed  time.Time // the start of the last probe
-	probing bool
+	// confirmed is set once two dials in a row have failed, or one just after another path
+	// was lost. Other hosts are told of no other losses: a single dial fails on a host that is
+	// busy, or by a lost packet.
+	confirmed bool
+	probeAt   time.Time // when a probe is due; zero if none is
+	probed    time.Time // the start of the last probe
+	probing   bool
 }
 
 // New returns a Reachability without backend servers.
@@ -105,25 +110,25 @@
 		r.mu.Unlock()
 		return
 	}
-	b, t := p.backend, p.lostAt
-	switch {
-	case err == nil:
+	b, t, k := p.backend, p.lostAt, p.confirmed
+	if err == nil {
 		r.restore(p, n)
-	case t.IsZero():
+	} else {
 		r.lose(p, n)
-	default:
-		p.probeAt = n.Add(r.probeDelay())
 	}
-	c, k := r.lost, len(r.paths)
+	m := p.confirmed
+	c, u := r.lost, len(r.paths)
 	r.mu.Unlock()
 	switch {
 	case err == nil && !t.IsZero():
-		r.Log.Info("backend server reached again", "Backend", b.Name, "Service", b.Service, "Region", b.Region, "After", n.Sub(t), "Lost", c, "Of", k)
+		if k {
+			r.Log.Info("backend server reached again", "Backend", b.Name, "Service", b.Service, "Region", b.Region, "After", n.Sub(t), "Lost", c, "Of", u)
+		}
 		r.OnReached(b, t)
-	case err != nil && t.IsZero():
-		y, m := r.CountHosts(b)
+	case err != nil && m && !k:
+		y, x := r.CountHosts(b)
 		r.Log.Warn("backend server out of reach", "Backend", b.Name, "Service", b.Service, "Region", b.Region,
-			"Error", err, "Lost", c, "Of", k, "HostsReaching", y, "HostsNotReaching", m)
+			"Error", err, "Lost", c, "Of", u, "HostsReaching", y, "HostsNotReaching", x)
 	}
 }
 
@@ -187,7 +192,7 @@
 	return max(p.probeAt.Sub(r.Clock.Now()), 0) + firstProbeDelay
 }
 
-// Lost returns the hashes of backend servers that are out of reach, at most maxReported,
+// Lost returns the hashes of backend servers that are confirmed out of reach, at most maxReported,
 // how many there are, and the number of all backend servers.
 func (r *Reachability) Lost() (hashes []uint32, lost, all int) {
 	r.mu.Lock()
@@ -196,11 +201,14 @@
 		return nil, 0, len(r.paths)
 	}
 	for _, p := range r.paths {
-		if !p.lostAt.IsZero() && len(hashes) < maxReported {
+		if !p.confirmed {
+			continue
+		}
+		if lost++; len(hashes) < maxReported {
 			hashes = append(hashes, Hash(p.backend.Name))
 		}
 	}
-	return hashes, r.lost, len(r.paths)
+	return hashes, lost, len(r.paths)
 }
 
 func (r *Reachability) updateAnyLost() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,8 @@
 
 const (
 	maxHeaderBytes = 64 << 10
+	// maxDialDelay is by how much a dial may exceed its time limit on a host that is not late.
+	maxDialDelay = 50 * time.Millisecond
 	// TCP keepalive probes close a connection whose peer does not respond for 5 s, also
 	// while a request waits on it whose bytes the peer has acknowledged: a peer that has
 	// lost the state of the connection would never send the response. They don't start
@@ -247,9 +249,11 @@
 
 // open opens a connection and passes the result to OnDial.
 func (u *Upstream) open(ctx context.Context, address string) (net.Conn, error) {
+	t := u.Clock.Now()
 	c, err := u.connect(ctx, address)
-	// A dial that ended with its request says nothing about the path.
-	if u.OnDial != nil && (err == nil || ctx.Err() == nil) {
+	// A dial that ended with its request, or while this process was paused or late, says
+	// nothing about the path.
+	if u.OnDial != nil && (err == nil || ctx.Err() == nil && u.Clock.Since(t) < u.DialTimeout+maxDialDelay) {
 		u.OnDial(address, err)
 	}
 	return c, err
