Log: the homes of a request, their version, and versions that change homes

No line told which regions a request was held to, by which version, in which region the chosen backend server stands, or that a version changes the homes of a route or a client account.

'homes changed' (Route or Account, Version, Homes, Before); 'request placed' has Region, Homes, HomesVersion; 'request forwarded' and 'request sent to another host' have the homes and the regions that were stated, 'request taken from another host' what the receiver made of them. For that the function AllowsRegion of a request becomes a value, package homes; what it allows is the same (the tests of gateway, placement, edge and platform pass unchanged in what they check).

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/forward"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/receive"
@@ -54,7 +54,7 @@
 // forwardTargets returns the hosts through which r may be sent. A request with homes leaves
 // its body in these regions only.
 func (e *Edge) forwardTargets(r *request.Request) []member.Member {
-	return e.forwardHosts.Targets(r.AllowsRegion)
+	return e.forwardHosts.Targets(r.Homes)
 }
 
 // forwardRequest sends r through another host.
@@ -74,11 +74,14 @@
 	m.Priority, m.Attempts = int32(r.Priority), int32(r.Attempts) //nolint:gosec // small numbers of the configuration
 	m.MaxWaitNanoseconds = int64(r.MaxWait)
 	m.AttemptedBackends = r.AttemptedBackends.SentNames()
-	if r.AllowsRegion == nil {
+	defer func() {
+		r.DecisionLog.Add(e.Clock.Now(), "request sent to another host", "Regions", m.Regions, "Homes", r.Homes, "HomesVersion", r.HomesVersion)
+	}()
+	if !r.Homes.Bound {
 		return
 	}
 	for g := range e.placement.Slots(r.Service.Name) {
-		if r.AllowsRegion(g) {
+		if r.Homes.Allows(g) {
 			m.Regions = append(m.Regions, g)
 		}
 	}
@@ -108,9 +111,7 @@
 	for _, n := range m.GetAttemptedBackends() {
 		r.AttemptedBackends.Add(n)
 	}
-	if l := m.GetRegions(); len(l) > 0 {
-		r.AllowsRegion = func(g string) bool { return slices.Contains(l, g) }
-	}
+	r.Homes, r.HomesVersion = homes.Intersect(m.GetRegions()), m.GetConfigVersion()
 	return outcome.Outcome{}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -56,6 +56,11 @@
 			metric.Metric{Name: gaugeConfigVersion}.Set(float64(c.Version))
 			e.tokens.Set(c.Accounts)
 			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
+			if b == nil {
+				e.logHomes(c, nil)
+			} else {
+				e.logHomes(c, b.Config)
+			}
 		}
 	}
 	e.discovery.SetEvacuated(z)
--- a/forwardhosts/forwardhosts.go
+++ b/forwardhosts/forwardhosts.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/wire"
@@ -102,15 +103,15 @@
 	})
 }
 
-// Targets returns the hosts that take forwarded requests, in the regions that allows
-// permits: first those that have lost the fewest backend servers, among them those of this
-// host's region. Equal ones are in random order.
-func (f *Forwardhosts) Targets(allows func(region string) bool) []member.Member {
+// Targets returns the hosts in the given homes that take forwarded requests: first those
+// that have lost the fewest backend servers, among them those of this host's region. Equal
+// ones are in random order.
+func (f *Forwardhosts) Targets(h homes.Homes) []member.Member {
 	l := f.Hosts()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l = slices.DeleteFunc(l, func(m member.Member) bool {
-		return !f.reports[m.Name].takes(m) || allows != nil && !allows(m.Region)
+		return !f.reports[m.Name].takes(m) || !h.Allows(m.Region)
 	})
 	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 	slices.SortStableFunc(l, func(a, b member.Member) int {
--- a/forwardhosts/forwardhosts_test.go
+++ b/forwardhosts/forwardhosts_test.go
@@ -9,6 +9,7 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/forwardhosts"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/wire"
@@ -32,8 +33,8 @@
 		f.Merge(heartbeat(n, lost, "c1", "c2", "c3"))
 	}
 	f.Merge(&wire.Heartbeat{From: &wire.Host{Name: "older"}})
-	must.Eq(t, []string{"near", "far", "partly"}, names(f.Targets(nil)))
-	must.Eq(t, []string{"far"}, names(f.Targets(func(r string) bool { return r == "abuja" })))
+	must.Eq(t, []string{"near", "far", "partly"}, names(f.Targets(homes.Homes{})))
+	must.Eq(t, []string{"far"}, names(f.Targets(homes.Intersect([]string{"abuja"}))))
 }
 
 // Guards against a host that vouches for a backend server that it has not tried since
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,7 @@
 	n := g.Clock.Now()
 	r.Forwarded, r.Admitted = true, n
 	r.DecisionLog = new(decisionlog.Decisionlog)
+	r.DecisionLog.Add(n, "request taken from another host", "Homes", r.Homes, "HomesVersion", r.HomesVersion, "Version", g.Index().Config.Version)
 	if err := r.BufferBody(maxBufferedBytes); err != nil {
 		return refuse(outcome.Left, "the request body ended early", 0)
 	}
@@ -214,17 +215,10 @@
 	r.AttemptedBackends = new(attempted.Attempted)
 	r.DecisionLog = new(decisionlog.Decisionlog)
 	r.Priority = i.Priority
-	h := i.Homes
-	var o []string
-	if a != nil {
-		o = a.Homes
-		if a.Ranked {
-			r.Priority = a.Priority
-		}
-	}
-	if len(h)+len(o) > 0 {
-		r.AllowsRegion = func(v string) bool { return allowsRegion(h, v) && allowsRegion(o, v) }
+	if a != nil && a.Ranked {
+		r.Priority = a.Priority
 	}
+	r.Homes, r.HomesVersion = routeindex.Homes(i, a), b.Config.Version
 	if !i.Sticky {
 		r.Object = ""
 	}
@@ -290,17 +284,3 @@
 func refuse(o, m string, d time.Duration) outcome.Outcome {
 	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: d}
 }
-
-// allowsRegion reports whether homes, a list of allowed regions, contains the region.
-// An empty list allows all.
-func allowsRegion(homes []string, region string) bool {
-	if len(homes) == 0 {
-		return true
-	}
-	for _, h := range homes {
-		if h == region {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/slot.go
+++ b/gateway/slot.go
@@ -68,7 +68,7 @@
 
 // forwardSlot returns the slot of a request that another host has to send.
 func (g *Gateway) forwardSlot(r *request.Request) slot.Slot {
-	r.DecisionLog.Add(g.Clock.Now(), "request forwarded", "Unsent", r.AttemptedBackends.Names())
+	r.DecisionLog.Add(g.Clock.Now(), "request forwarded", "Unsent", r.AttemptedBackends.Names(), "Homes", r.Homes, "HomesVersion", r.HomesVersion)
 	return slot.Slot{Forward: true, Release: func(result.Result) {}}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -173,7 +173,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g := p.pools[r.Service.Name]; g != nil {
-		g.availability.Count(r.AllowsRegion, p.Clock.Now())
+		g.availability.Count(r.Homes, p.Clock.Now())
 	}
 }
 
@@ -202,7 +202,7 @@
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0, p.needsForward(r, l)
 	}
-	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Load", s.load(n), "Slots", s.backend.Slots,
+	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Region", s.backend.Region, "Homes", r.Homes, "HomesVersion", r.HomesVersion, "Load", s.load(n), "Slots", s.backend.Slots,
 		"ReportAge", n.Sub(s.reportedAt), "Known", s.hasCached(r), "Candidates", len(c), "Cold", s.coldEnd().After(n))
 	s.add(r, n, !s.hasCached(r))
 	s.addObject(r)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -17,6 +17,7 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/coldrate"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
@@ -111,7 +112,7 @@
 	}
 	for _, v := range a[3:] {
 		if h, ok := strings.CutPrefix(v, "homes="); ok {
-			r.AllowsRegion = func(region string) bool { return region == h }
+			r.Homes = homes.Intersect([]string{h})
 		}
 		if n, ok := strings.CutPrefix(v, "not="); ok {
 			r.AttemptedBackends.Add(n)
--- a/placementsimulation/placementsimulation.go
+++ b/placementsimulation/placementsimulation.go
@@ -10,6 +10,7 @@
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/coldrate"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/request"
@@ -232,7 +233,7 @@
 		return
 	}
 	v.restricted = true
-	v.request.AllowsRegion = func(r string) bool { return r == p.region(0) }
+	v.request.Homes = homes.Intersect([]string{p.region(0)})
 }
 
 // randomObject returns a random object of a host's region.
@@ -287,7 +288,7 @@
 func (p *Placementsimulation) highestScore(v *simulatedRequest, score func(s *server) float64) (int, bool) {
 	m, b := -1, 0.0
 	for _, s := range p.servers {
-		if s.down || v.request.AllowsRegion != nil && !v.request.AllowsRegion(p.region(s.index)) {
+		if s.down || !v.request.Homes.Allows(p.region(s.index)) {
 			continue
 		}
 		if x := score(s); m < 0 || x > b {
--- a/regionavailability/regionavailability.go
+++ b/regionavailability/regionavailability.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"celeryreach.example/celeryreach/homes"
 )
 
 const (
@@ -62,24 +64,23 @@
 	b.updateAvailable()
 }
 
-// Count counts a request that may be served in the regions for which homes returns
-// true. A nil homes means all regions.
-func (b *Regionavailability) Count(homes func(region string) bool, now time.Time) {
+// Count counts a request with the given homes.
+func (b *Regionavailability) Count(h homes.Homes, now time.Time) {
 	b.decay(now)
 	b.requests++
-	b.countRestricted(homes)
+	b.countRestricted(h)
 	b.updateAvailable()
 }
 
 // countRestricted counts a request for the regions that may serve it, unless all regions
 // may serve it.
-func (b *Regionavailability) countRestricted(homes func(region string) bool) {
-	if homes == nil {
+func (b *Regionavailability) countRestricted(h homes.Homes) {
+	if !h.Bound {
 		return
 	}
 	var s float64
 	for n, r := range b.regions {
-		if homes(n) {
+		if h.Allows(n) {
 			s += r.slots
 		}
 	}
@@ -87,7 +88,7 @@
 		return
 	}
 	for n, r := range b.regions {
-		if homes(n) {
+		if h.Allows(n) {
 			r.restricted += r.slots / s
 		}
 	}
--- a/regionavailability/regionavailability_test.go
+++ b/regionavailability/regionavailability_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/regionavailability"
 )
 
@@ -91,21 +92,14 @@
 }
 
 // countEvenly counts requests at a constant rate. Every second one is restricted to
-// homes.
-func countEvenly(b *regionavailability.Regionavailability, from time.Time, d time.Duration, homes []string) {
+// these regions.
+func countEvenly(b *regionavailability.Regionavailability, from time.Time, d time.Duration, regions []string) {
 	for i := range int(d.Seconds() * 20) {
 		t := from.Add(time.Duration(i) * time.Second / 20)
-		if homes == nil || i%2 == 1 {
-			b.Count(nil, t)
-			continue
+		var h homes.Homes
+		if i%2 == 0 {
+			h = homes.Intersect(regions)
 		}
-		b.Count(func(r string) bool {
-			for _, h := range homes {
-				if h == r {
-					return true
-				}
-			}
-			return false
-		}, t)
+		b.Count(h, t)
 	}
 }
--- a/request/request.go
+++ b/request/request.go
@@ -14,6 +14,7 @@
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/decisionlog"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/sendgate"
 	"celeryreach.example/celeryreach/service"
 )
@@ -44,9 +45,10 @@
 	Attempts int
 	// MaxWait is how long the request may wait for a slot.
 	MaxWait time.Duration
-	// AllowsRegion reports whether a region may serve the request; nil allows all
-	// regions.
-	AllowsRegion func(region string) bool
+	// Homes are the regions that may serve the request.
+	Homes homes.Homes
+	// HomesVersion is the version of the configuration from which Homes were taken.
+	HomesVersion uint64
 	// AttemptedBackends holds the backend servers that the request was sent to.
 	AttemptedBackends *attempted.Attempted
 	// DecisionLog collects the decisions on the request for the log.
--- a/routeindex/routeindex.go
+++ b/routeindex/routeindex.go
@@ -11,6 +11,7 @@
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/credential"
+	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/ingress"
 	"celeryreach.example/celeryreach/service"
 )
@@ -102,6 +103,15 @@
 	return b.keys[credential.Hash(key)]
 }
 
+// Homes returns the regions that may serve the requests of a route and a client account.
+// The account may be nil.
+func Homes(i *ingress.Ingress, a *account.Account) homes.Homes {
+	if a == nil {
+		return homes.Intersect(i.Homes)
+	}
+	return homes.Intersect(i.Homes, a.Homes)
+}
+
 // HasKey reports whether a client account holds the key with this hash.
 func (b *Routeindex) HasKey(hash string) bool {
 	return b.keys[hash] != nil
