Edge: a failing test of forwarded requests whose homes have no backend server left

request sent to another host Regions=[] Homes=lagos HomesVersion=594 request taken from another host Homes=all HomesVersion=594 Version=597 request placed Backend=i-ba5aa5ad7c Region=abuja Homes=all

--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -34,6 +34,7 @@
 	listingPath    = "/listings/"
 	enrolPath      = "/enrol/"
 	homePath       = "/home/"
+	homeEnrolPath  = homePath + "enrol/"
 	listings       = "listings"
 	objects        = 60
 	requestTimeout = 2 * time.Second
@@ -51,6 +52,9 @@
 }, {
 	Name: "home", Host: callerHost, Prefix: homePath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, Homes: []string{"lagos"},
 	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Public: true, Sticky: true,
+}, {
+	Name: "home-enrol", Host: callerHost, Prefix: homeEnrolPath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, NonIdempotent: true, Homes: []string{"lagos"},
+	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Sticky: true,
 }}
 
 var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -251,6 +251,14 @@
 	}
 }
 
+// Guards against a forwarded request that any region may serve at the other host, since the
+// last backend server of its homes was dropped while it was forwarded.
+func TestHomesWithoutBackendsBindForwardedRequests(t *testing.T) {
+	for _, s := range []string{linkResets, linkHangs, linkKeeps} {
+		t.Run(s, func(t *testing.T) { runLinkScript(t, "links-homes", s) })
+	}
+}
+
 // Guards against hosts that wait, or forward requests in a circle, when no host reaches a
 // backend server.
 func TestNoHostReachesBackends(t *testing.T) {
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -33,11 +33,12 @@
 
 // kinds are the kinds that scripts name.
 var kinds = map[string]kind{
-	"view":      {path: listingPath},
-	"enrol":     {path: enrolPath, key: "key", body: 2 << 10},
-	"long-body": {path: enrolPath, key: "key", body: 2 * maxBuffered},
-	"home":      {path: homePath},
-	"leaves":    {path: slowPath, leaves: 200 * time.Millisecond},
+	"view":       {path: listingPath},
+	"enrol":      {path: enrolPath, key: "key", body: 2 << 10},
+	"long-body":  {path: enrolPath, key: "key", body: 2 * maxBuffered},
+	"home":       {path: homePath},
+	"home-enrol": {path: homeEnrolPath, key: "key", body: 2 << 10},
+	"leaves":     {path: slowPath, leaves: 200 * time.Millisecond},
 }
 
 // kind returns the kind of a request. The kinds of a script take turns.
