Edge: a forwarded request keeps its homes when none of them has a backend server

The sender stated as homes the allowed regions in which it knew backend servers of the service at that moment, and the receiver took an empty list for all regions. The last backend server of the homes was dropped between the decision to forward and the message, which waits for a stream to another region: 'Regions=[] Homes=lagos' at the sender, 'Homes=all' at the receiver.

The message now says whether regions are listed (Homes), and lists the homes themselves. A request without a home left is offered to no host. From a build that does not say it, an empty list is read by the receiver's configuration if it has the sender's version, and refused as not run if not; a build of before gets only lists that are not empty, which it reads rightly.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/forward"
-	"celeryreach.example/celeryreach/homes"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/receive"
@@ -74,17 +74,8 @@
 	m.Priority, m.Attempts = int32(r.Priority), int32(r.Attempts) //nolint:gosec // small numbers of the configuration
 	m.MaxWaitNanoseconds = int64(r.MaxWait)
 	m.AttemptedBackends = r.AttemptedBackends.SentNames()
-	defer func() {
-		r.DecisionLog.Add(e.Clock.Now(), "request sent to another host", "Regions", m.Regions, "Homes", r.Homes, "HomesVersion", r.HomesVersion)
-	}()
-	if !r.Homes.Bound {
-		return
-	}
-	for g := range e.placement.Slots(r.Service.Name) {
-		if r.Homes.Allows(g) {
-			m.Regions = append(m.Regions, g)
-		}
-	}
+	stateHomes(m, r.Homes)
+	r.DecisionLog.Add(e.Clock.Now(), "request sent to another host", "Regions", m.Regions, "Homes", r.Homes, "HomesVersion", r.HomesVersion)
 }
 
 // resolveForwarded sets the fields of a request that another host has admitted.
@@ -105,13 +96,22 @@
 	}
 	r.Service = *s
 	r.Account, r.Credential = m.GetAccount(), credential.Credential{Account: m.GetAccount(), Hash: m.GetKeyId()}
+	u, err := url.ParseRequestURI(m.GetTarget())
+	if err != nil {
+		return refuseForwarded(outcome.NoCapacity, "the path of the request can't be read")
+	}
+	r.Path = u.EscapedPath()
 	r.Host, r.Route, r.Object, r.NonIdempotent = m.GetHost(), m.GetRoute(), m.GetObject(), m.GetNonIdempotent()
 	r.Priority, r.Attempts, r.MaxWait = int(m.GetPriority()), int(m.GetAttempts()), time.Duration(m.GetMaxWaitNanoseconds())
 	r.AttemptedBackends = new(attempted.Attempted)
 	for _, n := range m.GetAttemptedBackends() {
 		r.AttemptedBackends.Add(n)
 	}
-	r.Homes, r.HomesVersion = homes.Intersect(m.GetRegions()), m.GetConfigVersion()
+	h, ok := statedHomes(m, r, b)
+	if !ok {
+		return refuseForwarded(outcome.NoCapacity, "the request states no homes")
+	}
+	r.Homes, r.HomesVersion = h, m.GetConfigVersion()
 	return outcome.Outcome{}
 }
 
--- a/edge/homes.go
+++ b/edge/homes.go
@@ -3,6 +3,9 @@
 import (
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/homes"
+	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/routeindex"
+	"celeryreach.example/celeryreach/wire"
 )
 
 // logHomes logs the homes of routes and client accounts that differ between two versions
@@ -38,3 +41,25 @@
 	}
 	return routes, accounts
 }
+
+// stateHomes adds the homes of a request to its message.
+func stateHomes(m *wire.Request, h homes.Homes) {
+	m.Homes = wire.Homes_ALL
+	if h.Bound {
+		m.Homes, m.Regions = wire.Homes_LISTED, h.Regions
+	}
+}
+
+// statedHomes returns the homes to which the sender of a forwarded request holds it; ok is
+// false if they are unknown. An older build sends the regions in which it knows backend
+// servers, and sends none also if no region may serve the request. The configuration tells
+// these apart if it is the same version here.
+func statedHomes(m *wire.Request, r *request.Request, b *routeindex.Routeindex) (h homes.Homes, ok bool) {
+	switch {
+	case m.GetHomes() != wire.Homes_UNSTATED:
+		return homes.Homes{Bound: m.GetHomes() == wire.Homes_LISTED, Regions: m.GetRegions()}, true
+	case len(m.GetRegions()) > 0:
+		return homes.Intersect(m.GetRegions()), true
+	}
+	return b.HomesOf(r.Host, r.Path, r.Credential), b.Config.Version == m.GetConfigVersion()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 // Serve has set the fields of r that come from the HTTP request. If the outcome is not
 // Answered, it is the reason, and nothing was written to w.
 func (g *Gateway) Serve(ctx context.Context, r *request.Request, path, key string, w http.ResponseWriter) outcome.Outcome {
+	r.Path = path
 	n := g.Clock.Now()
 	b := g.Index()
 	if b == nil {
--- a/request/request.go
+++ b/request/request.go
@@ -55,6 +55,8 @@
 	DecisionLog *decisionlog.Decisionlog
 	// Method is the HTTP method.
 	Method string
+	// Path is the path by which the route was found.
+	Path string
 	// Target is the path and query.
 	Target string
 	// Header holds the caller's header fields without the key and hop-by-hop fields.
--- a/routeindex/routeindex.go
+++ b/routeindex/routeindex.go
@@ -112,6 +112,22 @@
 	return homes.Intersect(i.Homes, a.Homes)
 }
 
+// HomesOf returns the regions that this version lets serve a request which was admitted
+// with a key, by this version or another. A path without a route has no homes.
+func (b *Routeindex) HomesOf(host, path string, c credential.Credential) homes.Homes {
+	var h homes.Homes
+	if i := b.Route(host, path); i != nil {
+		h = homes.Intersect(i.Homes)
+	}
+	// The key may have moved to another account since.
+	for _, a := range []*account.Account{b.accounts[c.Account], b.keys[c.Hash]} {
+		if a != nil {
+			h = h.And(homes.Intersect(a.Homes))
+		}
+	}
+	return h
+}
+
 // HasKey reports whether a client account holds the key with this hash.
 func (b *Routeindex) HasKey(hash string) bool {
 	return b.keys[hash] != nil
