Gateway: a request is held to the homes of the version in force when it is sent

A request was held to the homes of the version that admitted it, for as long as its caller waits: while it waited for room, on second tries and hedges, when net/http sent it again by itself, and at the host to which it was forwarded, whatever version that host had.

Homes are now taken from the version in force as well at each decision, at each connection on which a request is about to be written (Upstream.MaySend gets the request), before and after a stream to another host is opened, and at that host by its own version: by host, path, key and account, since routes come and go and keys move. A request without a home left is refused as not run.

The stand-in backend servers of edge check homes at the arrival now, before a request is refused or broken off, not at its run. The fixture of TestPlaceSkipsBackendsWithoutPermit has a configuration, as a host that admits has.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	msgNoRoom       = "the backend server had no room"
 	msgNoConnection = "the backend server could not be reached"
 	msgNotWanted    = "the backend server wants no requests at the moment"
+	msgNotAllowed   = "the backend server may not serve the request"
 )
 
 // Dispatch serves requests of the host's own callers as well as forwarded ones. It
@@ -212,6 +213,9 @@
 	case !ran && errors.Is(err, upstream.ErrNotWanted):
 		s.Release(result.Unused)
 		return refuse(outcome.NoCapacity, msgNotWanted)
+	case !ran && errors.Is(err, upstream.ErrNotAllowed):
+		s.Release(result.Unused)
+		return refuse(outcome.NoCapacity, msgNotAllowed)
 	case !ran:
 		s.Release(result.Unused)
 		return refuse(outcome.NoCapacity, msgNoConnection)
@@ -236,7 +240,7 @@
 // the budget.
 func (d *Dispatch) mayRetry(t attempt, r *request.Request) bool {
 	o := t.outcome
-	s := o.Outcome == outcome.NoCapacity && (o.Message == msgNoRoom || o.Message == msgNoConnection || o.Message == msgNotWanted)
+	s := o.Outcome == outcome.NoCapacity && isAboutBackend(o.Message)
 	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
 	if !s && !b || !rewindBody(r) {
 		return false
@@ -244,6 +248,15 @@
 	return t.sent == 0 || d.Budget.TakeRetry(r.Service.Name)
 }
 
+// isAboutBackend reports whether a refusal has this message because of one backend server.
+func isAboutBackend(m string) bool {
+	switch m {
+	case msgNoRoom, msgNoConnection, msgNotWanted, msgNotAllowed:
+		return true
+	}
+	return false
+}
+
 // copyAnswer copies the response of an attempt to the caller. If the attempt has no
 // response, copyAnswer returns the attempt's outcome.
 func (d *Dispatch) copyAnswer(ctx context.Context, r *request.Request, t attempt, w http.ResponseWriter) outcome.Outcome {
--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -84,12 +84,14 @@
 	s.mu.Lock()
 	s.recordStart(h)
 	s.leaving.countArrival(s.backend.Name, q.Header)
-	d, f, stalls := s.work, s.refusing, s.stalls
+	d, f, stalls, b := s.work, s.refusing, s.stalls, s.backend
 	broken := s.breaks > 0 && len(s.arrivals)%s.breaks == 0
 	s.mu.Unlock()
+	id := q.Header.Get(upstream.IDHeader)
+	s.runs.arrive(id, q, b)
 	defer func() { s.recordEnd(h, n, f == nil && !broken) }()
 	if f != nil {
-		s.refuse(w, *f, h, q.Header.Get(upstream.IDHeader))
+		s.refuse(w, *f, h, id)
 		return
 	}
 	if stalls > 0 {
@@ -99,8 +101,7 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return // the request is not complete, and does not run
 	}
-	id := q.Header.Get(upstream.IDHeader)
-	s.runs.start(id, q, s.backend)
+	s.runs.start(id, q)
 	if broken {
 		s.runs.breakOff(id)
 		panic(http.ErrAbortHandler)
@@ -120,7 +121,7 @@
 	s.mu.Lock()
 	v, l := s.value, s.leaving
 	s.mu.Unlock()
-	w.Header().Set(upstream.IDHeader, q.Header.Get(upstream.IDHeader))
+	w.Header().Set(upstream.IDHeader, id)
 	w.Header().Set(backendHeader, s.backend.Name)
 	if v != "" {
 		w.Header().Set(limitHeader, v)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -136,6 +136,7 @@
 // empty if there is none. runBackendCommand has the commands for backend servers.
 //
 //	configuration VERSION KEY...        the operator writes a version with these keys
+//	home REGION                         the next version moves the home of requests with homes there
 //	evacuate DOMAIN, return DOMAIN      the operator starts or ends the evacuation of a failure domain
 //	silent [HOST...], answers [HOST...] the store stops or resumes responding to these hosts, or to all
 //	slow DURATION                       each response of the store takes that long
@@ -163,6 +164,8 @@
 		w.network.setCut(a[0], command == "cut")
 	case "configuration":
 		return "", w.writeConfig(a)
+	case "home":
+		w.runs.moveHome(a[0])
 	case "evacuate":
 		w.config.Put(evacuated+a[0], []byte(a[0]))
 	case "return":
@@ -191,6 +194,12 @@
 	}
 	c := config.Config{Version: v, Accounts: []account.Account{{Name: "unity", Rate: accountRate, Burst: accountRate}}}
 	addRoutes(&c)
+	c.Routes = slices.Clone(c.Routes)
+	for i := range c.Routes {
+		if len(c.Routes[i].Homes) > 0 {
+			c.Routes[i].Homes = []string{w.runs.home()}
+		}
+	}
 	for _, k := range a[1:] {
 		c.Keys = append(c.Keys, credential.Credential{Account: "unity", Hash: credential.Hash(k)})
 	}
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -37,7 +37,7 @@
 		Clock: e.Clock, Dial: e.client.Dial, Idle: streamIdleTimeout, PerAddress: streamsPerHost, MaxDials: maxStreamDials,
 	}
 	e.forward = &forward.Forward{
-		Clock: e.Clock, Region: e.Self.Region, Version: e.configVersion, Targets: e.forwardTargets, Complete: e.completeForward,
+		Clock: e.Clock, Region: e.Self.Region, Version: e.configVersion, Targets: e.forwardTargets, MaySend: e.mayForward, Complete: e.completeForward,
 		ReserveLink: func(string, int64) (func(int64), time.Duration, bool) { return func(int64) {}, 0, true },
 		Open:        e.streams.Open, Limit: maxForwards,
 	}
@@ -54,9 +54,16 @@
 // forwardTargets returns the hosts through which r may be sent. A request with homes leaves
 // its body in these regions only.
 func (e *Edge) forwardTargets(r *request.Request) []member.Member {
+	e.Gateway.HoldToHomes(r)
 	return e.forwardHosts.Targets(r.Homes)
 }
 
+// mayForward reports whether r may be sent to another host now.
+func (e *Edge) mayForward(r *request.Request, m member.Member) bool {
+	e.Gateway.HoldToHomes(r)
+	return r.Homes.Allows(m.Region)
+}
+
 // forwardRequest sends r through another host.
 func (e *Edge) forwardRequest(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	o := e.forward.Serve(ctx, r, w)
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -81,6 +81,7 @@
 //	lapse NAME             its entry is missing from the store
 //	entry NAME             it writes its entry, which shows it ready, again
 //	restart NAME           another process of that name starts, and serves requests
+//	move NAME REGION       it stands in another region from now on, as its entry shows
 //	refused DURATION       checks that callers were refused at once during that time
 //
 // All others are those of runBackoffCommand.
@@ -95,6 +96,9 @@
 	case "restart":
 		s.restart()
 		return "", w.writeEntry(s.backend)
+	case "move":
+		s.move(a[0])
+		return "", w.writeEntry(s.backend)
 	default:
 		return s.runBackoffCommand(command, a)
 	}
@@ -107,6 +111,12 @@
 	s.leaving.states, s.leaving.refuses, s.leaving.relayed = true, refuses, make(map[string]time.Time)
 }
 
+func (s *server) move(region string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backend.Region, s.backend.Domain = region, region
+}
+
 // restart makes s another process, which knows nothing of the one before.
 func (s *server) restart() {
 	s.mu.Lock()
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -81,7 +81,19 @@
 // setUpBackoffs enforces the times for which backend servers want no requests.
 func (e *Edge) setUpBackoffs() {
 	e.backoffs = &backendbackoff.Backendbackoff{Clock: e.Clock, Log: e.Log}
-	e.Upstream.MaySend = e.backoffs.Allow
+	e.Upstream.MaySend = e.maySend
+}
+
+// maySend returns why r may not be sent to a backend server on a connection that is open
+// now, nil if it may.
+func (e *Edge) maySend(r *request.Request, b backend.Backend) error {
+	switch {
+	case !e.Gateway.MaySend(r, b):
+		return upstream.ErrNotAllowed
+	case !e.backoffs.Allow(b):
+		return upstream.ErrNotWanted
+	}
+	return nil
 }
 
 // observeResponse processes what the sender of a response states about the requests that it
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -259,6 +259,14 @@
 	}
 }
 
+// Guards against requests that are tried again, by a host or by net/http, where an earlier
+// version of the configuration, or the earlier place of a backend server, let them go.
+func TestHomesBindLaterTries(t *testing.T) {
+	for _, n := range []string{"homes-moved"} {
+		t.Run(n, func(t *testing.T) { runLinkScript(t, n, "") })
+	}
+}
+
 // Guards against hosts that wait, or forward requests in a circle, when no host reaches a
 // backend server.
 func TestNoHostReachesBackends(t *testing.T) {
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,8 @@
 	maxBuffered = 256 << 10
 	// goneTime is how long after its caller has left a request may still be at work.
 	goneTime = 500 * time.Millisecond
+	// applyTime is how long after it is written a version may not yet be in force.
+	applyTime = time.Second
 	// maxGone is how many requests may be at work longer.
 	maxGone = 3
 )
@@ -62,9 +65,17 @@
 	broken  map[string]bool      // broken off by their backend server
 	errors  []string
 	gone    int // requests at work too long after their caller had left
+	homes   []homeChange
 }
 
-func (r *runs) start(id string, q *http.Request, b backend.Backend) {
+// homeChange is a version of the configuration that moves the home of the routes below
+// homePath.
+type homeChange struct {
+	at   time.Time
+	home string
+}
+
+func (r *runs) start(id string, q *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.started == nil {
@@ -76,11 +87,60 @@
 		r.errors = append(r.errors, fmt.Sprintf("request %s ran twice", id))
 	case q.Method == http.MethodPost && r.refused[id]:
 		r.errors = append(r.errors, fmt.Sprintf("request %s ran after it was reported as not run", id))
-	case strings.HasPrefix(q.URL.Path, homePath) && b.Region != routes[2].Homes[0]:
-		r.errors = append(r.errors, fmt.Sprintf("request %s ran in %s", id, b.Region))
 	}
 }
 
+// arrive checks that a backend server that receives a request stands in its homes.
+func (r *runs) arrive(id string, q *http.Request, b backend.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if strings.HasPrefix(q.URL.Path, homePath) && !r.isHome(q, b.Region) {
+		r.errors = append(r.errors, fmt.Sprintf("request %s reached %s in %s", id, b.Name, b.Region))
+	}
+}
+
+// isHome reports whether a region was a home of the routes below homePath when the caller
+// sent a request and is one now.
+func (r *runs) isHome(q *http.Request, region string) bool {
+	n, err := strconv.ParseInt(q.Header.Get(sentHeader), 10, 64)
+	if err != nil {
+		panic(err) // the test wrote it
+	}
+	return r.wasHome(time.Unix(0, n), region) && r.wasHome(clock.Now(), region)
+}
+
+// wasHome reports whether one of the versions that hosts may have had in force at t lists
+// the region.
+func (r *runs) wasHome(t time.Time, region string) bool {
+	l := []homeChange{{home: routes[2].Homes[0]}}
+	for _, c := range r.homes {
+		if c.at.Before(t.Add(-applyTime)) {
+			l = nil
+		}
+		if !c.at.After(t) {
+			l = append(l, c)
+		}
+	}
+	return slices.ContainsFunc(l, func(c homeChange) bool { return c.home == region })
+}
+
+// moveHome records that a version with another home is written now.
+func (r *runs) moveHome(region string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.homes = append(r.homes, homeChange{at: clock.Now(), home: region})
+}
+
+// home returns the home in the newest version.
+func (r *runs) home() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.homes) == 0 {
+		return routes[2].Homes[0]
+	}
+	return r.homes[len(r.homes)-1].home
+}
+
 func (r *runs) breakOff(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/hopheader"
 	"celeryreach.example/celeryreach/keepalive"
+	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/wire"
@@ -64,11 +65,11 @@
 // run sends the request on a stream and returns the outcome. If the caller
 // disconnects, ctx ends, which ends the stream and with it the request at the
 // other end.
-func (a *attempt) run(ctx context.Context, address string, fresh bool) outcome.Outcome {
+func (a *attempt) run(ctx context.Context, m member.Member, fresh bool) outcome.Outcome {
 	x, c := context.WithCancel(ctx)
 	defer c()
 	a.cancel = c
-	s, r, d, err := a.forward.Open(x, address, fresh)
+	s, r, d, err := a.forward.Open(x, m.PeerAddress, fresh)
 	a.reused = r
 	if err != nil {
 		// At most the name of the RPC has been sent, so the request did not run.
@@ -77,6 +78,9 @@
 	a.stream = s
 	l := false
 	defer func() { d(l) }()
+	if !a.forward.maySend(a.request, m) {
+		return refuseOutsideHomes()
+	}
 	e := a.watch(x)
 	defer func() { e(l) }()
 	if err := a.send(); err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,9 @@
 	Version func() uint64
 	// Targets returns the hosts that may run a request, best first.
 	Targets func(r *request.Request) []member.Member
+	// MaySend reports whether a request may be sent to a host now. It is called again when
+	// the stream is open, since opening one takes time. Nil permits all.
+	MaySend func(r *request.Request, m member.Member) bool
 	// Complete adds to a message what the receiving host can't look up; nil adds nothing.
 	Complete func(m *wire.Request, r *request.Request)
 	// ReserveLink reserves the bytes of a request on the link to a region. The
@@ -95,6 +98,9 @@
 // sends r again on a new connection, since only requests that may run twice use reused
 // connections.
 func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) outcome.Outcome {
+	if !f.maySend(r, m) {
+		return refuseOutsideHomes()
+	}
 	s, e, ok := f.ReserveLink(m.Region, b.linkBytes(r))
 	if !ok {
 		return refuse("the link to the other region is full", e)
@@ -102,14 +108,18 @@
 	c := &transfer{writer: w}
 	defer func() { s(c.sent.Load()) }()
 	a := &attempt{forward: f, request: r, body: b, transfer: c}
-	o := a.run(ctx, m.PeerAddress, r.NonIdempotent)
+	o := a.run(ctx, m, r.NonIdempotent)
 	if o.Outcome == outcome.BackendFailed && a.reused && !a.gotFrame && !b.isConsumed() && ctx.Err() == nil {
 		a = &attempt{forward: f, request: r, body: b, transfer: c}
-		o = a.run(ctx, m.PeerAddress, true)
+		o = a.run(ctx, m, true)
 	}
 	return o
 }
 
+func (f *Forward) maySend(r *request.Request, m member.Member) bool {
+	return f.MaySend == nil || f.MaySend(r, m)
+}
+
 func (f *Forward) acquire() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -199,6 +209,10 @@
 	return n
 }
 
+func refuseOutsideHomes() outcome.Outcome {
+	return refuse("the other host stands outside the request's homes", time.Second)
+}
+
 func refuse(m string, d time.Duration) outcome.Outcome {
 	return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: m, RetryAfter: d}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -165,6 +165,7 @@
 // backend server that grants no permit now, the time after which it may grant one.
 func placeRequest(ctx context.Context, patience time.Duration, again map[string]time.Duration) (slot.Slot, outcome.Outcome) {
 	w := newFixture()
+	w.configure(1, nil)
 	p := &placement.Placement{Clock: w.clock, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
 	p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
 	w.gateway.Placement = p
@@ -202,6 +203,7 @@
 	_, o := placeRequest(x, 0, map[string]time.Duration{"c1": time.Second, "c2": time.Second})
 	must.EqOp(t, outcome.Left, o.Outcome)
 	w := newFixture()
+	w.configure(1, nil)
 	_, o = w.gateway.AcquireSlot(x, &request.Request{ID: "r1", Admitted: w.clock.Now(), DecisionLog: new(decisionlog.Decisionlog)})
 	must.EqOp(t, outcome.NoCapacity, o.Outcome)
 	must.Positive(t, o.RetryAfter)
@@ -212,6 +214,7 @@
 func TestBackoffDuringPermitRequest(t *testing.T) {
 	for _, n := range []int{1, 2} {
 		w := newFixture()
+		w.configure(1, nil)
 		b := &backendbackoff.Backendbackoff{Clock: w.clock, Log: log.New(io.Discard)}
 		p := &placement.Placement{Clock: w.clock, Backoff: b, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
 		p.Set([]backend.Backend{{Name: "c1", Slots: 2}, {Name: "c2", Slots: 2}}, func(string) time.Time { return time.Time{} })
@@ -251,6 +254,7 @@
 		{"0.1", 0.5, 250 * time.Millisecond},
 	} {
 		w := newFixture()
+		w.configure(1, nil)
 		b := &backendbackoff.Backendbackoff{Clock: w.clock, Log: log.New(io.Discard)}
 		p := &placement.Placement{Clock: w.clock, Backoff: b, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
 		p.Set([]backend.Backend{{Name: "c1", Slots: 2}}, func(string) time.Time { return time.Time{} })
@@ -266,6 +270,7 @@
 // not this host, turned its request away.
 func TestTurnedAwayCallerIsToldDelay(t *testing.T) {
 	w := newFixture()
+	w.configure(1, nil)
 	w.configure(1, []string{"key-1"})
 	w.clock.Advance(time.Second) // the account's rate is then available
 	w.gateway.Dispatch = func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome {
@@ -281,6 +286,7 @@
 // as one above its account's rate.
 func TestCallerLeavesWhileBorrowing(t *testing.T) {
 	w := newFixture()
+	w.configure(1, nil)
 	w.configure(1, []string{"key-1"}) // the bucket is empty at the start
 	x, leave := context.WithCancel(t.Context())
 	w.gateway.Tokens.StartBorrowing = func(string, int64, int64, []string) bool {
--- a/gateway/slot.go
+++ b/gateway/slot.go
@@ -21,6 +21,7 @@
 	n := 0 // permits denied or not used
 	for {
 		c := g.Placement.Freed()
+		g.HoldToHomes(r)
 		b, ok, m, f := g.Placement.AcquireOrForward(r)
 		if ok && g.requestPermit(ctx, r, b) {
 			return g.newSlot(r, b), outcome.Outcome{}
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -10,12 +10,12 @@
 // request if it may not be sent on one. There can be more than one, because net/http by itself repeats an idempotent request when a reused
 // connection breaks.
 type connTracker struct {
-	maySend          func() bool // whether the request may be sent on one more connection
-	onTransportRetry func()      // called for each connection after the first one
-	abandon          func()      // ends the request
+	maySend          func() error // why the request may not be sent on one more connection
+	onTransportRetry func()       // called for each connection after the first one
+	abandon          func(error)  // ends the request
 	current          *sealableconn.Sealableconn
-	written          bool // whether an earlier connection was written to
-	abandoned        bool
+	written          bool  // whether an earlier connection was written to
+	abandoned        error // why the request was abandoned
 }
 
 // gotConn is called by httptrace when net/http takes a connection for the request.
@@ -26,10 +26,10 @@
 	}
 	c.current = i.Conn.(*sealableconn.Sealableconn)
 	c.current.StartRequest()
-	if !c.maySend() {
-		c.abandoned = true
+	if err := c.maySend(); err != nil {
+		c.abandoned = err
 		c.current.Seal()
-		c.abandon()
+		c.abandon(err)
 		return
 	}
 	if a {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,6 +53,10 @@
 // part of this one was written.
 var ErrNotWanted = errors.New("the backend server wants no requests at the moment")
 
+// ErrNotAllowed is returned if the backend server could no longer serve the request by the
+// time at which any part of it would have been written.
+var ErrNotAllowed = errors.New("the backend server may not serve the request")
+
 var errOutOfReach = errors.New("the last connection could not be opened")
 
 // Upstream sends requests through the transports of net/http.
@@ -77,10 +81,11 @@
 	// err is the result of CheckResponse: unless it is nil or ErrNotRun, the response is
 	// not proven to be from b. The body must not be read. Nil disables the call.
 	OnResponse func(b backend.Backend, sent time.Time, p *http.Response, err error)
-	// MaySend reports whether b may be sent a request now. It is called for each connection
-	// on which a request is about to be sent: opening one takes time, and net/http by
-	// itself sends requests again long after they were placed. Nil permits all requests.
-	MaySend func(b backend.Backend) bool
+	// MaySend returns an error if r may not be sent to b now: ErrNotWanted or
+	// ErrNotAllowed. It is called for each connection on which a request is about to be
+	// sent: opening one takes time, and net/http by itself sends requests again long after
+	// they were placed. Nil permits all requests.
+	MaySend func(r *request.Request, b backend.Backend) error
 	// MayDial reports whether a new connection to an address may be opened for a request.
 	// Nil permits all.
 	MayDial func(address string) bool
@@ -126,15 +131,20 @@
 	// The response is read after Send, so x ends only with ctx.
 	x, f := context.WithCancelCause(ctx)
 	c := &connTracker{
-		maySend: func() bool { return u.MaySend == nil || u.MaySend(b) },
+		maySend: func() error {
+			if u.MaySend == nil {
+				return nil
+			}
+			return u.MaySend(r, b)
+		},
 		onTransportRetry: func() {
 			if u.OnTransportRetry != nil {
 				u.OnTransportRetry(b)
 			}
 		},
-		abandon: func() {
+		abandon: func(err error) {
 			y.seal()
-			f(ErrNotWanted)
+			f(err)
 		},
 	}
 	x = httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: c.gotConn})
@@ -151,8 +161,8 @@
 	if err != nil {
 		y.seal()
 		ran := c.sealWritten()
-		if c.abandoned && !ran {
-			err = ErrNotWanted
+		if c.abandoned != nil && !ran {
+			err = c.abandoned
 		}
 		return nil, ran, errors.Wrap(err, "upstream")
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -171,7 +171,12 @@
 	s := serve(t, 10)
 	wanted := false
 	u := upstream.New(clockwork.NewRealClock(), time.Second)
-	u.MaySend = func(backend.Backend) bool { return wanted }
+	u.MaySend = func(*request.Request, backend.Backend) error {
+		if wanted {
+			return nil
+		}
+		return upstream.ErrNotWanted
+	}
 	defer u.Close()
 	b := backend.Backend{Address: s.listener.Addr().String()}
 	for _, f := range []bool{true, false} {
@@ -198,7 +203,12 @@
 	s := serve(t, 1)
 	n := 0
 	u := upstream.New(clockwork.NewRealClock(), time.Second)
-	u.MaySend = func(backend.Backend) bool { n++; return n <= 2 }
+	u.MaySend = func(*request.Request, backend.Backend) error {
+		if n++; n <= 2 {
+			return nil
+		}
+		return upstream.ErrNotWanted
+	}
 	defer u.Close()
 	b := backend.Backend{Address: s.listener.Addr().String()}
 	p, _, err := u.Send(t.Context(), get(), b, false)
