Placement: what is sent with homes goes to the process that is listed in them

The region of a backend server was looked at once, when a request was placed.

For a request with homes each connection is checked before anything is written: the backend server must still be listed with the address and the start that were chosen, stand in a home, and share its address with none outside them.

Requests without homes are not checked: Expect-Instance holds for them as before.

--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -114,6 +114,7 @@
 func (s *server) move(region string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.movedAt, s.movedFrom = clock.Now(), s.backend.Region
 	s.backend.Region, s.backend.Domain = region, region
 }
 
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -24,7 +24,7 @@
 func (g *Gateway) MaySend(r *request.Request, b backend.Backend) bool {
 	q := *r
 	g.HoldToHomes(&q)
-	if q.Homes.Allows(b.Region) {
+	if g.Placement.StandsIn(b, q.Homes) {
 		return true
 	}
 	r.DecisionLog.Add(g.Clock.Now(), "request held back", "Backend", b.Name, "Region", b.Region, "Homes", q.Homes, "HomesVersion", q.HomesVersion)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -80,6 +80,7 @@
 
 	mu             sync.Mutex
 	servers        map[string]*server
+	addresses      map[string]int // how many servers have each address
 	pools          map[string]*pool
 	freed          chan struct{}
 	routeDurations map[string]time.Duration // moving average of the duration of requests, by route
@@ -101,6 +102,7 @@
 	defer p.mu.Unlock()
 	o, g := p.servers, p.pools
 	p.servers = make(map[string]*server)
+	p.addresses = make(map[string]int)
 	p.pools = make(map[string]*pool)
 	for _, b := range l {
 		s := o[b.Name]
@@ -110,6 +112,7 @@
 		s.backend = b
 		s.coldUntil = deadline.Later(s.coldUntil, cold(b.Name))
 		p.servers[b.Name] = s
+		p.addresses[b.Address]++
 		v := p.pools[b.Service]
 		if v == nil {
 			v = g[b.Service].withoutServers()
