--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -49,6 +49,8 @@
 	done    chan error
 	runs    *runs
 	links   *links
+	// attempts is shared by all backend servers.
+	attempts *attempts
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -81,6 +83,7 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h, n := q.Header.Get(hostHeader), clock.Now()
+	s.attempts.arrive(q.Header.Get(upstream.IDHeader), q.Header.Get(attemptHeader), q.URL.Path, s.backend.Name)
 	s.mu.Lock()
 	s.recordStart(h)
 	s.leaving.countArrival(s.backend.Name, q.Header)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -65,6 +65,7 @@
 	stopCallers      func()   // stops the callers
 	kinds            []string // of the callers' requests; empty for idempotent ones only
 	runs             runs
+	attempts         attempts
 
 	mu       sync.Mutex
 	calls    []call
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -164,7 +164,7 @@
 	}
 	s := &server{
 		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
-		runs:    &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		runs:    &w.runs, links: &w.network.links, attempts: &w.attempts, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
@@ -205,6 +205,7 @@
 	u.SetHeaders = func(h http.Header, r *request.Request, _ backend.Backend, _ time.Duration) {
 		h.Set(upstream.IDHeader, r.ID)
 		h.Set(hostHeader, host)
+		h.Set(attemptHeader, w.attempts.next(host))
 	}
 	return u
 }
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -154,6 +154,7 @@
 //	kinds KIND...                         callers send requests of these kinds
 //	served HOST,HOST... SHARE DURATION    checks that they served at least this share of what was sent to them in that time
 //	fast HOST,HOST... SHARE DURATION      the same of what was answered within the objective
+//	attempts kept                         checks that no request was sent to more backend servers than its route allows
 //	refusing HOST,HOST... DURATION        checks that all requests to them in that time were refused within 10 ms, with a time
 func (w *deployment) runLinkCommand(command string, a []string) (string, error) {
 	switch command {
@@ -167,6 +168,8 @@
 		}
 	case "kinds":
 		w.kinds = a
+	case "attempts":
+		return w.attempts.excess(), nil
 	case "served", "fast":
 		return w.checkServed(strings.Split(a[0], ","), a[1], a[2], command == "fast")
 	case "refusing":
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -32,12 +32,15 @@
 	scripts map[string][][]string
 	full    string
 	timeout time.Duration
-	mu      sync.Mutex
-	log     []string
-	bytes   int64
-	ended   chan struct{}
-	result  string
-	cancel  context.CancelFunc
+	// attempts is the limit of each later request, and given what each stream got of it.
+	attempts int
+	given    []string
+	mu       sync.Mutex
+	log      []string
+	bytes    int64
+	ended    chan struct{}
+	result   string
+	cancel   context.CancelFunc
 }
 
 func newHarness() *harness {
@@ -104,6 +107,7 @@
 	switch v := m.Part.(type) {
 	case *wire.Frame_Request:
 		s.harness.note("%s:head", s.name)
+		s.harness.given = append(s.harness.given, fmt.Sprintf("%s=%d", s.name, v.Request.Attempts))
 	case *wire.Frame_Body:
 		s.body += len(v.Body)
 	case *wire.Frame_End:
@@ -156,7 +160,7 @@
 		x, f = deadline.With(x, r.clock, r.timeout)
 	}
 	r.ended = make(chan struct{})
-	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST"}
+	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST", Attempts: r.attempts}
 	if size > 0 {
 		q.Body = strings.NewReader(strings.Repeat("x", size))
 		q.Length = int64(size)
