forward: a request that may have run is not reported as not run

Callers could be told "not run" for an idempotent request that ran: a host got it on a reused connection that broke before its first message, and the second stream, or all further hosts, refused it.

Cause: Forward.Serve returns the outcome of the last stream alone.

Evidence: forward/testdata/lost.txtar gives "NoCapacity ran=no" before.

Change: a stream that was lost is remembered, and a later "not run" becomes "BackendFailed, may have run", as dispatch does for its own attempts. Further hosts are asked as before.

Measured: go test -run Scripts/lost ./forward fails before and passes now.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -73,14 +73,16 @@
 	}
 	o := refuse("no failure domain has a free slot", time.Second)
 	n := 0
+	mayHaveRun := false
 	for _, m := range f.Targets(r) {
 		if n == maxTargets || b.isConsumed() || ctx.Err() != nil {
 			break
 		}
 		n++
-		v := f.sendTo(ctx, m, r, b, w)
+		v, lost := f.sendTo(ctx, m, r, b, w)
+		mayHaveRun = mayHaveRun || lost
 		if !mayTryNext(v) {
-			return v
+			return combinedOutcome(v, mayHaveRun)
 		}
 		// The caller receives the earliest retry time that any target returned.
 		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.RetryAfter {
@@ -88,26 +90,40 @@
 		}
 		o = v
 	}
+	return combinedOutcome(o, mayHaveRun)
+}
+
+// combinedOutcome turns the outcome of the last stream into that of the request. If r may
+// have run by an earlier one, the caller must not be informed that it did not run.
+func combinedOutcome(o outcome.Outcome, mayHaveRun bool) outcome.Outcome {
+	if !mayHaveRun || o.Ran != outcome.RanNo {
+		return o
+	}
+	o.Ran = outcome.RanUnknown
+	if o.Outcome != outcome.Left && o.Outcome != outcome.DeadlineExceeded {
+		o.Outcome = outcome.BackendFailed
+		o.Message = "an earlier attempt may have run; the last one ended with: " + o.Message
+	}
 	return o
 }
 
 // sendTo sends r to one host. If a reused connection yields no frame at all, sendTo
 // sends r again on a new connection, since only requests that may run twice use reused
-// connections.
-func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) outcome.Outcome {
+// connections. Lost reports whether r may have run by the first one.
+func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) (o outcome.Outcome, lost bool) {
 	s, e, ok := f.ReserveLink(m.Region, b.linkBytes(r))
 	if !ok {
-		return refuse("the link to the other region is full", e)
+		return refuse("the link to the other region is full", e), false
 	}
 	c := &transfer{writer: w}
 	defer func() { s(c.sent.Load()) }()
 	a := &attempt{forward: f, request: r, body: b, transfer: c}
-	o := a.run(ctx, m.PeerAddress, r.NonIdempotent)
-	if o.Outcome == outcome.BackendFailed && a.reused && !a.gotFrame && !b.isConsumed() && ctx.Err() == nil {
-		a = &attempt{forward: f, request: r, body: b, transfer: c}
-		o = a.run(ctx, m.PeerAddress, true)
+	o = a.run(ctx, m.PeerAddress, r.NonIdempotent)
+	if o.Outcome != outcome.BackendFailed || !a.reused || a.gotFrame || b.isConsumed() || ctx.Err() != nil {
+		return o, false
 	}
-	return o
+	a = &attempt{forward: f, request: r, body: b, transfer: c}
+	return a.run(ctx, m.PeerAddress, true), true
 }
 
 func (f *Forward) acquire() bool {
