Forwarding: the hosts together keep a request's number of attempts

Backend servers got a request from up to three sends of which its route allows two, when a host without links sent it through others.

Cause: the hop counted no attempt after "not run", though backend servers that had refused it had received it; each next host and each second stream on a new connection got all attempts that were left; the sending host did not learn which backend servers had it; and a late response made the sending host use one more while another host had been given them all.

Change: a refusal says how many attempts were used and which backend servers may have received the request (message Refusal, two new fields). Forward.Serve adds the names, gives the next host what is left, asks none if nothing is, and returns what was used; dispatch counts it. Without the count, as from builds before this one, all that was given counts as used: such a host's refusal is the last one unless this host itself has attempts left. On a reused connection one attempt is held back for the second stream; the last attempt gets a new connection, so that a host that has gone costs a failed dial and no attempt. Attempts are taken before they run, and a forwarded one takes all that are left. What was proven not to be sent to a backend server does not count. A retry after another host has used an attempt now costs the retry budget one, as a retry after an own attempt does.

Cost: with two attempts allowed, the other host gets one of them on a reused connection, so it does not hedge there; what it refuses goes to the next host. The last attempt costs a dial. Requests without a limit (celeryreach serve) are not counted, as before.

All scripts of package edge now check the attempts at their end. The tests of dispatch and forward follow the new result of Forward and Serve; TestAttemptsOfAllHosts also checks names, counts and what is used.

--- a/attempted/attempted.go
+++ b/attempted/attempted.go
@@ -9,9 +9,10 @@
 // Attempted is shared by all attempts of one request, so that a second attempt goes to
 // a backend server other than the first. A nil Attempted is empty.
 type Attempted struct {
-	mu     sync.Mutex
-	names  map[string]bool
-	unsent map[string]bool // of names: no connection could be opened
+	mu       sync.Mutex
+	names    map[string]bool
+	unsent   map[string]bool // of names: no connection could be opened
+	received []string        // may have received the request, one entry for each attempt
 }
 
 // Add records a backend server.
@@ -41,14 +42,39 @@
 	t.unsent[name] = true
 }
 
-// IsUnsent reports whether no connection to the backend server could be opened.
+// AddReceived records an attempt by which a backend server may have received the request.
+func (t *Attempted) AddReceived(name string) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.names == nil {
+		t.names = make(map[string]bool)
+	}
+	t.names[name] = true
+	t.received = append(t.received, name)
+}
+
+// Received returns the backend servers that AddReceived recorded, one entry for each attempt.
+func (t *Attempted) Received() []string {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.received)
+}
+
+// IsUnsent reports whether no connection to the backend server could be opened. One that
+// another host has sent the request to is not unsent.
 func (t *Attempted) IsUnsent(name string) bool {
 	if t == nil {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.unsent[name]
+	return t.unsent[name] && !slices.Contains(t.received, name)
 }
 
 // SentNames returns the names of the backend servers that may have received the request,
--- a/dispatch/attempts_test.go
+++ b/dispatch/attempts_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
+	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/dispatch"
 	"celeryreach.example/celeryreach/outcome"
@@ -64,10 +65,10 @@
 				c := clockwork.NewRealClock()
 				d, sent := newMixed(c, v.slots...)
 				var given atomic.Int32
-				d.Forward = func(ctx context.Context, r *request.Request, _ http.ResponseWriter) outcome.Outcome {
+				d.Forward = func(ctx context.Context, r *request.Request, _ http.ResponseWriter) (outcome.Outcome, int) {
 					given.Add(int32(r.Attempts))
 					<-ctx.Done()
-					return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown}
+					return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown}, r.Attempts
 				}
 				r := &request.Request{ID: "1", Method: http.MethodGet, Target: "/", Header: make(http.Header), Attempts: v.attempts, Deadline: c.Now().Add(time.Minute)}
 				d.Serve(t.Context(), r, httptest.NewRecorder())
@@ -78,3 +79,48 @@
 		})
 	}
 }
+
+// Guards against a request that another host refuses after it has used attempts, and that is
+// then forwarded with all of them again.
+func TestForwardedAttemptsAreCounted(t *testing.T) {
+	for _, nonIdempotent := range []bool{false, true} {
+		var given []int
+		d, _ := newForwarding(nil)
+		d.Forward = func(_ context.Context, r *request.Request, _ http.ResponseWriter) (outcome.Outcome, int) {
+			given = append(given, r.Attempts)
+			used := 1
+			if len(given) == 2 {
+				used = 0
+			}
+			// The refusal of the other host's own dispatch, after which there may be a retry.
+			return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the backend server had no room"}, used
+		}
+		o, _, _ := serveForwarded(d, nonIdempotent)
+		must.Eq(t, []int{2, 1, 1}, given)
+		must.EqOp(t, outcome.NoCapacity, o.Outcome)
+		must.EqOp(t, outcome.RanNo, o.Ran)
+	}
+}
+
+// Guards against an attempt that a refusal of the backend server, or a late response, hides
+// from the host that forwarded the request.
+func TestAttemptsAreRecorded(t *testing.T) {
+	for _, v := range []struct {
+		slots []string
+		want  []string
+	}{
+		{slots: []string{"away", "away", "away", "away"}},
+		{slots: []string{"mute", "mute"}, want: []string{"mute", "mute"}},
+		{slots: []string{"away", "mute", "mute"}, want: []string{"mute", "mute"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := clockwork.NewRealClock()
+			d, _ := newMixed(c, v.slots...)
+			a := new(attempted.Attempted)
+			r := &request.Request{ID: "1", Method: http.MethodGet, Target: "/", Header: make(http.Header), Attempts: 2, Deadline: c.Now().Add(time.Minute), AttemptedBackends: a}
+			d.Serve(t.Context(), r, httptest.NewRecorder())
+			must.Eq(t, v.want, a.Received())
+			d.Upstream.Close()
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -62,8 +62,9 @@
 	// Upstream sends requests to backend servers.
 	Upstream *upstream.Upstream
 	// Forward sends a request through another host, for slots that demand it. It writes the
-	// response to w, as Serve does.
-	Forward func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
+	// response to w, as Serve does. Used is how many of the request's attempts were used, or
+	// may have been.
+	Forward func(ctx context.Context, r *request.Request, w http.ResponseWriter) (o outcome.Outcome, used int)
 	// Timeout returns the longest wait for a slot.
 	Timeout func() time.Duration
 	// Budget limits second attempts.
@@ -85,8 +86,8 @@
 	slot    slot.Slot
 	outcome outcome.Outcome
 	index   int
-	// sent is how many of the request's attempts were used: none if it is proven that
-	// nothing was sent, and all that were left if another host may have sent them.
+	// sent is how many of the request's attempts were used, or may have been by another
+	// host: none if it is proven that nothing was sent to a backend server.
 	sent int
 }
 
@@ -103,19 +104,33 @@
 	if !r.NonIdempotent {
 		return d.serveIdempotent(x, r, w)
 	}
-	l := attemptLimit(r)
-	t := d.attempt(x, r, !d.ReuseForNonIdempotent, l, func() {})
-	n := t.sent
-	for i := 1; n < l && i < maxTries && d.mayRetry(t, r); i++ {
-		t = d.attempt(x, r, true, l-n, func() {})
-		n += t.sent
+	// The first attempt is taken.
+	c := &attemptCount{left: attemptLimit(r) - 1}
+	t := d.attempt(x, r, !d.ReuseForNonIdempotent, c, func() {})
+	for i := 1; i < maxTries && c.take(); i++ {
+		if !d.mayRetry(t, r) {
+			break
+		}
+		t = d.attempt(x, r, true, c, func() {})
 	}
 	return d.copyAnswer(x, r, t, w)
 }
 
-// attempt waits for a slot and sends r, which has a number of attempts left. If the result
-// has an outcome, the slot has been released.
-func (d *Dispatch) attempt(ctx context.Context, r *request.Request, fresh bool, left int, sent func()) attempt {
+// attempt waits for a slot and sends r by an attempt that was taken from c. What was taken and
+// not used is given back. If the result has an outcome, the slot has been released.
+func (d *Dispatch) attempt(ctx context.Context, r *request.Request, fresh bool, c *attemptCount, sent func()) attempt {
+	n := 1
+	t := d.attemptTaken(ctx, r, fresh, sent, func() int {
+		n += c.takeAll()
+		return n
+	})
+	c.giveBack(n - t.sent)
+	return t
+}
+
+// attemptTaken waits for a slot and sends r. TakeAll takes all attempts that are left, for
+// another host, and returns their number.
+func (d *Dispatch) attemptTaken(ctx context.Context, r *request.Request, fresh bool, sent func(), takeAll func() int) attempt {
 	s, o := d.waitForSlot(ctx, r)
 	if o.Outcome != "" {
 		return attempt{outcome: o}
@@ -125,7 +140,7 @@
 		return attempt{outcome: o}
 	}
 	if s.Forward {
-		return d.forward(ctx, r, s, left)
+		return d.forward(ctx, r, s, takeAll())
 	}
 	return d.send(ctx, r, s, fresh, sent)
 }
@@ -181,6 +196,7 @@
 	t := d.Clock.Now()
 	p, n, err := d.Upstream.Send(ctx, r, s.Backend, fresh) //nolint:bodyclose // copyAnswer or close closes it
 	if err == nil {
+		r.AttemptedBackends.AddReceived(s.Backend.Name)
 		d.Hedge.Observe(r.Service.Name, d.Clock.Since(t))
 		s.OnResponse(p.StatusCode, p.Header)
 		return attempt{answer: p, slot: s, sent: 1}
@@ -189,11 +205,11 @@
 	if o.Ran == outcome.RanNo && !r.SendGate.Unsend() {
 		o = refuse(outcome.Left, "the caller left")
 	}
-	a := attempt{outcome: o, sent: 1}
 	if !n && !errors.Is(err, upstream.ErrNotRun) && !errors.Is(err, upstream.ErrWrongBackend) {
-		a.sent = 0
+		return attempt{outcome: o}
 	}
-	return a
+	r.AttemptedBackends.AddReceived(s.Backend.Name)
+	return attempt{outcome: o, sent: 1}
 }
 
 // handleSendError releases the slot of a request without a response and returns the
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -18,9 +18,9 @@
 	q := *r
 	q.Attempts = left
 	p := responsepipe.New(r.Method)
-	done := make(chan outcome.Outcome, 1)
+	done := make(chan forwardEnd, 1)
 	go d.serveForward(x, &q, p, done)
-	var o outcome.Outcome
+	var o forwardEnd
 	select {
 	case a := <-p.Response(): //nolint:bodyclose // copyAnswer or close closes it
 		return d.forwarded(a, s, left, f, done)
@@ -33,37 +33,40 @@
 	default:
 	}
 	f()
-	t := attempt{outcome: o, sent: left}
-	if o.Ran == outcome.RanNo {
-		t.sent = 0
-		if !r.SendGate.Unsend() {
-			t.outcome = refuse(outcome.Left, "the caller left")
-		}
+	t := attempt{outcome: o.outcome, sent: o.used}
+	if t.outcome.Ran == outcome.RanNo && !r.SendGate.Unsend() {
+		t.outcome = refuse(outcome.Left, "the caller left")
 	}
 	s.Release(result.Unused)
 	return t
 }
 
+// forwardEnd is how a forwarded request ended.
+type forwardEnd struct {
+	outcome outcome.Outcome
+	used    int // attempts
+}
+
 // serveForward calls Forward and reports its outcome. A response that is not complete ends
 // with an error.
-func (d *Dispatch) serveForward(ctx context.Context, r *request.Request, p *responsepipe.Responsepipe, done chan<- outcome.Outcome) {
-	o := outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanYes}
+func (d *Dispatch) serveForward(ctx context.Context, r *request.Request, p *responsepipe.Responsepipe, done chan<- forwardEnd) {
+	o := forwardEnd{outcome: outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanYes}, used: r.Attempts}
 	defer func() {
 		if v := recover(); v != nil && v != http.ErrAbortHandler { //nolint:errorlint // a panic value, not an error chain
 			panic(v)
 		}
 		err := io.ErrUnexpectedEOF
-		if o.Outcome == outcome.Answered {
+		if o.outcome.Outcome == outcome.Answered {
 			err = nil
 		}
 		p.Close(err)
 		done <- o
 	}()
-	o = d.Forward(ctx, r, p)
+	o.outcome, o.used = d.Forward(ctx, r, p)
 }
 
 // forwarded returns the attempt of a request that another host sent.
-func (d *Dispatch) forwarded(p *http.Response, s slot.Slot, left int, cancel context.CancelFunc, done <-chan outcome.Outcome) attempt {
+func (d *Dispatch) forwarded(p *http.Response, s slot.Slot, left int, cancel context.CancelFunc, done <-chan forwardEnd) attempt {
 	p.Body = &forwardedBody{ReadCloser: p.Body, cancel: cancel, done: done}
 	s.OnResponse = func(int, http.Header) {}
 	return attempt{answer: p, slot: s, sent: left}
@@ -73,7 +76,7 @@
 type forwardedBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
-	done   <-chan outcome.Outcome
+	done   <-chan forwardEnd
 }
 
 // Close ends the request at the other host unless it has ended, and waits for that.
--- a/dispatch/forward_test.go
+++ b/dispatch/forward_test.go
@@ -30,9 +30,9 @@
 		return slot.Slot{Forward: true, Release: func(result.Result) {}}, outcome.Outcome{}
 	}
 	l := new([]int)
-	d.Forward = func(_ context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	d.Forward = func(_ context.Context, r *request.Request, w http.ResponseWriter) (outcome.Outcome, int) {
 		*l = append(*l, r.Attempts)
-		return forward(w)
+		return forward(w), 0
 	}
 	return d, l
 }
--- a/dispatch/hedgedrequest.go
+++ b/dispatch/hedgedrequest.go
@@ -19,8 +19,7 @@
 	sent     chan struct{}
 	cancels  []context.CancelFunc
 	running  int
-	// used is how many attempts are used, counting each that runs as one.
-	used int
+	attempts attemptCount
 	// mayHaveRun is set if an attempt that ended without a response may have run.
 	mayHaveRun bool
 }
@@ -30,11 +29,13 @@
 // connection helps in both cases, and the first response is used.
 func (d *Dispatch) serveIdempotent(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	a := &hedgedRequest{dispatch: d, request: r, results: make(chan attempt, maxTries), sent: make(chan struct{}, maxTries)}
+	a.attempts.left = attemptLimit(r)
 	defer a.close()
+	a.takeAttempt()
 	a.startAttempt(ctx, false)
 	o := d.copyAnswer(ctx, r, a.firstAnswer(ctx), w)
 	// A response that was truncated while it was buffered can be requested again.
-	for o.Outcome == outcome.BackendFailed && a.canStart() && d.mayRetry(attempt{outcome: o, sent: 1}, r) {
+	for o.Outcome == outcome.BackendFailed && a.takeAttemptIf(func() bool { return d.mayRetry(attempt{outcome: o, sent: 1}, r) }) {
 		a.mayHaveRun = true
 		a.startAttempt(ctx, true)
 		o = d.copyAnswer(ctx, r, a.firstAnswer(ctx), w)
@@ -57,12 +58,11 @@
 			}
 		case <-c:
 			c = nil
-			if a.canStart() && rewindBody(a.request) && a.dispatch.Budget.TakeRetry(a.request.Service.Name) {
+			if a.takeAttemptIf(func() bool { return rewindBody(a.request) && a.dispatch.Budget.TakeRetry(a.request.Service.Name) }) {
 				a.startAttempt(ctx, true)
 			}
 		case t := <-a.results:
 			a.running--
-			a.used += t.sent - 1
 			if t.outcome.Outcome == "" {
 				a.cancelOthers(t)
 				return t
@@ -80,7 +80,7 @@
 func (a *hedgedRequest) retry(ctx context.Context, t attempt) bool {
 	a.cancels[t.index]()
 	a.mayHaveRun = a.mayHaveRun || t.outcome.Ran != outcome.RanNo
-	if a.running > 0 && t.sent > 0 || !a.canStart() || !a.dispatch.mayRetry(t, a.request) {
+	if a.running > 0 && t.sent > 0 || !a.takeAttemptIf(func() bool { return a.dispatch.mayRetry(t, a.request) }) {
 		return false
 	}
 	a.startAttempt(ctx, true)
@@ -102,22 +102,33 @@
 	return outcome.Outcome{Outcome: outcome.BackendFailed, Ran: outcome.RanUnknown, Message: "an earlier attempt may have run; the last one ended with: " + o.Message}
 }
 
-// canStart reports whether the request may have another attempt.
-func (a *hedgedRequest) canStart() bool {
-	return a.used < attemptLimit(a.request) && len(a.cancels) < maxTries
+// takeAttempt takes an attempt for startAttempt if the request may have another one.
+func (a *hedgedRequest) takeAttempt() bool {
+	return len(a.cancels) < maxTries && a.attempts.take()
 }
 
-// startAttempt starts an attempt in its own goroutine, on a new connection if fresh is
-// set.
+// takeAttemptIf takes an attempt if one is left and allowed returns true. Another attempt may
+// take all that are left at any time, so this one is taken before.
+func (a *hedgedRequest) takeAttemptIf(allowed func() bool) bool {
+	if !a.takeAttempt() {
+		return false
+	}
+	if !allowed() {
+		a.attempts.giveBack(1)
+		return false
+	}
+	return true
+}
+
+// startAttempt starts an attempt that was taken in its own goroutine, on a new connection if
+// fresh is set.
 func (a *hedgedRequest) startAttempt(ctx context.Context, fresh bool) {
 	x, f := context.WithCancel(ctx)
 	n := len(a.cancels)
 	a.cancels = append(a.cancels, f)
-	l := attemptLimit(a.request) - a.used
 	a.running++
-	a.used++
 	go func(r request.Request) {
-		t := a.dispatch.attempt(x, &r, fresh, l, func() { a.sent <- struct{}{} })
+		t := a.dispatch.attempt(x, &r, fresh, &a.attempts, func() { a.sent <- struct{}{} })
 		t.index = n
 		a.results <- t
 	}(*a.request)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -57,13 +57,13 @@
 	return e.forwardHosts.Targets(r.AllowsRegion)
 }
 
-// forwardRequest sends r through another host.
-func (e *Edge) forwardRequest(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	o := e.forward.Serve(ctx, r, w)
+// forwardRequest sends r through another host, and returns how many of its attempts were used.
+func (e *Edge) forwardRequest(ctx context.Context, r *request.Request, w http.ResponseWriter) (outcome.Outcome, int) {
+	o, n := e.forward.Serve(ctx, r, w)
 	if o.Ran == outcome.RanNo && o.Outcome == outcome.NoCapacity {
 		o.RetryAfter = max(o.RetryAfter, e.placement.RetryAfter(r))
 	}
-	return o
+	return o, n
 }
 
 // completeForward adds to the message of a forwarded request what this host decided on it,
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -308,7 +308,7 @@
 
 // excess lists the backend servers that received more requests than their limit or their
 // backoff allows, more than a cold backend server is allowed to receive, or some after they
-// left.
+// left, and what else must not have happened to requests.
 func (w *deployment) excess() string {
 	var l []string
 	for _, s := range w.servers {
@@ -319,6 +319,9 @@
 		}
 	}
 	l = append(l, w.runs.wrong()...)
+	if e := w.attempts.excess(); e != "" {
+		l = append(l, e)
+	}
 	slices.Sort(l)
 	return strings.Join(l, "; ")
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -38,7 +38,8 @@
 
 // attempt is one stream to one host that sends a request.
 type attempt struct {
-	forward  *Forward
+	forward *Forward
+	// request is this attempt's copy, whose Attempts are those given to the other host.
 	request  *request.Request
 	body     *body
 	transfer *transfer
@@ -53,6 +54,8 @@
 	head       *wire.Answer
 	held       []byte
 	headSent   bool
+	// used is how many of the given attempts were used, or may have been.
+	used int
 }
 
 // transfer counts the bytes sent, and writes the answer to the caller.
@@ -75,6 +78,10 @@
 		return refuse("the other failure domain cannot be reached", time.Second)
 	}
 	a.stream = s
+	if r && a.request.Attempts > 1 {
+		a.request.Attempts-- // for another stream if this one is dead
+	}
+	a.used = a.request.Attempts
 	l := false
 	defer func() { d(l) }()
 	e := a.watch(x)
@@ -216,6 +223,12 @@
 	if a.headSent {
 		panic(http.ErrAbortHandler)
 	}
+	if v.Attempts != nil {
+		a.used = max(0, int(v.GetAttempts()))
+	}
+	for _, n := range v.GetAttemptedBackends() {
+		a.request.AttemptedBackends.AddReceived(n)
+	}
 	return outcome.Outcome{Outcome: v.Outcome, Ran: v.Ran, Message: v.Message, RetryAfter: time.Duration(v.RetryAfterNanoseconds)}
 }
 
--- a/forward/attempts_test.go
+++ b/forward/attempts_test.go
@@ -11,39 +11,62 @@
 	"celeryreach.example/celeryreach/wire"
 )
 
-// Guards against hosts that together use more attempts for one request than its route allows.
+// Guards against hosts that together use more attempts for one request than its route allows,
+// or send it to the same backend server.
 func TestAttemptsOfAllHosts(t *testing.T) {
 	for _, v := range []struct {
 		name     string
 		attempts int
 		scripts  []string // HOST WORDS... for each stream
-		want     string   // the attempts that each stream was given
+		want     string   // what each stream was given: the attempts, and backend servers to avoid
 		result   string
+		used     int
 	}{{
-		name: "refused by a build that counts none", attempts: 2,
+		name: "refused by a build that does not count", attempts: 2,
 		scripts: []string{"a alive refuse=NoCapacity,no", "b alive head=200 end"},
-		want:    "a=2", result: "NoCapacity ran=no retry=2s",
+		want:    "a=2[]", result: "NoCapacity ran=no retry=2s", used: 2,
+	}, {
+		name: "refused by one backend server", attempts: 2,
+		scripts: []string{"a alive refuse=NoCapacity,no,c1", "b alive head=200 body=x end"},
+		want:    "a=2[], b=1[c1]", result: "200 x", used: 2,
+	}, {
+		name: "refused by as many as are allowed", attempts: 3,
+		scripts: []string{"a alive refuse=NoCapacity,no,c1", "b alive refuse=NoCapacity,no,c2,c3", "c alive head=200 end"},
+		want:    "a=3[], b=2[c1]", result: "NoCapacity ran=no retry=2s", used: 3,
+	}, {
+		name: "sent to no backend server", attempts: 1,
+		scripts: []string{"a alive refuse=NoCapacity,no,none", "b alive refuse=NoCapacity,no,none", "c alive head=200 body=x end"},
+		want:    "a=1[], b=1[], c=1[]", result: "200 x", used: 1,
+	}, {
+		name: "failed at one backend server", attempts: 3,
+		scripts: []string{"a alive refuse=BackendFailed,unknown,c1"},
+		want:    "a=3[]", result: "BackendFailed ran=unknown retry=2s", used: 1,
 	}, {
 		name: "not reached", attempts: 2,
 		scripts: []string{"a", "b alive head=200 body=x end"},
-		want:    "b=2", result: "200 x",
+		want:    "b=2[]", result: "200 x", used: 2,
 	}, {
 		name: "reused connection is silent", attempts: 2,
 		scripts: []string{"a reused silent", "a alive head=200 body=x end"},
-		want:    "a=1, a=1", result: "200 x",
+		want:    "a=1[], a=1[]", result: "200 x", used: 2,
 	}, {
 		name: "reused connection is cut", attempts: 3,
 		scripts: []string{"a reused cut", "a alive head=200 body=x end"},
-		want:    "a=2, a=1", result: "200 x",
+		want:    "a=2[], a=1[]", result: "200 x", used: 3,
+	}, {
+		name: "reused connection works", attempts: 3,
+		scripts: []string{"a reused alive refuse=NoCapacity,no,c1,c2", "b alive head=200 body=x end"},
+		want:    "a=2[], b=1[c1 c2]", result: "200 x", used: 3,
 	}, {
 		name: "all hosts that were reached before are gone", attempts: 3,
 		scripts: []string{"a reused cut", "b alive head=200 body=x end"},
-		want:    "a=2, b=1", result: "200 x",
+		want:    "a=2[], b=1[]", result: "200 x", used: 3,
 	}} {
 		t.Run(v.name, func(t *testing.T) {
-			given, result := serveScripts(v.attempts, v.scripts)
+			given, result, used := serveScripts(v.attempts, v.scripts)
 			must.EqOp(t, v.want, given)
 			must.EqOp(t, v.result, result)
+			must.EqOp(t, v.used, used)
 		})
 	}
 }
@@ -51,17 +74,20 @@
 // Guards against the last attempt of a request on a connection that may be dead, after which
 // nothing is left for another one.
 func TestLastAttemptNeedsNewConnection(t *testing.T) {
-	given, result := serveScripts(1, []string{"a reused silent", "b alive head=200 body=x end"})
-	must.EqOp(t, "b=1", given)
+	given, result, used := serveScripts(1, []string{"a reused silent", "b alive head=200 body=x end"})
+	must.EqOp(t, "b=1[]", given)
 	must.EqOp(t, "200 x", result)
+	must.EqOp(t, 1, used)
 }
 
-// serveScripts serves a request by scripted streams. It returns the attempts that each stream
-// was given, in this order, and the result.
-func serveScripts(attempts int, scripts []string) (given, result string) {
+// serveScripts serves a request by scripted streams. It returns what each stream was given, in
+// this order, the result, and how many attempts were used.
+func serveScripts(attempts int, scripts []string) (given, result string, used int) {
 	r := newHarness()
 	r.attempts = attempts
-	r.forward.Complete = func(m *wire.Request, q *request.Request) { m.Attempts = int32(q.Attempts) }
+	r.forward.Complete = func(m *wire.Request, q *request.Request) {
+		m.Attempts, m.AttemptedBackends = int32(q.Attempts), q.AttemptedBackends.Received()
+	}
 	for _, v := range scripts {
 		a := strings.Fields(v)
 		if _, ok := r.scripts[a[0]]; !ok {
@@ -74,5 +100,5 @@
 	}
 	r.serve("GET", 0)
 	advanceUntil(r.clock, r.ended)
-	return strings.Join(r.given, ", "), r.result
+	return strings.Join(r.given, ", "), r.result, r.used
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,28 +61,31 @@
 }
 
 // Serve forwards r and writes the answer to w. It tries another target only if the
-// previous target is known not to have run the request.
-func (f *Forward) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+// previous target is known not to have run the request and has left some of its attempts.
+// Used is how many of them were used, or may have been.
+func (f *Forward) Serve(ctx context.Context, r *request.Request, w http.ResponseWriter) (o outcome.Outcome, used int) {
 	if !f.acquire() {
-		return refuse("too many requests are being forwarded", time.Second)
+		return refuse("too many requests are being forwarded", time.Second), 0
 	}
 	defer f.release()
 	b, err := loadBody(r)
 	if err != nil {
-		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller's body broke off"}
+		return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller's body broke off"}, 0
 	}
-	o := refuse("no failure domain has a free slot", time.Second)
+	o = refuse("no failure domain has a free slot", time.Second)
 	n := 0
 	mayHaveRun := false
 	for _, m := range f.Targets(r) {
-		if n == maxTargets || b.isConsumed() || ctx.Err() != nil {
+		q, ok := withAttemptsLeft(r, used)
+		if !ok || n == maxTargets || b.isConsumed() || ctx.Err() != nil {
 			break
 		}
 		n++
-		v, lost := f.sendTo(ctx, m, r, b, w)
+		v, u, lost := f.sendTo(ctx, m, q, b, w)
+		used += u
 		mayHaveRun = mayHaveRun || lost
 		if !mayTryNext(v) {
-			return combinedOutcome(v, mayHaveRun)
+			return combinedOutcome(v, mayHaveRun), used
 		}
 		// The caller receives the earliest retry time that any target returned.
 		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.RetryAfter {
@@ -90,7 +93,7 @@
 		}
 		o = v
 	}
-	return combinedOutcome(o, mayHaveRun)
+	return combinedOutcome(o, mayHaveRun), used
 }
 
 // combinedOutcome turns the outcome of the last stream into that of the request. If r may
@@ -107,23 +110,38 @@
 	return o
 }
 
-// sendTo sends r to one host. If a reused connection yields no frame at all, sendTo
-// sends r again on a new connection, since only requests that may run twice use reused
-// connections. Lost reports whether r may have run by the first one.
-func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) (o outcome.Outcome, lost bool) {
+// withAttemptsLeft returns a copy of r with the attempts that are left after some were used,
+// and false if none is. A request without a limit stays without one.
+func withAttemptsLeft(r *request.Request, used int) (*request.Request, bool) {
+	q := *r
+	if r.Attempts > 0 {
+		q.Attempts -= used
+	}
+	return &q, r.Attempts == 0 || q.Attempts > 0
+}
+
+// sendTo sends r to one host and returns how many attempts were used. If a reused connection
+// yields no frame at all, sendTo sends r again on a new connection, since only requests that
+// may run twice use reused connections. Lost reports whether r may have run by the first one.
+// The last attempt gets a new connection at once: if the host has gone, opening it fails and
+// uses no attempt.
+func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) (o outcome.Outcome, used int, lost bool) {
 	s, e, ok := f.ReserveLink(m.Region, b.linkBytes(r))
 	if !ok {
-		return refuse("the link to the other region is full", e), false
+		return refuse("the link to the other region is full", e), 0, false
 	}
 	c := &transfer{writer: w}
 	defer func() { s(c.sent.Load()) }()
-	a := &attempt{forward: f, request: r, body: b, transfer: c}
-	o = a.run(ctx, m.PeerAddress, r.NonIdempotent)
+	q, _ := withAttemptsLeft(r, 0)
+	a := &attempt{forward: f, request: q, body: b, transfer: c}
+	o = a.run(ctx, m.PeerAddress, r.NonIdempotent || r.Attempts == 1)
 	if o.Outcome != outcome.BackendFailed || !a.reused || a.gotFrame || b.isConsumed() || ctx.Err() != nil {
-		return o, false
+		return o, a.used, false
 	}
-	a = &attempt{forward: f, request: r, body: b, transfer: c}
-	return a.run(ctx, m.PeerAddress, true), true
+	q, _ = withAttemptsLeft(r, a.used)
+	t := &attempt{forward: f, request: q, body: b, transfer: c}
+	o = t.run(ctx, m.PeerAddress, true)
+	return o, a.used + t.used, true
 }
 
 func (f *Forward) acquire() bool {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -15,7 +15,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
+	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
@@ -33,14 +35,16 @@
 	full    string
 	timeout time.Duration
 	// attempts is the limit of each later request, and given what each stream got of it.
-	attempts int
-	given    []string
-	mu       sync.Mutex
-	log      []string
-	bytes    int64
-	ended    chan struct{}
-	result   string
-	cancel   context.CancelFunc
+	attempts  int
+	given     []string
+	attempted attempted.Attempted
+	used      int // by the last request, as Serve returned it
+	mu        sync.Mutex
+	log       []string
+	bytes     int64
+	ended     chan struct{}
+	result    string
+	cancel    context.CancelFunc
 }
 
 func newHarness() *harness {
@@ -107,7 +111,7 @@
 	switch v := m.Part.(type) {
 	case *wire.Frame_Request:
 		s.harness.note("%s:head", s.name)
-		s.harness.given = append(s.harness.given, fmt.Sprintf("%s=%d", s.name, v.Request.Attempts))
+		s.harness.given = append(s.harness.given, fmt.Sprintf("%s=%d%v", s.name, v.Request.Attempts, v.Request.AttemptedBackends))
 	case *wire.Frame_Body:
 		s.body += len(v.Body)
 	case *wire.Frame_End:
@@ -132,8 +136,16 @@
 		<-s.complete
 		return s.Recv()
 	case "refuse":
-		o, ran, _ := strings.Cut(arg, ",")
+		// OUTCOME,RAN[,BACKEND...]: with "none" or names, the attempts are counted.
+		o, rest, _ := strings.Cut(arg, ",")
+		ran, names, counted := strings.Cut(rest, ",")
 		f := &wire.Refusal{Outcome: o, Ran: ran, RetryAfterNanoseconds: int64(2 * time.Second)}
+		if counted && names != "none" {
+			f.AttemptedBackends = strings.Split(names, ",")
+		}
+		if counted {
+			f.Attempts = proto.Int32(int32(len(f.AttemptedBackends)))
+		}
 		return &wire.Frame{Part: &wire.Frame_Refusal{Refusal: f}}, nil
 	case "head":
 		n, _ := strconv.Atoi(arg)
@@ -160,7 +172,7 @@
 		x, f = deadline.With(x, r.clock, r.timeout)
 	}
 	r.ended = make(chan struct{})
-	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST", Attempts: r.attempts}
+	q := &request.Request{ID: "1", Method: method, Target: "/", Deadline: r.clock.Now().Add(time.Minute), NonIdempotent: method == "POST", Attempts: r.attempts, AttemptedBackends: &r.attempted}
 	if size > 0 {
 		q.Body = strings.NewReader(strings.Repeat("x", size))
 		q.Length = int64(size)
@@ -174,7 +186,8 @@
 				r.result = fmt.Sprint("aborted after ", w.Code)
 			}
 		}()
-		o := r.forward.Serve(x, q, w)
+		o, n := r.forward.Serve(x, q, w)
+		r.used = n
 		r.result = fmt.Sprintf("%s ran=%s", o.Outcome, o.Ran)
 		if o.Outcome == outcome.Answered {
 			r.result = fmt.Sprintf("%d %s", w.Code, w.Body.String()[:min(20, w.Body.Len())])
--- a/host/domain.go
+++ b/host/domain.go
@@ -142,6 +142,12 @@
 	})
 }
 
+// forwardCaller sends a caller's request through another failure domain.
+func (x *components) forwardCaller(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
+	o, _ := x.forward.Serve(ctx, r, w)
+	return o
+}
+
 // serveCaller serves a request that a caller sent to this host. Requests of
 // callers nearest to other regions are subject to the growth cap.
 func (x *components) serveCaller(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
--- a/host/requests.go
+++ b/host/requests.go
@@ -91,7 +91,7 @@
 	o := &dedup.Dedup{Begin: q.idempotency.Begin, End: q.idempotency.End, Tickets: q.tickets}
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.configFollower.Snapshot, Authenticator: x.authenticator,
-		Quota: x.quota, ServeLocally: x.serveCaller, Forward: x.forward.Serve, EntryHosts: x.entryHosts, OnOutcome: x.recordOutcome,
+		Quota: x.quota, ServeLocally: x.serveCaller, Forward: x.forwardCaller, EntryHosts: x.entryHosts, OnOutcome: x.recordOutcome,
 		RunOnce: o.Serve, IsLeaving: x.leaving.Load, RefusesRequests: q.closed.Load,
 	}
 	m := http.NewServeMux()
--- a/receive/bench_test.go
+++ b/receive/bench_test.go
@@ -68,7 +68,7 @@
 
 func serve(t testing.TB, f *forward.Forward, nonIdempotent bool) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	o := f.Serve(t.Context(), &request.Request{
+	o, _ := f.Serve(t.Context(), &request.Request{
 		ID: "1", Method: "GET", Target: "/", Credential: credential.Credential{Hash: "k"}, Service: service.Service{Name: "s"},
 		Deadline: time.Now().Add(time.Minute), NonIdempotent: nonIdempotent, //nolint:forbidigo // the test uses the real clock
 	}, w)
--- a/receive/receive.go
+++ b/receive/receive.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
+	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/keepalive"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
@@ -54,11 +56,11 @@
 	}
 	r, o := v.newRequest(h)
 	if o.Outcome != "" {
-		return sendRefusal(s, o)
+		return sendRefusal(s, r, o)
 	}
 	e, o := v.Admit(r, h.FromRegion)
 	if o.Outcome != "" {
-		return sendRefusal(s, o)
+		return sendRefusal(s, r, o)
 	}
 	w := &answerWriter{stream: s, header: make(http.Header)}
 	o = v.run(s, r, h.HasBody, w)
@@ -70,7 +72,7 @@
 		w.WriteHeader(http.StatusOK) // no-op if the head has been sent
 		return s.Send(&wire.Frame{Part: &wire.Frame_End{End: true}})
 	}
-	return sendRefusal(s, o)
+	return sendRefusal(s, r, o)
 }
 
 // run serves r and watches the sender. When the caller has disconnected or the
@@ -115,7 +117,7 @@
 	r := &request.Request{
 		ID: h.Id, Method: h.Method, Target: h.Target, Header: make(http.Header, len(h.Headers)),
 		Deadline: v.Clock.Now().Add(time.Duration(h.TimeoutNanoseconds)), IdempotencyID: h.IdempotencyId,
-		Length: h.Length,
+		Length: h.Length, AttemptedBackends: new(attempted.Attempted),
 	}
 	for _, x := range h.Headers {
 		r.Header[x.Name] = x.Values
@@ -157,9 +159,12 @@
 	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: time.Second}
 }
 
-func sendRefusal(s wire.DRPCPeer_ForwardStream, o outcome.Outcome) error {
+// sendRefusal sends the outcome of r and the attempts that it used here.
+func sendRefusal(s wire.DRPCPeer_ForwardStream, r *request.Request, o outcome.Outcome) error {
+	l := r.AttemptedBackends.Received()
 	return s.Send(&wire.Frame{Part: &wire.Frame_Refusal{Refusal: &wire.Refusal{
 		Outcome: o.Outcome, Ran: o.Ran, Message: o.Message, RetryAfterNanoseconds: int64(o.RetryAfter),
+		Attempts: proto.Int32(int32(len(l))), AttemptedBackends: l, //nolint:gosec // a small number
 	}}})
 }
 
--- a/receive/receive_test.go
+++ b/receive/receive_test.go
@@ -37,6 +37,7 @@
 	out     []string
 	ended   chan struct{}
 	err     error
+	refusal *wire.Refusal // nil if there was none
 }
 
 func newHarness() *harness {
@@ -122,6 +123,7 @@
 	case *wire.Frame_End:
 		s.harness.note("end")
 	case *wire.Frame_Refusal:
+		s.harness.refusal = v.Refusal
 		s.harness.note("refuse=%s,%s", v.Refusal.Outcome, v.Refusal.Ran)
 	}
 	return nil
