--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -168,7 +168,7 @@
 	}
 	s := &server{
 		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
-		runs:    &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		runs:    &w.runs, links: &w.network.links, attempts: &w.attempts, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
@@ -209,6 +209,7 @@
 	u.SetHeaders = func(h http.Header, r *request.Request, _ backend.Backend, _ time.Duration) {
 		h.Set(upstream.IDHeader, r.ID)
 		h.Set(hostHeader, host)
+		h.Set(attemptHeader, w.attempts.next(host))
 	}
 	return u
 }
@@ -311,7 +312,7 @@
 
 // excess lists the backend servers that received more requests than their limit or their
 // backoff allows, more than a cold backend server is allowed to receive, or some after they
-// left.
+// left, and what else must not have happened to requests.
 func (w *deployment) excess() string {
 	var l []string
 	for _, s := range w.servers {
@@ -322,6 +323,9 @@
 		}
 	}
 	l = append(l, w.runs.wrong()...)
+	if e := w.attempts.excess(); e != "" {
+		l = append(l, e)
+	}
 	slices.Sort(l)
 	return strings.Join(l, "; ")
 }
