Discovery: a missing entry whose address another one has is dropped at once

After an outage of the store a host keeps missing entries for two seconds, since entries of healthy backend servers lapse meanwhile.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -78,22 +78,22 @@
 // store, entries of healthy backend servers expire, so entries that are missing stay in
 // use until uncertainUntil. If that time has passed, missing entries are dropped at
 // once, also when the list comes from another host because this one can't reach the
-// store.
+// store. So are those whose address another entry has: their processes have ended.
 func (d *Discovery) SetBackends(l []backend.Backend, uncertainUntil time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.entries == nil {
 		d.entries = make(map[string]*entry)
 	}
-	s := make(map[string]bool, len(l))
+	s, taken := make(map[string]bool, len(l)), make(map[string]bool, len(l))
 	for _, b := range l {
-		s[b.Name] = true
+		s[b.Name], taken[b.Address] = true, b.Address != ""
 		d.put(b)
 	}
 	for n, k := range d.entries {
 		switch {
 		case s[n]:
-		case !uncertainUntil.After(d.Clock.Now()):
+		case !uncertainUntil.After(d.Clock.Now()), taken[k.backend.Address]:
 			d.drop(n, k)
 		case k.keptUntil.IsZero():
 			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n)
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -35,6 +35,8 @@
 // TestDiscovery runs the scripts in testdata with the lists that a host reads from the
 // store or from another host's copy. They have these commands:
 //
+// A name may be followed by =ADDRESS.
+//
 //	list NAME[@START]...  sets the list; entries missing from it are dropped at once
 //	doubt NAME[@START]... as list, but within 2 s after a store outage; missing entries are kept
 //	cold NAME DURATION    sets a list with one entry, which is cold
@@ -86,8 +88,9 @@
 	w.revision++
 	var l []backend.Backend
 	for _, n := range names {
+		n, a, _ := strings.Cut(n, "=")
 		n, t := process(n)
-		l = append(l, backend.Backend{Name: n, Service: "listings", Domain: "lagos-1", Started: t, Revision: w.revision})
+		l = append(l, backend.Backend{Name: n, Address: a, Service: "listings", Domain: "lagos-1", Started: t, Revision: w.revision})
 	}
 	w.discovery.SetBackends(l, w.clock.Now().Add(doubt))
 }
