--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -49,6 +49,7 @@
 	done    chan error
 	runs    *runs
 	links   *links
+	homes   *homes // nil unless the homes of requests are checked
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -59,6 +60,7 @@
 	arrivals []arrival
 	notified map[string]time.Time // when each host first relayed a limit
 	leaving  departure
+	dead     bool // another process has its address; requests on its connections reach nothing
 
 	refusing   *refusing              // nil if it serves requests
 	stalls     time.Duration          // breaks the connections of requests after that time, if not zero
@@ -81,6 +83,7 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h, n := q.Header.Get(hostHeader), clock.Now()
+	s.homes.arrive(s, q)
 	s.mu.Lock()
 	s.recordStart(h)
 	s.leaving.countArrival(s.backend.Name, q.Header)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -58,6 +58,7 @@
 	contact          time.Duration
 	hosts            map[string]*edge.Edge
 	log              *logbuffer.Logbuffer
+	report           func(text string) // writes to the test's output
 	members          []member.Member
 	servers          map[string]*server
 	seed             uint64   // of the callers' random numbers
@@ -65,6 +66,7 @@
 	stopCallers      func()   // stops the callers
 	kinds            []string // of the callers' requests; empty for idempotent ones only
 	runs             runs
+	homes            *homes // nil unless the homes of requests are checked
 
 	mu       sync.Mutex
 	calls    []call
@@ -143,6 +145,7 @@
 //	works KEY, fails KEY                checks the key at all hosts
 //	never TEXT, some TEXT               checks that no host, or at least one, has logged the text
 //	metric NAME REGEXP                  checks a metric of the process
+//	homes ...                           see runHomesCommand
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -169,6 +172,8 @@
 		w.config.Put(evacuated+a[0], nil)
 	case "works", "fails":
 		return w.hostsWithWrongKey(command == "works", a[0]), nil
+	case "homes":
+		return w.runHomesCommand(a)
 	case "metric":
 		return checkMetric(a[0], a[1]), nil
 	case "never":
@@ -250,6 +255,7 @@
 //
 //	contact DURATION            the RecoveryTime of the hosts; see edge.Edge
 //	way DURATION                one-way latency between regions
+//	near DURATION               one-way latency within a region
 //	host NAME DOMAIN REGION     a host; the store is located in the first one's region
 func (w *deployment) setUp(t *testing.T, l []line) []line {
 	for l[0].at == 0 {
@@ -259,6 +265,8 @@
 		switch a[0] {
 		case "contact":
 			w.contact, err = time.ParseDuration(a[1])
+		case "near":
+			w.network.near, err = time.ParseDuration(a[1])
 		case "way":
 			w.network.latency, err = time.ParseDuration(a[1])
 		case "host":
@@ -279,6 +287,7 @@
 		log: new(logbuffer.Logbuffer), network: &memoryNetwork{listeners: make(map[string]*listener)},
 	}
 	w.backends.Put("c1", nil)
+	w.report = func(s string) { t.Log(s) }
 	l := w.setUp(t, parse(t, script))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error)
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -162,16 +162,24 @@
 	if err != nil {
 		return err
 	}
+	b := backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()}
+	w.servers[b.Name] = w.runServer(b, d)
+	return w.writeEntry(b)
+}
+
+// runServer starts the process of a backend server, which gets all new connections to its
+// address.
+func (w *deployment) runServer(b backend.Backend, d time.Duration) *server {
 	s := &server{
-		backend: backend.Backend{Name: a[0], Region: a[1], Domain: a[1], Service: listings, Address: a[0] + ":80", Slots: n, Started: clock.Now().UnixMilli()},
-		runs:    &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
+		backend: b, homes: w.homes,
+		runs: &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
 	s.http.Handler = s
+	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	l := w.network.listen(s.backend.Address, s.backend.Region)
 	go func() { s.done <- s.http.Serve(l) }()
-	w.servers[s.backend.Name] = s
-	return w.writeEntry(s.backend)
+	return s
 }
 
 // writeEntry writes the entry of a backend server to the store.
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,7 @@
 // goroutine waits on a socket.
 type memoryNetwork struct {
 	latency time.Duration // one way, between regions
+	near    time.Duration // one way, within a region
 
 	mu        sync.Mutex
 	listeners map[string]*listener
@@ -63,12 +65,15 @@
 	if l == nil {
 		return nil, refused(address)
 	}
-	d := time.Duration(0)
+	d := n.near
 	if l.region != region {
 		d = n.latency
 	}
 	a, b := net.Pipe()
 	x, y := delay(a, d, g), delay(b, d, g)
+	if v, ok := y.(*delayed); ok {
+		v.other, _ = x.(*delayed)
+	}
 	n.mu.Lock()
 	n.conns = append(n.conns, pipe{from: from, to: address, ends: [2]net.Conn{x, y}})
 	n.mu.Unlock()
@@ -145,6 +150,8 @@
 	sent    chan segment
 	end     chan struct{}
 	once    sync.Once
+	other   *delayed     // the end that opened the connection, nil for that end
+	written atomic.Int64 // when the bytes last delivered were written, since the Unix epoch
 }
 
 type segment struct {
@@ -191,6 +198,7 @@
 func (d *delayed) write(s segment) bool {
 	clock.Sleep(s.due.Sub(clock.Now()))
 	d.gate.pass()
+	d.written.Store(s.due.Add(-d.latency).UnixNano())
 	_, err := d.Conn.Write(s.bytes)
 	return err == nil
 }
