--- a/edge/attempts_test.go
+++ b/edge/attempts_test.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex
 	count  int                 // attempts of all hosts
 	seen   map[string][]string // by request
+	limit  int                 // of every request; zero if the routes have it
 	errors []string
 }
 
@@ -43,9 +44,12 @@
 		return
 	}
 	a.seen[id] = append(a.seen[id], n)
-	i := slices.IndexFunc(routes, func(i ingress.Ingress) bool { return strings.HasPrefix(path, i.Prefix) })
-	if l := a.seen[id]; len(l) == routes[i].Attempts+1 {
-		a.errors = append(a.errors, fmt.Sprintf("request %s has %d attempts, and: %s", id, routes[i].Attempts, strings.Join(l, ", ")))
+	m := a.limit
+	if m == 0 {
+		m = routes[slices.IndexFunc(routes, func(i ingress.Ingress) bool { return strings.HasPrefix(path, i.Prefix) })].Attempts
+	}
+	if l := a.seen[id]; len(l) == m+1 {
+		a.errors = append(a.errors, fmt.Sprintf("request %s has %d attempts, and: %s", id, m, strings.Join(l, ", ")))
 	}
 }
 
--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -51,6 +51,7 @@
 	links   *links
 	// attempts is shared by all backend servers.
 	attempts *attempts
+	homes    *homes // nil unless the homes of requests are checked
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -61,6 +62,7 @@
 	arrivals []arrival
 	notified map[string]time.Time // when each host first relayed a limit
 	leaving  departure
+	dead     bool // another process has its address; requests on its connections reach nothing
 
 	movedAt   time.Time // when it last moved from another region
 	movedFrom string
@@ -87,6 +89,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h, n := q.Header.Get(hostHeader), clock.Now()
 	s.attempts.arrive(q.Header.Get(upstream.IDHeader), q.Header.Get(attemptHeader), q.URL.Path, s.backend.Name)
+	s.homes.arrive(s, q)
 	s.mu.Lock()
 	s.recordStart(h)
 	s.leaving.countArrival(s.backend.Name, q.Header)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -58,6 +58,7 @@
 	contact          time.Duration
 	hosts            map[string]*edge.Edge
 	log              *logbuffer.Logbuffer
+	report           func(text string) // writes to the test's output
 	members          []member.Member
 	servers          map[string]*server
 	seed             uint64   // of the callers' random numbers
@@ -66,6 +67,7 @@
 	kinds            []string // of the callers' requests; empty for idempotent ones only
 	runs             runs
 	attempts         attempts
+	homes            *homes // nil unless the homes of requests are checked
 
 	mu       sync.Mutex
 	calls    []call
@@ -137,7 +139,6 @@
 // empty if there is none. runBackendCommand has the commands for backend servers.
 //
 //	configuration VERSION KEY...        the operator writes a version with these keys
-//	home REGION                         the next version moves the home of requests with homes there
 //	evacuate DOMAIN, return DOMAIN      the operator starts or ends the evacuation of a failure domain
 //	silent [HOST...], answers [HOST...] the store stops or resumes responding to these hosts, or to all
 //	slow DURATION                       each response of the store takes that long
@@ -145,6 +146,7 @@
 //	works KEY, fails KEY                checks the key at all hosts
 //	never TEXT, some TEXT               checks that no host, or at least one, has logged the text
 //	metric NAME REGEXP                  checks a metric of the process
+//	homes ...                           see runHomesCommand
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -165,14 +167,14 @@
 		w.network.setCut(a[0], command == "cut")
 	case "configuration":
 		return "", w.writeConfig(a)
-	case "home":
-		w.runs.moveHome(a[0])
 	case "evacuate":
 		w.config.Put(evacuated+a[0], []byte(a[0]))
 	case "return":
 		w.config.Put(evacuated+a[0], nil)
 	case "works", "fails":
 		return w.hostsWithWrongKey(command == "works", a[0]), nil
+	case "homes":
+		return w.runHomesCommand(a)
 	case "metric":
 		return checkMetric(a[0], a[1]), nil
 	case "never":
@@ -260,6 +262,7 @@
 //
 //	contact DURATION            the RecoveryTime of the hosts; see edge.Edge
 //	way DURATION                one-way latency between regions
+//	near DURATION               one-way latency within a region
 //	host NAME DOMAIN REGION     a host; the store is located in the first one's region
 func (w *deployment) setUp(t *testing.T, l []line) []line {
 	for l[0].at == 0 {
@@ -269,6 +272,8 @@
 		switch a[0] {
 		case "contact":
 			w.contact, err = time.ParseDuration(a[1])
+		case "near":
+			w.network.near, err = time.ParseDuration(a[1])
 		case "way":
 			w.network.latency, err = time.ParseDuration(a[1])
 		case "host":
@@ -289,6 +294,7 @@
 		log: new(logbuffer.Logbuffer), network: &memoryNetwork{listeners: make(map[string]*listener)},
 	}
 	w.backends.Put("c1", nil)
+	w.report = func(s string) { t.Log(s) }
 	l := w.setUp(t, parse(t, script))
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error)
