--- a/edge/homes_hop_internal_test.go
+++ b/edge/homes_hop_internal_test.go
@@ -46,3 +46,17 @@
 		must.False(t, r.Homes.Allows("lagos"), must.Sprintf("%s: held to %s", h, r.Homes))
 	}
 }
+
+// Guards against a host that is behind and refuses requests that a newer version lets
+// be served.
+func TestHostThatIsBehindTakesNewerHomes(t *testing.T) {
+	e := newEdge(3, "lagos")
+	m := &wire.Request{
+		PlacedBySender: true, Host: "camps.example", Target: "/listings/1", Service: "listings",
+		ConfigVersion: 5, Homes: wire.Homes_LISTED, Regions: []string{"abuja"},
+	}
+	r := &request.Request{ID: "r1"}
+	must.EqOp(t, "", e.resolveForwarded(m, r).Outcome)
+	e.Gateway.HoldToHomes(r)
+	must.EqOp(t, "abuja", r.Homes.String())
+}
