--- /dev/null
+++ b/forward/homes_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/request"
+)
+
+// Guards against a long body that is sent to a host that may no longer be sent the request
+// by the time at which it asks for the body.
+func TestLongBodyIsHeldBack(t *testing.T) {
+	r := newHarness()
+	var mu sync.Mutex
+	n := 0
+	r.forward.MaySend = func(*request.Request, member.Member) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		return n <= 2 // before and after the stream is opened
+	}
+	r.targets = []member.Member{{Name: "a", PeerAddress: "a", Region: "lagos"}}
+	r.scripts["a"] = [][]string{{"alive", "wanted", "silent"}}
+	r.timeout = 5 * time.Second
+	r.serve("POST", 100000)
+	advanceUntil(r.clock, r.ended)
+	must.False(t, slices.Contains(strings.Fields(r.notes()), "a:body=100000"), must.Sprint(r.notes()))
+}
