--- a/forward/homes_test.go
+++ b/forward/homes_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -32,3 +33,21 @@
 	advanceUntil(r.clock, r.ended)
 	must.False(t, slices.Contains(strings.Fields(r.notes()), "a:body=100000"), must.Sprint(r.notes()))
 }
+
+// Guards against hosts that were held back, and sent nothing, counting as tried: the next
+// one that may be sent the request is not asked.
+func TestHostsHeldBackAreNotCounted(t *testing.T) {
+	r := newHarness()
+	for i := range 4 {
+		a, g := fmt.Sprint("h", i), "lagos"
+		if i == 3 {
+			g = "abuja"
+		}
+		r.targets = append(r.targets, member.Member{Name: a, PeerAddress: a, Region: g})
+		r.scripts[a] = [][]string{{"alive", "head=200", "body=ok", "end"}}
+	}
+	r.forward.MaySend = func(_ *request.Request, m member.Member) bool { return m.Region == "abuja" }
+	r.serve("GET", 0)
+	<-r.ended
+	must.EqOp(t, "200 ok", r.result)
+}
