--- a/gateway/homes_held_test.go
+++ b/gateway/homes_held_test.go
@@ -36,3 +36,23 @@
 	_, o = w.gateway.AcquireSlot(t.Context(), r)
 	must.EqOp(t, "", o.Outcome)
 }
+
+// Guards against a backend server that is reported to another host as one that was sent the
+// request, and is passed over there, although the request was held back.
+func TestHeldBackRequestWasNotSent(t *testing.T) {
+	w := newFixture()
+	w.moveHome(1, "lagos")
+	p := &placement.Placement{Clock: w.clock, ColdCapacity: func(string) (float64, time.Duration) { return 0, 0 }}
+	p.Set([]backend.Backend{{Name: "c1", Region: "lagos", Address: "10.1.0.1:80", Slots: 2}}, func(string) time.Time { return time.Time{} })
+	w.gateway.Placement = p
+	r := &request.Request{
+		ID: "r1", Host: "camps.example", Path: "/listings/1", Admitted: w.clock.Now(), MaxWait: time.Second,
+		Homes: homes.Intersect([]string{"lagos"}), HomesVersion: 1, AttemptedBackends: new(attempted.Attempted), DecisionLog: new(decisionlog.Decisionlog),
+	}
+	s, o := w.gateway.AcquireSlot(t.Context(), r)
+	must.EqOp(t, "", o.Outcome)
+	p.Set(nil, nil)
+	must.False(t, w.gateway.MaySend(r, s.Backend))
+	s.Release(result.Unused) // as Dispatch does
+	must.SliceEmpty(t, r.AttemptedBackends.SentNames())
+}
