Edge, forward: what a review of the homes on the hop found

A host that takes a forwarded request reads which version the homes are from (homes_version), not the version that the sender had when it sent: a receiver of the same version did not look at its own homes, and one that was behind held newer homes to its older ones and refused what may be served. Homes of a build of before count as older than any.

A host outside the homes by its own version takes no request; the body of one that no region may serve is not asked for, and a long one is not sent once the other host has left the homes. Hosts that are held back do not count against the hosts that are tried, nor do backend servers against those that a request was sent to, so that its successor at the address gets it. Placement passes over an address that it would not send to.

--- a/attempted/attempted.go
+++ b/attempted/attempted.go
@@ -66,6 +66,18 @@
 	return slices.Clone(t.received)
 }
 
+// Remove forgets a backend server that was chosen and not sent the request after all.
+func (t *Attempted) Remove(name string) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !slices.Contains(t.received, name) {
+		delete(t.names, name)
+	}
+}
+
 // IsUnsent reports whether no connection to the backend server could be opened. One that
 // another host has sent the request to is not unsent.
 func (t *Attempted) IsUnsent(name string) bool {
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -81,7 +81,7 @@
 	m.Priority, m.Attempts = int32(r.Priority), int32(r.Attempts) //nolint:gosec // small numbers of the configuration
 	m.MaxWaitNanoseconds = int64(r.MaxWait)
 	m.AttemptedBackends = r.AttemptedBackends.SentNames()
-	stateHomes(m, r.Homes)
+	stateHomes(m, r)
 	r.DecisionLog.Add(e.Clock.Now(), "request sent to another host", "Regions", m.Regions, "Homes", r.Homes, "HomesVersion", r.HomesVersion)
 }
 
@@ -118,16 +118,20 @@
 	if !ok {
 		return refuseForwarded(outcome.NoCapacity, "the request states no homes")
 	}
-	r.Homes, r.HomesVersion = h, m.GetConfigVersion()
+	r.Homes, r.HomesVersion = h, m.GetHomesVersion()
 	return outcome.Outcome{}
 }
 
 // admitForwarded counts a forwarded request until it ends. Placement decides whether a
 // backend server has room for it.
-func (e *Edge) admitForwarded(*request.Request, string) (func(outcome.Outcome, int64), outcome.Outcome) {
+func (e *Edge) admitForwarded(r *request.Request, _ string) (func(outcome.Outcome, int64), outcome.Outcome) {
 	if e.leaving.Load() {
 		return nil, refuseForwarded(outcome.Leaving, "the host is shutting down")
 	}
+	e.Gateway.HoldToHomes(r)
+	if !r.Homes.Allows(e.Self.Region) {
+		return nil, refuseForwarded(outcome.NoCapacity, "the host stands outside the request's homes")
+	}
 	d := e.forwardedInFlight.Begin()
 	return func(outcome.Outcome, int64) { d() }, outcome.Outcome{}
 }
--- a/edge/homes.go
+++ b/edge/homes.go
@@ -10,11 +10,14 @@
 
 // logHomes logs the homes of routes and client accounts that differ between two versions
 // of the configuration. The version before is nil at the start.
-func (e *Edge) logHomes(c, before *config.Config) {
-	r, a := homesByName(c)
-	p, b := homesByName(before)
-	e.logChangedHomes("Route", c.Version, r, p)
-	e.logChangedHomes("Account", c.Version, a, b)
+func (e *Edge) logHomes(now, before *routeindex.Routeindex) {
+	r, a := homesByName(now.Config)
+	var p, b map[string]homes.Homes
+	if before != nil {
+		p, b = homesByName(before.Config)
+	}
+	e.logChangedHomes("Route", now.Config.Version, r, p)
+	e.logChangedHomes("Account", now.Config.Version, a, b)
 }
 
 // logChangedHomes logs the homes that changed, kind being the field that has the name.
@@ -29,9 +32,6 @@
 
 // homesByName returns the homes of the routes and of the client accounts of a version.
 func homesByName(c *config.Config) (routes, accounts map[string]homes.Homes) {
-	if c == nil {
-		return nil, nil
-	}
 	routes, accounts = make(map[string]homes.Homes, len(c.Routes)), make(map[string]homes.Homes, len(c.Accounts))
 	for _, i := range c.Routes {
 		routes[i.Name] = homes.Intersect(i.Homes)
@@ -43,10 +43,10 @@
 }
 
 // stateHomes adds the homes of a request to its message.
-func stateHomes(m *wire.Request, h homes.Homes) {
-	m.Homes = wire.Homes_ALL
-	if h.Bound {
-		m.Homes, m.Regions = wire.Homes_LISTED, h.Regions
+func stateHomes(m *wire.Request, r *request.Request) {
+	m.Homes, m.HomesVersion = wire.Homes_ALL, r.HomesVersion
+	if r.Homes.Bound {
+		m.Homes, m.Regions = wire.Homes_LISTED, r.Homes.Regions
 	}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -50,20 +50,19 @@
 // domains.
 func (e *Edge) applyConfig(m map[string]row.Row, _ time.Time) {
 	c, z := e.Decode(m)
+	b := e.index.Load()
 	if c != nil {
-		if b := e.index.Load(); b == nil || c.Version > b.Config.Version {
+		if b == nil || c.Version > b.Config.Version {
 			e.index.Store(routeindex.New(c, b, e.Clock.Now()))
 			metric.Metric{Name: gaugeConfigVersion}.Set(float64(c.Version))
 			e.tokens.Set(c.Accounts)
 			e.Log.Info("configuration in force", "Version", c.Version, "Routes", len(c.Routes), "Accounts", len(c.Accounts))
-			if b == nil {
-				e.logHomes(c, nil)
-			} else {
-				e.logHomes(c, b.Config)
-			}
 		}
 	}
 	e.discovery.SetEvacuated(z)
+	if n := e.index.Load(); n != b {
+		e.logHomes(n, b)
+	}
 }
 
 func (e *Edge) composeHeartbeat(h *wire.Heartbeat) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -35,13 +35,17 @@
 	maxHeldAnswerBytes = 64 << 10
 )
 
-var errNoAnswerHead = errors.New("the answer ended without a head")
+var (
+	errNoAnswerHead = errors.New("the answer ended without a head")
+	errOutsideHomes = errors.New("the other host no longer stands in the request's homes")
+)
 
 // attempt is one stream to one host that sends a request.
 type attempt struct {
 	forward *Forward
 	// request is this attempt's copy, whose Attempts are those given to the other host.
 	request  *request.Request
+	member   member.Member
 	body     *body
 	transfer *transfer
 
@@ -68,11 +72,11 @@
 // run sends the request on a stream and returns the outcome. If the caller
 // disconnects, ctx ends, which ends the stream and with it the request at the
 // other end.
-func (a *attempt) run(ctx context.Context, m member.Member, fresh bool) outcome.Outcome {
+func (a *attempt) run(ctx context.Context, fresh bool) outcome.Outcome {
 	x, c := context.WithCancel(ctx)
 	defer c()
 	a.cancel = c
-	s, r, d, err := a.forward.Open(x, m.PeerAddress, fresh)
+	s, r, d, err := a.forward.Open(x, a.member.PeerAddress, fresh)
 	a.reused = r
 	if err != nil {
 		// At most the name of the RPC has been sent, so the request did not run.
@@ -81,8 +85,8 @@
 	a.stream = s
 	l := false
 	defer func() { d(l) }()
-	if !a.forward.maySend(a.request, m) {
-		return refuseOutsideHomes()
+	if !a.forward.maySend(a.request, a.member) {
+		return refuse(errOutsideHomes.Error(), time.Second)
 	}
 	if r && a.request.Attempts > 1 {
 		a.request.Attempts-- // for another stream if this one is dead
@@ -187,6 +191,9 @@
 			if w || a.body.unread == nil {
 				continue
 			}
+			if !a.forward.maySend(a.request, a.member) {
+				return a.endLost(ctx, errOutsideHomes)
+			}
 			w = true
 			go a.sendLongBody()
 		case *wire.Frame_Refusal:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,7 +43,8 @@
 	// Targets returns the hosts that may run a request, best first.
 	Targets func(r *request.Request) []member.Member
 	// MaySend reports whether a request may be sent to a host now. It is called again when
-	// the stream is open, since opening one takes time. Nil permits all.
+	// the stream is open and before a long body is sent, since both take time. Nil permits
+	// all.
 	MaySend func(r *request.Request, m member.Member) bool
 	// Complete adds to a message what the receiving host can't look up; nil adds nothing.
 	Complete func(m *wire.Request, r *request.Request)
@@ -83,6 +84,9 @@
 		if !ok || n == maxTargets || b.isConsumed() || ctx.Err() != nil {
 			break
 		}
+		if !f.maySend(q, m) {
+			continue
+		}
 		n++
 		v, u, lost := f.sendTo(ctx, m, q, b, w)
 		used += u
@@ -129,9 +133,6 @@
 // The last attempt gets a new connection at once: if the host has gone, opening it fails and
 // uses no attempt.
 func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) (o outcome.Outcome, used int, lost bool) {
-	if !f.maySend(r, m) {
-		return refuseOutsideHomes(), 0, false
-	}
 	s, e, ok := f.ReserveLink(m.Region, b.linkBytes(r))
 	if !ok {
 		return refuse("the link to the other region is full", e), 0, false
@@ -139,14 +140,14 @@
 	c := &transfer{writer: w}
 	defer func() { s(c.sent.Load()) }()
 	q, _ := withAttemptsLeft(r, 0)
-	a := &attempt{forward: f, request: q, body: b, transfer: c}
-	o = a.run(ctx, m, r.NonIdempotent || r.Attempts == 1)
+	a := &attempt{forward: f, request: q, member: m, body: b, transfer: c}
+	o = a.run(ctx, r.NonIdempotent || r.Attempts == 1)
 	if o.Outcome != outcome.BackendFailed || !a.reused || a.gotFrame || b.isConsumed() || ctx.Err() != nil {
 		return o, a.used, false
 	}
 	q, _ = withAttemptsLeft(r, a.used)
-	t := &attempt{forward: f, request: q, body: b, transfer: c}
-	o = t.run(ctx, m, true)
+	t := &attempt{forward: f, request: q, member: m, body: b, transfer: c}
+	o = t.run(ctx, true)
 	return o, a.used + t.used, true
 }
 
@@ -243,10 +244,6 @@
 	return n
 }
 
-func refuseOutsideHomes() outcome.Outcome {
-	return refuse("the other host stands outside the request's homes", time.Second)
-}
-
 func refuse(m string, d time.Duration) outcome.Outcome {
 	return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: m, RetryAfter: d}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,9 @@
 	r.Forwarded, r.Admitted = true, n
 	r.DecisionLog = new(decisionlog.Decisionlog)
 	r.DecisionLog.Add(n, "request taken from another host", "Homes", r.Homes, "HomesVersion", r.HomesVersion, "Version", g.Index().Config.Version)
+	if g.HoldToHomes(r); r.Homes.IsEmpty() {
+		return refuse(outcome.NoCapacity, "no region may serve the request", retryAfter)
+	}
 	if err := r.BufferBody(maxBufferedBytes); err != nil {
 		return refuse(outcome.Left, "the request body ended early", 0)
 	}
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -43,12 +43,17 @@
 	return !h.Bound || slices.Contains(h.Regions, region)
 }
 
+// IsEmpty reports whether no region may serve the request.
+func (h Homes) IsEmpty() bool {
+	return h.Bound && len(h.Regions) == 0
+}
+
 // String returns the regions separated by commas, "all" or "none".
 func (h Homes) String() string {
 	switch {
 	case !h.Bound:
 		return "all"
-	case len(h.Regions) == 0:
+	case h.IsEmpty():
 		return "none"
 	}
 	return strings.Join(h.Regions, ",")
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -18,13 +18,18 @@
 	if s == nil || s.backend.Address != b.Address || s.backend.Started != b.Started || !h.Allows(s.backend.Region) {
 		return false
 	}
-	if p.addresses[b.Address] == 1 {
-		return true
+	return !p.isSharedOutside(b.Address, h)
+}
+
+// isSharedOutside reports whether a backend server outside h has an address too.
+func (p *Placement) isSharedOutside(address string, h homes.Homes) bool {
+	if !h.Bound || address == "" || p.addresses[address] == 1 {
+		return false
 	}
 	for _, o := range p.servers {
-		if o.backend.Address == b.Address && !h.Allows(o.backend.Region) {
-			return false
+		if o.backend.Address == address && !h.Allows(o.backend.Region) {
+			return true
 		}
 	}
-	return true
+	return false
 }
