--- a/edge/homes_play_test.go
+++ b/edge/homes_play_test.go
@@ -166,6 +166,8 @@
 	}()
 	end := clock.Now().Add(d)
 	version, change := clock.Now(), clock.Now()
+	p.after(d/4, p.breakAll)
+	p.after(3*d/4, p.breakAll)
 	for clock.Now().Before(end) {
 		t := end
 		for _, u := range []time.Time{version, change, p.next()} {
@@ -296,7 +298,7 @@
 func (p *homesPlay) disturb() {
 	l := []func(){
 		p.dropRegion, p.evacuateRegion, p.leaveRegion, p.loseLinks, p.loseLinks, p.loseRegion, p.loseRegion, p.silence, p.moveEntry, p.moveEntry,
-		p.reuseAddress, p.reuseAddress, p.slow, p.slow, p.breakOff, p.breakOff, p.fill, p.fill,
+		p.reuseAddress, p.reuseAddress, p.slow, p.slow, p.breakOff, p.breakOff, p.breakOff, p.breakOff, p.fill, p.fill,
 	}
 	l[p.rand.IntN(len(l))]()
 }
@@ -574,6 +576,15 @@
 	}
 }
 
+// breakAll lets all backend servers break connections for a moment, so that net/http sends
+// some requests again in every play.
+func (p *homesPlay) breakAll() {
+	for _, n := range p.idle("") {
+		s := p.process[n]
+		p.set(s, time.Second, func() { s.breaks = 2 }, func() { s.breaks = 0 })
+	}
+}
+
 // fill lets backend servers refuse requests for lack of room.
 func (p *homesPlay) fill() {
 	d := p.between(500*time.Millisecond, 3*time.Second)
@@ -596,7 +607,7 @@
 		if r.IntN(2) == 0 {
 			c.path += partPath
 		}
-		o, body := strconv.Itoa(r.IntN(objects)), []int{0, 0, 0, 2 << 10, 2 << 10, 2 * maxBuffered}[r.IntN(6)]
+		o, body := strconv.Itoa(r.IntN(objects)), []int{0, 0, 0, 0, 2 << 10, 2 * maxBuffered}[r.IntN(6)]
 		c.path += o
 		switch {
 		case v.NonIdempotent:
--- a/edge/homes_test.go
+++ b/edge/homes_test.go
@@ -31,14 +31,15 @@
 	homesGrace = 100 * time.Millisecond
 	// homesDoubt is how long after its silence the store may be unreachable for a host, and the
 	// host keeps backend servers that are missing: its RecoveryTime and two seconds.
-	homesDoubt = 6 * time.Second
-	// homesSeeds is how many seeds are played unless SEEDS says otherwise.
-	homesSeeds = 2
-
+	homesDoubt   = 6 * time.Second
 	sendHeader   = "Send-Number" // of the host's sends; net/http repeats it
 	chosenHeader = "Sent-To"     // the backend server and region that the host chose
 )
 
+// homesSeeds are the seeds that are played unless SEEDS says how many: between them, requests
+// have left their homes on each way that was found.
+var homesSeeds = []int{4, 5}
+
 // The ways on which requests come to a backend server.
 const (
 	wayFirst     = "first try"
@@ -373,7 +374,14 @@
 func (h *homes) failures(w *deployment) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := append(w.runs.wrong(), h.wrong...)
+	l := h.wrong
+	for _, v := range w.runs.wrong() {
+		l = append(l, v)
+		// Most of these begin with the request.
+		if f := strings.Fields(v); h.calls[f[1]] != nil {
+			l = append(l, h.describe(w, h.calls[f[1]]))
+		}
+	}
 	for _, k := range []string{wayFirst, wayLater, wayRepeated, wayForwarded} {
 		if h.ways[k] == 0 {
 			l = append(l, "no request arrived so: "+k)
@@ -392,22 +400,30 @@
 		l = append(l, fmt.Sprintf("%d: %s", h.counts[k], k))
 	}
 	for _, c := range h.escapes {
-		l = append(l, fmt.Sprintf("request %s: %s %s with key %s, admitted by %s at %s\n\t%s\n%s", c.id, c.method, c.path, c.key, c.host,
-			c.at.Format("04:05.000"), strings.Join(c.lines, "\n\t"), w.logged("Request="+c.id+" ")))
+		l = append(l, h.describe(w, c))
 	}
 	return l
 }
 
+// describe describes all that is known of a request.
+func (h *homes) describe(w *deployment, c *homesCall) string {
+	return fmt.Sprintf("request %s: %s %s with key %s, admitted by %s at %s\n\t%s\n%s", c.id, c.method, c.path, c.key, c.host,
+		c.at.Format("04:05.000"), strings.Join(c.lines, "\n\t"), w.logged("Request="+c.id+" "))
+}
+
 // Guards against requests that reach a backend server outside their homes: those of the
 // version that admitted them, or those that the host that sends them has.
 func TestRequestsStayInHomes(t *testing.T) {
-	n := homesSeeds
+	l := homesSeeds
 	if s := os.Getenv("SEEDS"); s != "" {
-		v, err := strconv.Atoi(s)
+		n, err := strconv.Atoi(s)
 		must.NoError(t, err)
-		n = v
+		l = nil
+		for i := range n {
+			l = append(l, i)
+		}
 	}
-	for i := range n {
+	for _, i := range l {
 		t.Run(strconv.Itoa(i), func(t *testing.T) {
 			runInBubbles(t, "homes", 1, func(t *testing.T, script string, _ int) { runScript(t, script, 0, uint64(i)) })
 		})
