Upstream: the response to a repeat is observed as it is; names and splits

A refused repeat reached OnResponse as an error of its own: limits, departures and backoffs that its response states were not read. They are observed with the result of CheckResponse again, and the proof is judged after.

MaySend of upstream, which returns an error, is CheckSend; Send is split; locals of the changed functions have one letter. No other behavior changes: tests of upstream, forward, discovery, attempted, dispatch, gateway and receive pass.

--- a/attempted/attempted.go
+++ b/attempted/attempted.go
@@ -47,12 +47,9 @@
 	if t == nil {
 		return
 	}
+	t.Add(name)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.names == nil {
-		t.names = make(map[string]bool)
-	}
-	t.names[name] = true
 	t.received = append(t.received, name)
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -85,15 +85,15 @@
 	if d.entries == nil {
 		d.entries = make(map[string]*entry)
 	}
-	s, taken := make(map[string]bool, len(l)), make(map[string]bool, len(l))
+	s, a := make(map[string]bool, len(l)), make(map[string]bool, len(l)) // listed names and addresses
 	for _, b := range l {
-		s[b.Name], taken[b.Address] = true, b.Address != ""
+		s[b.Name], a[b.Address] = true, b.Address != ""
 		d.put(b)
 	}
 	for n, k := range d.entries {
 		switch {
 		case s[n]:
-		case !uncertainUntil.After(d.Clock.Now()), taken[k.backend.Address]:
+		case !uncertainUntil.After(d.Clock.Now()), a[k.backend.Address]:
 			d.drop(n, k)
 		case k.keptUntil.IsZero():
 			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n)
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -81,12 +81,12 @@
 // setUpBackoffs enforces the times for which backend servers want no requests.
 func (e *Edge) setUpBackoffs() {
 	e.backoffs = &backendbackoff.Backendbackoff{Clock: e.Clock, Log: e.Log}
-	e.Upstream.MaySend = e.maySend
+	e.Upstream.CheckSend = e.checkSend
 }
 
-// maySend returns why r may not be sent to a backend server on a connection that is open
+// checkSend returns why r may not be sent to a backend server on a connection that is open
 // now, nil if it may.
-func (e *Edge) maySend(r *request.Request, b backend.Backend) error {
+func (e *Edge) checkSend(r *request.Request, b backend.Backend) error {
 	switch {
 	case !e.Gateway.MaySend(r, b):
 		return upstream.ErrNotAllowed
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,7 +78,7 @@
 	}
 	o = refuse("no failure domain has a free slot", time.Second)
 	n := 0
-	mayHaveRun := false
+	h := false // whether an earlier stream may have run r
 	for _, m := range f.Targets(r) {
 		q, ok := withAttemptsLeft(r, used)
 		if !ok || n == maxTargets || b.isConsumed() || ctx.Err() != nil {
@@ -88,11 +88,11 @@
 			continue
 		}
 		n++
-		v, u, lost := f.sendTo(ctx, m, q, b, w)
+		v, u, l := f.sendTo(ctx, m, q, b, w)
 		used += u
-		mayHaveRun = mayHaveRun || lost
+		h = h || l
 		if !mayTryNext(v) {
-			return combinedOutcome(v, mayHaveRun), used
+			return combinedOutcome(v, h), used
 		}
 		// The caller receives the earliest retry time that any target returned.
 		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.RetryAfter {
@@ -100,7 +100,7 @@
 		}
 		o = v
 	}
-	return combinedOutcome(o, mayHaveRun), used
+	return combinedOutcome(o, h), used
 }
 
 // combinedOutcome turns the outcome of the last stream into that of the request. If r may
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -7,10 +7,10 @@
 )
 
 // connTracker follows the connections on which net/http sends a request, and ends the
-// request if it may not be sent on one. There can be more than one, because net/http by itself repeats an idempotent request when a reused
-// connection breaks.
+// request if it may not be sent on one. There can be more than one, because net/http by
+// itself repeats an idempotent request when a reused connection breaks.
 type connTracker struct {
-	maySend          func() error // why the request may not be sent on one more connection
+	checkSend        func() error // why the request may not be sent on one more connection
 	onTransportRetry func()       // called for each connection after the first one
 	abandon          func(error)  // ends the request
 	current          *sealableconn.Sealableconn
@@ -26,7 +26,7 @@
 	}
 	c.current = i.Conn.(*sealableconn.Sealableconn)
 	c.current.StartRequest()
-	if err := c.maySend(); err != nil {
+	if err := c.checkSend(); err != nil {
 		c.abandoned = err
 		c.current.Seal()
 		c.abandon(err)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -83,11 +83,11 @@
 	// err is the result of CheckResponse: unless it is nil or ErrNotRun, the response is
 	// not proven to be from b. The body must not be read. Nil disables the call.
 	OnResponse func(b backend.Backend, sent time.Time, p *http.Response, err error)
-	// MaySend returns an error if r may not be sent to b now: ErrNotWanted or
+	// CheckSend returns an error if r may not be sent to b now: ErrNotWanted or
 	// ErrNotAllowed. It is called for each connection on which a request is about to be
 	// sent: opening one takes time, and net/http by itself sends requests again long after
 	// they were placed. Nil permits all requests.
-	MaySend func(r *request.Request, b backend.Backend) error
+	CheckSend func(r *request.Request, b backend.Backend) error
 	// MayDial reports whether a new connection to an address may be opened for a request.
 	// Nil permits all.
 	MayDial func(address string) bool
@@ -132,23 +132,10 @@
 	y := &body{reader: r.Body, readStarted: r.BodyReadStarted}
 	// The response is read after Send, so x ends only with ctx.
 	x, f := context.WithCancelCause(ctx)
-	c := &connTracker{
-		maySend: func() error {
-			if u.MaySend == nil {
-				return nil
-			}
-			return u.MaySend(r, b)
-		},
-		onTransportRetry: func() {
-			if u.OnTransportRetry != nil {
-				u.OnTransportRetry(b)
-			}
-		},
-		abandon: func(err error) {
-			y.seal()
-			f(err)
-		},
-	}
+	c := u.trackConns(r, b, func(err error) {
+		y.seal()
+		f(err)
+	})
 	x = httptrace.WithClientTrace(x, &httptrace.ClientTrace{GotConn: c.gotConn})
 	q, err := u.newRequest(x, r, b, y)
 	if err != nil {
@@ -169,20 +156,39 @@
 		return nil, ran, errors.Wrap(err, "upstream")
 	}
 	ran, err = u.checkAnswer(p, r, b)
-	if err != nil && !ran && c.written {
-		// It proves nothing on what an earlier connection delivered.
-		ran, err = true, errors.Wrap(errRepeated, err.Error())
-	}
 	if u.OnResponse != nil {
 		u.OnResponse(b, s, p, err)
 	}
 	if err != nil {
 		p.Body.Close()
+		if !ran && c.written {
+			// It proves nothing on what an earlier connection delivered.
+			return nil, true, errors.Wrap(errRepeated, err.Error())
+		}
 		return nil, ran, err
 	}
 	return p, true, nil
 }
 
+// trackConns returns the tracker of the connections on which r is sent to b. Abandon ends
+// the request.
+func (u *Upstream) trackConns(r *request.Request, b backend.Backend, abandon func(error)) *connTracker {
+	return &connTracker{
+		abandon: abandon,
+		checkSend: func() error {
+			if u.CheckSend == nil {
+				return nil
+			}
+			return u.CheckSend(r, b)
+		},
+		onTransportRetry: func() {
+			if u.OnTransportRetry != nil {
+				u.OnTransportRetry(b)
+			}
+		},
+	}
+}
+
 // Close closes all idle connections.
 func (u *Upstream) Close() {
 	u.keepAlive.CloseIdleConnections()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -173,7 +173,7 @@
 	s := serve(t, 10)
 	wanted := false
 	u := upstream.New(clockwork.NewRealClock(), time.Second)
-	u.MaySend = func(*request.Request, backend.Backend) error {
+	u.CheckSend = func(*request.Request, backend.Backend) error {
 		if wanted {
 			return nil
 		}
@@ -205,7 +205,7 @@
 	s := serve(t, 1)
 	n := 0
 	u := upstream.New(clockwork.NewRealClock(), time.Second)
-	u.MaySend = func(*request.Request, backend.Backend) error {
+	u.CheckSend = func(*request.Request, backend.Backend) error {
 		if n++; n <= 2 {
 			return nil
 		}
