Review of the final diff: slots, hosts held back, addresses, public routes

Found by reading, with scratch tests (a second reviewer who had not seen the work): a refused repeat by net/http released its slot as failed, so that a full backend server could be ejected: it is shed or refused as before, and only the outcome says that the request may have run. A host that was held back once its stream was open counted as tried (TestHostsHeldBackAfterOpenAreNotCounted fails before). A stale entry with the address of a backend server that started later barred requests with homes from that one. A route that is public by now was held to the homes of its account. A refusal for want of homes at the receiver had no lines.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -219,13 +219,13 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotRun):
 		s.Release(result.Shed)
-		return refuse(outcome.NoCapacity, msgNoRoom)
+		return refuseUnlessRan(r, ran, msgNoRoom, err)
 	case ctx.Err() != nil:
 		d.releaseCanceled(s, ran)
 		return contextOutcome(ctx, ran)
-	case !ran && (isDialError(err) || errors.Is(err, upstream.ErrWrongBackend)):
+	case errors.Is(err, upstream.ErrWrongBackend), !ran && isDialError(err):
 		s.Release(result.Refused)
-		return refuse(outcome.NoCapacity, msgNoConnection)
+		return refuseUnlessRan(r, ran, msgNoConnection, err)
 	case !ran && errors.Is(err, upstream.ErrNotWanted):
 		s.Release(result.Unused)
 		return refuse(outcome.NoCapacity, msgNotWanted)
@@ -241,6 +241,15 @@
 	}
 }
 
+// refuseUnlessRan returns the outcome of a request that a backend server has refused. It may
+// have run all the same, on an earlier connection.
+func refuseUnlessRan(r *request.Request, ran bool, m string, err error) outcome.Outcome {
+	if ran {
+		return incompleteOutcome(r, err)
+	}
+	return refuse(outcome.NoCapacity, m)
+}
+
 // incompleteOutcome returns the outcome of a request that was sent but has no complete
 // response.
 func incompleteOutcome(r *request.Request, err error) outcome.Outcome {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -61,6 +61,8 @@
 	headSent   bool
 	// used is how many of the given attempts were used, or may have been.
 	used int
+	// heldBack is set if nothing was sent, since the host may not be sent the request.
+	heldBack bool
 }
 
 // transfer counts the bytes sent, and writes the answer to the caller.
@@ -86,6 +88,7 @@
 	l := false
 	defer func() { d(l) }()
 	if !a.forward.maySend(a.request, a.member) {
+		a.heldBack = true
 		return refuse(errOutsideHomes.Error(), time.Second)
 	}
 	if r && a.request.Attempts > 1 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -87,18 +87,21 @@
 		if !f.maySend(q, m) {
 			continue
 		}
+		v := f.sendTo(ctx, m, q, b, w)
+		if v.heldBack {
+			continue
+		}
 		n++
-		v, u, l := f.sendTo(ctx, m, q, b, w)
-		used += u
-		h = h || l
-		if !mayTryNext(v) {
-			return combinedOutcome(v, h), used
+		used += v.used
+		h = h || v.lost
+		if !mayTryNext(v.outcome) {
+			return combinedOutcome(v.outcome, h), used
 		}
 		// The caller receives the earliest retry time that any target returned.
-		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.RetryAfter {
-			v.RetryAfter = o.RetryAfter
+		if n > 1 && o.RetryAfter > 0 && o.RetryAfter < v.outcome.RetryAfter {
+			v.outcome.RetryAfter = o.RetryAfter
 		}
-		o = v
+		o = v.outcome
 	}
 	return combinedOutcome(o, h), used
 }
@@ -127,28 +130,35 @@
 	return &q, r.Attempts == 0 || q.Attempts > 0
 }
 
-// sendTo sends r to one host and returns how many attempts were used. If a reused connection
-// yields no frame at all, sendTo sends r again on a new connection, since only requests that
-// may run twice use reused connections. Lost reports whether r may have run by the first one.
+// sendResult is the result of sending a request to one host.
+type sendResult struct {
+	outcome  outcome.Outcome
+	used     int  // attempts that were used, or may have been
+	lost     bool // the request may have run by a stream before the last one
+	heldBack bool // nothing was sent, since the host had come to be none that may be sent it
+}
+
+// sendTo sends r to one host. If a reused connection yields no frame at all, sendTo sends r
+// again on a new connection, since only requests that may run twice use reused connections.
 // The last attempt gets a new connection at once: if the host has gone, opening it fails and
 // uses no attempt.
-func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) (o outcome.Outcome, used int, lost bool) {
+func (f *Forward) sendTo(ctx context.Context, m member.Member, r *request.Request, b *body, w http.ResponseWriter) sendResult {
 	s, e, ok := f.ReserveLink(m.Region, b.linkBytes(r))
 	if !ok {
-		return refuse("the link to the other region is full", e), 0, false
+		return sendResult{outcome: refuse("the link to the other region is full", e)}
 	}
 	c := &transfer{writer: w}
 	defer func() { s(c.sent.Load()) }()
 	q, _ := withAttemptsLeft(r, 0)
 	a := &attempt{forward: f, request: q, member: m, body: b, transfer: c}
-	o = a.run(ctx, r.NonIdempotent || r.Attempts == 1)
+	o := a.run(ctx, r.NonIdempotent || r.Attempts == 1)
 	if o.Outcome != outcome.BackendFailed || !a.reused || a.gotFrame || b.isConsumed() || ctx.Err() != nil {
-		return o, a.used, false
+		return sendResult{outcome: o, used: a.used, heldBack: a.heldBack}
 	}
 	q, _ = withAttemptsLeft(r, a.used)
 	t := &attempt{forward: f, request: q, member: m, body: b, transfer: c}
 	o = t.run(ctx, true)
-	return o, a.used + t.used, true
+	return sendResult{outcome: o, used: a.used + t.used, lost: true}
 }
 
 func (f *Forward) maySend(r *request.Request, m member.Member) bool {
--- a/forward/homes_test.go
+++ b/forward/homes_test.go
@@ -34,6 +34,24 @@
 	must.False(t, slices.Contains(strings.Fields(r.notes()), "a:body=100000"), must.Sprint(r.notes()))
 }
 
+// Guards against hosts that were held back when their streams were open counting as tried.
+func TestHostsHeldBackAfterOpenAreNotCounted(t *testing.T) {
+	r := newHarness()
+	for i := range 4 {
+		a := fmt.Sprint("h", i)
+		r.targets = append(r.targets, member.Member{Name: a, PeerAddress: a, Region: "lagos"})
+		r.scripts[a] = [][]string{{"alive", "head=200", "body=ok", "end"}}
+	}
+	n := make(map[string]int)
+	r.forward.MaySend = func(_ *request.Request, m member.Member) bool {
+		n[m.Name]++
+		return n[m.Name] == 1 || m.Name == "h3"
+	}
+	r.serve("GET", 0)
+	<-r.ended
+	must.EqOp(t, "200 ok", r.result)
+}
+
 // Guards against hosts that were held back, and sent nothing, counting as tried: the next
 // one that may be sent the request is not asked.
 func TestHostsHeldBackAreNotCounted(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,15 +121,17 @@
 	r.Forwarded, r.Admitted = true, n
 	r.DecisionLog = new(decisionlog.Decisionlog)
 	r.DecisionLog.Add(n, "request taken from another host", "Homes", r.Homes, "HomesVersion", r.HomesVersion, "Version", g.Index().Config.Version)
+	// As in Serve, also if Dispatch panics.
+	o = outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanYes, Message: "the answer broke off after its head"}
+	defer func() { g.logEnd(r, o, g.Clock.Since(n), g.Index().Config.Version) }()
 	if g.HoldToHomes(r); r.Homes.IsEmpty() {
-		return refuse(outcome.NoCapacity, "no region may serve the request", retryAfter)
+		o = refuse(outcome.NoCapacity, "no region may serve the request", retryAfter)
+		return o
 	}
 	if err := r.BufferBody(maxBufferedBytes); err != nil {
-		return refuse(outcome.Left, "the request body ended early", 0)
+		o = refuse(outcome.Left, "the request body ended early", 0)
+		return o
 	}
-	// As in Serve, also if Dispatch panics.
-	o = outcome.Outcome{Outcome: outcome.Broken, Ran: outcome.RanYes, Message: "the answer broke off after its head"}
-	defer func() { g.logEnd(r, o, g.Clock.Since(n), g.Index().Config.Version) }()
 	o = g.run(ctx, r, w)
 	return o
 }
--- a/gateway/homes.go
+++ b/gateway/homes.go
@@ -9,9 +9,13 @@
 // HoldToHomes holds r also to the homes of the configuration in force, which may have
 // changed since r was admitted, here or by another host.
 func (g *Gateway) HoldToHomes(r *request.Request) {
+	h, v := g.homesInForce(r)
+	if v == r.HomesVersion {
+		return
+	}
 	o := r.Homes
-	r.Homes, r.HomesVersion = g.homesInForce(r)
-	if o.String() != r.Homes.String() {
+	r.Homes, r.HomesVersion = h, v
+	if o.String() != h.String() {
 		r.DecisionLog.Add(g.Clock.Now(), "homes changed since the admission", "Before", o, "Homes", r.Homes, "HomesVersion", r.HomesVersion)
 	}
 }
--- a/placement/candidate.go
+++ b/placement/candidate.go
@@ -42,7 +42,7 @@
 	var l []candidate
 	for _, s := range g.servers {
 		b := s.backend
-		if !r.Homes.Allows(b.Region) || p.isSharedOutside(b.Address, r.Homes) {
+		if !r.Homes.Allows(b.Region) || p.isTakenOver(b, r.Homes) {
 			continue
 		}
 		// One that was tried is no candidate, unless the try shows only that this host can't
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -18,16 +18,18 @@
 	if s == nil || s.backend.Address != b.Address || s.backend.Started != b.Started || !h.Allows(s.backend.Region) {
 		return false
 	}
-	return !p.isSharedOutside(b.Address, h)
+	return !p.isTakenOver(b, h)
 }
 
-// isSharedOutside reports whether a backend server outside h has an address too.
-func (p *Placement) isSharedOutside(address string, h homes.Homes) bool {
-	if !h.Bound || address == "" || p.addresses[address] == 1 {
+// isTakenOver reports whether the address of b may be that of a backend server outside h: of
+// one that is listed with it and did not start before b.
+func (p *Placement) isTakenOver(b backend.Backend, h homes.Homes) bool {
+	if !h.Bound || b.Address == "" || p.addresses[b.Address] == 1 {
 		return false
 	}
-	for _, o := range p.servers {
-		if o.backend.Address == address && !h.Allows(o.backend.Region) {
+	for _, s := range p.servers {
+		o := s.backend
+		if o.Address == b.Address && !h.Allows(o.Region) && (o.Started == 0 || o.Started >= b.Started) {
 			return true
 		}
 	}
--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -37,6 +37,7 @@
 		{"other address", []backend.Backend{with(func(v *backend.Backend) { v.Address = "10.1.0.2:80" })}, homes.Intersect([]string{"lagos"}), false},
 		{"other process", []backend.Backend{with(func(v *backend.Backend) { v.Started = 2 })}, homes.Intersect([]string{"lagos"}), false},
 		{"address used again elsewhere", []backend.Backend{b, with(func(v *backend.Backend) { v.Name, v.Region = "c2", "abuja" })}, homes.Intersect([]string{"lagos"}), false},
+		{"older entry elsewhere", []backend.Backend{b, with(func(v *backend.Backend) { v.Name, v.Region, v.Started = "c2", "abuja", -1 })}, homes.Intersect([]string{"lagos"}), true},
 		{"address used again in a home", []backend.Backend{b, with(func(v *backend.Backend) { v.Name = "c2" })}, homes.Intersect([]string{"lagos"}), true},
 	} {
 		t.Run(v.name, func(t *testing.T) {
--- a/routeindex/homes_test.go
+++ b/routeindex/homes_test.go
@@ -45,6 +45,7 @@
 		{"key moved", config.Config{Routes: []ingress.Ingress{unbound}, Accounts: []account.Account{unity, other}, Keys: []credential.Credential{moved}}, "/listings/1", key, "harcourt"},
 		{"key moved from an account with homes", config.Config{Routes: []ingress.Ingress{unbound}, Accounts: []account.Account{abuja, other}, Keys: []credential.Credential{moved}}, "/listings/1", key, "none"},
 		{"public", config.Config{Routes: []ingress.Ingress{public}, Accounts: []account.Account{abuja}}, "/listings/1", credential.Credential{}, "all"},
+		{"public by now", config.Config{Routes: []ingress.Ingress{public}, Accounts: []account.Account{abuja}}, "/listings/1", key, "all"},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			b := routeindex.New(&v.config, nil, time.Time{})
--- a/routeindex/routeindex.go
+++ b/routeindex/routeindex.go
@@ -118,6 +118,9 @@
 	var h homes.Homes
 	if i := b.Route(host, path); i != nil {
 		h = homes.Intersect(i.Homes)
+		if i.Public {
+			return h
+		}
 	}
 	// The key may have moved to another account since.
 	for _, a := range []*account.Account{b.accounts[c.Account], b.keys[c.Hash]} {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -57,8 +57,6 @@
 // time at which any part of it would have been written.
 var ErrNotAllowed = errors.New("the backend server may not serve the request")
 
-var errRepeated = errors.New("the request was written to an earlier connection")
-
 var errOutOfReach = errors.New("the last connection could not be opened")
 
 // Upstream sends requests through the transports of net/http.
@@ -161,11 +159,8 @@
 	}
 	if err != nil {
 		p.Body.Close()
-		if !ran && c.written {
-			// It proves nothing on what an earlier connection delivered.
-			return nil, true, errors.Wrap(errRepeated, err.Error())
-		}
-		return nil, ran, err
+		// It proves nothing on what an earlier connection delivered.
+		return nil, ran || c.written, err
 	}
 	return p, true, nil
 }
