--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -35,9 +35,7 @@
 // TestDiscovery runs the scripts in testdata with the lists that a host reads from the
 // store or from another host's copy. They have these commands:
 //
-// A name may be followed by =ADDRESS.
-//
-//	list NAME[@START]...  sets the list; entries missing from it are dropped at once
+//	list NAME[@START]...  sets the list, in which a name may be followed by =ADDRESS; entries missing from it are dropped at once
 //	doubt NAME[@START]... as list, but within 2 s after a store outage; missing entries are kept
 //	cold NAME DURATION    sets a list with one entry, which is cold
 //	evacuate DOMAIN...    sets the evacuated failure domains
--- a/edge/homes_hop_internal_test.go
+++ b/edge/homes_hop_internal_test.go
@@ -35,9 +35,7 @@
 }
 
 // Guards against a message whose version is newer than the homes that it states: the other
-// host, which has that version, would not look at its own homes. Builds of landing 10 state
-// the homes of the admission with the version in force when they send, and this build reads
-// the version after the homes.
+// host, which has that version, would not look at its own homes.
 func TestReceiverHoldsToOwnVersionIfSendersIsTheSame(t *testing.T) {
 	for _, h := range []wire.Homes{wire.Homes_UNSTATED, wire.Homes_LISTED} {
 		e := newEdge(2, "abuja")
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,7 +205,8 @@
 	if s == nil {
 		return backend.Backend{}, false, len(c) > 0, p.needsForward(r, l)
 	}
-	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Region", s.backend.Region, "Homes", r.Homes, "HomesVersion", r.HomesVersion, "Load", s.load(n), "Slots", s.backend.Slots,
+	r.DecisionLog.Add(n, "request placed", "Backend", s.backend.Name, "Region", s.backend.Region,
+		"Homes", r.Homes, "HomesVersion", r.HomesVersion, "Load", s.load(n), "Slots", s.backend.Slots,
 		"ReportAge", n.Sub(s.reportedAt), "Known", s.hasCached(r), "Candidates", len(c), "Cold", s.coldEnd().After(n))
 	s.add(r, n, !s.hasCached(r))
 	s.addObject(r)
