Retries: counts, and a line for what net/http sends again by itself

Callers saw repeats beyond the budget; the log could not tell by what. Request ended now has the backend servers that may have received the request, an entry an attempt; a repeat by net/http has a line in the request's decisions, with the process that was listed; counters tell the retries that the budget allowed, denied, and those of the transport. No logic changes. go test ./retrybudget ./gateway ./upstream ./dispatch ./platform ./edge passes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,7 +38,6 @@
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/receive"
-	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/storesilence"
@@ -258,7 +257,7 @@
 	return &dispatch.Dispatch{
 		Clock: e.Clock, AcquireSlot: e.Gateway.AcquireSlot, ReuseForNonIdempotent: true, IsKeyValid: e.Gateway.IsKeyValid, ConfirmToken: tokenAlwaysValid,
 		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
-		Budget: &retrybudget.Retrybudget{Ratio: func() float64 { return e.RetryRatio * retryBudgetFraction }, Limit: e.retryLimit},
+		Budget: e.newRetryBudget(),
 	}
 }
 
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -10,10 +10,12 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/backendbackoff"
 	"celeryreach.example/celeryreach/backendlimit"
+	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/responsecopier"
+	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/upstream"
 )
 
@@ -75,7 +77,28 @@
 		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.knownHosts, RemoteWeight: remoteWeight,
 		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, Notify: e.membership.SendSoon,
 	}
-	e.Upstream.OnTransportRetry = e.limits.RecordSent
+	c := &counter.Counter{Prefix: counterRetries}
+	e.Upstream.OnTransportRetry = func(r *request.Request, b backend.Backend) {
+		e.limits.RecordSent(b)
+		c.Add("Transport")
+		r.DecisionLog.Add(e.Clock.Now(), "request sent again by the transport", "Backend", b.Name, "Started", b.Started)
+	}
+}
+
+// newRetryBudget returns the budget of this host's retries. It counts those that it allows and
+// those that it denies.
+func (e *Edge) newRetryBudget() *retrybudget.Retrybudget {
+	c := &counter.Counter{Prefix: counterRetries}
+	return &retrybudget.Retrybudget{
+		Ratio: func() float64 { return e.RetryRatio * retryBudgetFraction }, Limit: e.retryLimit,
+		OnTake: func(_ string, allowed bool) {
+			if allowed {
+				c.Add("Allowed")
+			} else {
+				c.Add("Denied")
+			}
+		},
+	}
 }
 
 // setUpBackoffs enforces the times for which backend servers want no requests.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -22,6 +22,7 @@
 	gaugeChangesUnheard   = "ChangesUnheard"
 	gaugeGranted          = "Permits.Granted"
 	gaugeDenied           = "Permits.Denied"
+	counterRetries        = "Retries."
 )
 
 // publishMetrics publishes the gauges of the store's age, leaving and unreachable backend
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -283,7 +283,7 @@
 	r.DecisionLog.Write(g.Log, r.ID, g.Clock.Now())
 	g.Log.Info("request ended", "Request", r.ID, "Route", r.Route, "Account", r.Account, "Service", r.Service.Name,
 		"Outcome", o.Outcome, "Ran", o.Ran, "Cause", o.Message, "RetryAfter", o.RetryAfter,
-		"Backends", r.AttemptedBackends.Names(), "Forwarded", r.Forwarded, "Took", d, "Version", version)
+		"Backends", r.AttemptedBackends.Names(), "Received", r.AttemptedBackends.Received(), "Forwarded", r.Forwarded, "Took", d, "Version", version)
 }
 
 // refuse returns the outcome of a request that was not run.
--- a/gateway/slot.go
+++ b/gateway/slot.go
@@ -122,7 +122,7 @@
 				r.AttemptedBackends.AddUnsent(b.Name)
 			}
 			g.Placement.Release(b.Name, r, v)
-			r.DecisionLog.Add(g.Clock.Now(), "backend server released", "Backend", b.Name, "Result", v)
+			r.DecisionLog.Add(g.Clock.Now(), "backend server released", "Backend", b.Name, "Started", b.Started, "Result", v)
 		}),
 	}
 }
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -18,6 +18,8 @@
 	Ratio func() float64
 	// Limit returns how many second attempts may be made in a burst; nil means 20.
 	Limit func() float64
+	// OnTake is called with each result of TakeRetry; nil disables the call.
+	OnTake func(service string, allowed bool)
 
 	mu        sync.Mutex
 	remaining map[string]float64
@@ -33,6 +35,14 @@
 
 // TakeRetry reports whether a second attempt is allowed, and counts it if so.
 func (b *Retrybudget) TakeRetry(service string) bool {
+	v := b.take(service)
+	if b.OnTake != nil {
+		b.OnTake(service, v)
+	}
+	return v
+}
+
+func (b *Retrybudget) take(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	v := min(b.balance(service), b.maxRetries())
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -94,7 +94,7 @@
 	OnDial func(address string, err error)
 	// OnTransportRetry is called when net/http by itself sends a request to b again on
 	// another connection. Nil disables the call.
-	OnTransportRetry func(b backend.Backend)
+	OnTransportRetry func(r *request.Request, b backend.Backend)
 
 	// keepAlive reuses idle connections; singleUse opens one for each request.
 	keepAlive http.Transport
@@ -178,7 +178,7 @@
 		},
 		onTransportRetry: func() {
 			if u.OnTransportRetry != nil {
-				u.OnTransportRetry(b)
+				u.OnTransportRetry(r, b)
 			}
 		},
 	}
