--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -52,6 +52,9 @@
 	// attempts is shared by all backend servers.
 	attempts *attempts
 	homes    *homes // nil unless the homes of requests are checked
+	endings  *endings
+	repeats  *repeats
+	stop     func(d time.Duration, silent bool) // ends the process for that time
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -90,6 +93,8 @@
 	h, n := q.Header.Get(hostHeader), clock.Now()
 	s.attempts.arrive(q.Header.Get(upstream.IDHeader), q.Header.Get(attemptHeader), q.URL.Path, s.backend.Name)
 	s.homes.arrive(s, q)
+	s.endings.arrive(q.URL.Path)
+	s.repeats.arrive(q.Header.Get(upstream.IDHeader))
 	s.mu.Lock()
 	s.recordStart(h)
 	s.leaving.countArrival(s.backend.Name, q.Header)
@@ -115,6 +120,13 @@
 		s.runs.breakOff(id)
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasPrefix(q.URL.Path, endingPath) {
+		clock.Sleep(d)
+		if v, ok := s.endings.end(q.URL.Path, s.backend.Name); ok {
+			s.stop(v, s.endings.silent)
+			panic(http.ErrAbortHandler)
+		}
+	}
 	if strings.HasPrefix(q.URL.Path, slowPath) {
 		d = slowWork
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -68,6 +68,9 @@
 	runs             runs
 	attempts         attempts
 	homes            *homes // nil unless the homes of requests are checked
+	endings          endings
+	repeats          repeats
+	endingCount      int // requests below endingPath sent by callers
 
 	mu       sync.Mutex
 	calls    []call
@@ -90,7 +93,7 @@
 		ReadHosts:      func(context.Context) ([]member.Member, error) { return w.members, nil },
 		Upstream:       w.upstream(name, region), LimitValues: limitValues, SaysLeaving: saysLeaving, BackoffValues: backoffValues,
 		Gateway: &gateway.Gateway{ReportedLoad: noReport}, Random: w.random,
-		RecoveryTime: w.contact, EvacuationTime: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56,
+		RecoveryTime: w.contact, EvacuationTime: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow,
 	}
 }
--- a/edge/homes_play_test.go
+++ b/edge/homes_play_test.go
@@ -651,5 +651,6 @@
 		p.w.runs.end(c.id, u.Ran == outcome.RanNo)
 		p.w.homes.end(c, r, u)
 	}()
+	p.w.repeats.send()
 	u = e.Gateway.Serve(context.Background(), r, c.path, c.key, httptest.NewRecorder())
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -90,6 +90,8 @@
 	case "told":
 		n, err := strconv.Atoi(a[0])
 		return w.checkRefusals(n), err
+	case "ending", "come", "ended", "endings", "final", "stop":
+		return w.runEndingCommand(command, a)
 	}
 	s := w.servers[a[0]]
 	if s == nil {
@@ -175,10 +177,11 @@
 // address.
 func (w *deployment) runServer(b backend.Backend, d time.Duration) *server {
 	s := &server{
-		backend: b, homes: w.homes, attempts: &w.attempts,
+		backend: b, homes: w.homes, attempts: &w.attempts, endings: &w.endings, repeats: &w.repeats,
 		runs: &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
+	s.stop = func(d time.Duration, silent bool) { w.stopServer(s, d, silent) }
 	s.http.Handler = s
 	s.http.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	l := w.network.listen(s.backend.Address, s.backend.Region)
@@ -301,6 +304,7 @@
 		defer x.Stop()
 	}
 	r.Header.Set(sentHeader, strconv.FormatInt(t.UnixNano(), 10))
+	w.repeats.send()
 	a := httptest.NewRecorder()
 	defer func() {
 		// Serving panics if the response breaks off after its header.
@@ -331,8 +335,10 @@
 		}
 	}
 	l = append(l, w.runs.wrong()...)
-	if e := w.attempts.excess(); e != "" {
-		l = append(l, e)
+	for _, e := range []string{w.attempts.excess(), w.repeats.excess()} {
+		if e != "" {
+			l = append(l, e)
+		}
 	}
 	slices.Sort(l)
 	return strings.Join(l, "; ")
@@ -341,6 +347,7 @@
 // stopServers stops the callers and the backend servers.
 func (w *deployment) stopServers() {
 	w.stopCallers()
+	w.endings.stopRestarts()
 	for _, s := range w.servers {
 		_ = s.http.Close() // the network closes its connections
 		if err := <-s.done; !errors.Is(err, http.ErrServerClosed) {
