Retry budget: repeats by net/http and at other hosts take from it

What callers saw: repeats beyond the budget (BUDGET), each request up to six times at one backend server. Cause: net/http sends an idempotent request again on every idle connection of its address (eight) when the one before breaks off, before the attempt ends, and nothing counted that; a second host that is asked over the hop, or a second stream to the same one, was not counted either; and each start of a process gave every service five repeats. Change: the transport's repeat of what may have been received is allowed at most once an attempt, and by the budget; what net/http sends again because nothing was written stays free, as it is no arrival. A further host or stream takes from the budget if attempts were used. A host that has just started may repeat one request of each service before it has counted others.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/reachability"
 	"celeryreach.example/celeryreach/receive"
+	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/storesilence"
@@ -151,6 +152,7 @@
 	forwardedInFlight inflight.Inflight
 	borrower          *borrower.Borrower
 	mirrorSync        *mirrorsync.Mirrorsync
+	retryBudget       *retrybudget.Retrybudget
 }
 
 // Run runs the host until ctx ends. The children in serving accept requests from
@@ -222,6 +224,7 @@
 	e.borrower.Log, e.borrower.Borrow, e.borrower.Deliver = e.Log, e.client.Borrow, e.client.Lend
 	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.knownHostNames, StartBorrowing: e.borrower.Request, SendLoan: e.borrower.Lend}
 	e.borrower.OnReceived, e.borrower.RequestDone = e.tokens.Receive, e.tokens.BorrowingDone
+	e.retryBudget = e.newRetryBudget()
 	e.setUpBackendLimits()
 	e.setUpBackoffs()
 	e.setUpReachability()
@@ -257,7 +260,7 @@
 	return &dispatch.Dispatch{
 		Clock: e.Clock, AcquireSlot: e.Gateway.AcquireSlot, ReuseForNonIdempotent: true, IsKeyValid: e.Gateway.IsKeyValid, ConfirmToken: tokenAlwaysValid,
 		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
-		Budget: e.newRetryBudget(),
+		Budget: e.retryBudget,
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -37,7 +37,7 @@
 		Clock: e.Clock, Dial: e.client.Dial, Idle: streamIdleTimeout, PerAddress: streamsPerHost, MaxDials: maxStreamDials,
 	}
 	e.forward = &forward.Forward{
-		Clock: e.Clock, Region: e.Self.Region, Version: e.configVersion, Targets: e.forwardTargets, MaySend: e.mayForward, Complete: e.completeForward,
+		Clock: e.Clock, Region: e.Self.Region, Version: e.configVersion, Targets: e.forwardTargets, MaySend: e.mayForward, MayRepeat: e.mayRepeat, Complete: e.completeForward,
 		ReserveLink: func(string, int64) (func(int64), time.Duration, bool) { return func(int64) {}, 0, true },
 		Open:        e.streams.Open, Limit: maxForwards,
 	}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -28,6 +28,9 @@
 	// retryBudgetFraction of the users' bound on retries is used, because the budgets of
 	// different hosts, each counted over its own window, add up.
 	retryBudgetFraction = 0.8
+	// initialRetries of each service may be made by a host that has just started. A series of
+	// restarts must not exceed what retryBudgetFraction leaves of the users' bound.
+	initialRetries = 1
 	// responseBufferBytes is how much of a response is buffered until it is complete,
 	// so that a request whose response breaks off can be retried. Usual responses are
 	// shorter than 32 KB.
@@ -77,25 +80,33 @@
 		Clock: e.Clock, Log: e.Log, Self: e.Self.Name, Hosts: e.knownHosts, RemoteWeight: remoteWeight,
 		Overage: e.LimitOverage, Slack: e.LimitSlack, Window: e.LimitWindow, Notify: e.membership.SendSoon,
 	}
-	c := &counter.Counter{Prefix: counterRetries}
+	c := new(counter.Counter)
+	e.Upstream.MayRepeat = e.mayRepeat
 	e.Upstream.OnTransportRetry = func(r *request.Request, b backend.Backend) {
 		e.limits.RecordSent(b)
-		c.Add("Transport")
+		c.Add(counterTransport)
 		r.DecisionLog.Add(e.Clock.Now(), "request sent again by the transport", "Backend", b.Name, "Started", b.Started)
 	}
 }
 
+// mayRepeat reports whether a request that a backend server may have received may be sent
+// again, by net/http or by another host, and takes that from the retry budget.
+func (e *Edge) mayRepeat(r *request.Request) bool {
+	return e.retryBudget.TakeRetry(r.Service.Name)
+}
+
 // newRetryBudget returns the budget of this host's retries. It counts those that it allows and
 // those that it denies.
 func (e *Edge) newRetryBudget() *retrybudget.Retrybudget {
-	c := &counter.Counter{Prefix: counterRetries}
+	c := new(counter.Counter)
 	return &retrybudget.Retrybudget{
 		Ratio: func() float64 { return e.RetryRatio * retryBudgetFraction }, Limit: e.retryLimit,
+		Initial: func() float64 { return initialRetries },
 		OnTake: func(_ string, allowed bool) {
 			if allowed {
-				c.Add("Allowed")
+				c.Add(counterAllowed)
 			} else {
-				c.Add("Denied")
+				c.Add(counterDenied)
 			}
 		},
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -7,7 +7,7 @@
 	"celeryreach.example/celeryreach/mirror"
 )
 
-// Names of the gauges, described in docs/metrics.md.
+// Names of the metrics, described in docs/metrics.md.
 const (
 	gaugeConfigVersion    = "ConfigVersion"
 	gaugeConfigStoreAge   = "StoreAge.Config"
@@ -22,7 +22,9 @@
 	gaugeChangesUnheard   = "ChangesUnheard"
 	gaugeGranted          = "Permits.Granted"
 	gaugeDenied           = "Permits.Denied"
-	counterRetries        = "Retries."
+	counterAllowed        = "Retries.Allowed"
+	counterDenied         = "Retries.Denied"
+	counterTransport      = "Retries.Transport"
 )
 
 // publishMetrics publishes the gauges of the store's age, leaving and unreachable backend
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,9 @@
 	// the stream is open and before a long body is sent, since both take time. Nil permits
 	// all.
 	MaySend func(r *request.Request, m member.Member) bool
+	// MayRepeat reports whether a request that a backend server may have received by an
+	// earlier stream may be sent on another one. Nil permits all.
+	MayRepeat func(r *request.Request) bool
 	// Complete adds to a message what the receiving host can't look up; nil adds nothing.
 	Complete func(m *wire.Request, r *request.Request)
 	// ReserveLink reserves the bytes of a request on the link to a region. The
@@ -87,6 +90,9 @@
 		if !f.maySend(q, m) {
 			continue
 		}
+		if used > 0 && !f.mayRepeat(q) {
+			break
+		}
 		v := f.sendTo(ctx, m, q, b, w)
 		if v.heldBack {
 			continue
@@ -155,6 +161,9 @@
 	if o.Outcome != outcome.BackendFailed || !a.reused || a.gotFrame || b.isConsumed() || ctx.Err() != nil {
 		return sendResult{outcome: o, used: a.used, heldBack: a.heldBack}
 	}
+	if !f.mayRepeat(r) {
+		return sendResult{outcome: o, used: a.used}
+	}
 	q, _ = withAttemptsLeft(r, a.used)
 	t := &attempt{forward: f, request: q, member: m, body: b, transfer: c}
 	o = t.run(ctx, true)
@@ -165,6 +174,10 @@
 	return f.MaySend == nil || f.MaySend(r, m)
 }
 
+func (f *Forward) mayRepeat(r *request.Request) bool {
+	return f.MayRepeat == nil || f.MayRepeat(r)
+}
+
 func (f *Forward) acquire() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/host/metrics_test.go
+++ b/host/metrics_test.go
@@ -16,7 +16,7 @@
 
 // The table in docs/metrics.md lists exactly the metrics that the code
 // publishes: a counter for each outcome and for each reason to close a connection
-// without a response, and the gauges of this package and of package edge.
+// without a response, and the gauges and counters of this package and of package edge.
 func TestMetricsAreDocumented(t *testing.T) {
 	b, err := os.ReadFile("../docs/metrics.md")
 	must.NoError(t, err)
@@ -38,7 +38,7 @@
 	}
 	for _, f := range []string{"metrics.go", "../edge/metrics.go"} {
 		for n, v := range constants(t, f) {
-			if strings.HasPrefix(n, "gauge") {
+			if strings.HasPrefix(n, "gauge") || strings.HasPrefix(n, "counter") {
 				used = append(used, v)
 			}
 		}
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -4,10 +4,10 @@
 import "sync"
 
 const (
-	// initialRetries lets a service with little traffic make a second attempt at once
+	// defaultInitialRetries lets a service with little traffic make a second attempt at once
 	// when a connection has gone silent.
-	initialRetries    = 5
-	defaultMaxRetries = 20
+	defaultInitialRetries = 5
+	defaultMaxRetries     = 20
 )
 
 // Retrybudget counts the attempts for each service. Without this budget, an overloaded
@@ -18,6 +18,9 @@
 	Ratio func() float64
 	// Limit returns how many second attempts may be made in a burst; nil means 20.
 	Limit func() float64
+	// Initial returns how many second attempts of a service may be made before any request
+	// was counted; nil means 5. Processes that are restarted add as many to those of all hosts.
+	Initial func() float64
 	// OnTake is called with each result of TakeRetry; nil disables the call.
 	OnTake func(service string, allowed bool)
 
@@ -61,7 +64,10 @@
 	if v, ok := b.remaining[service]; ok {
 		return v
 	}
-	return min(initialRetries, b.maxRetries())
+	if b.Initial == nil {
+		return min(defaultInitialRetries, b.maxRetries())
+	}
+	return min(b.Initial(), b.maxRetries())
 }
 
 func (b *Retrybudget) maxRetries() float64 {
--- a/upstream/connections.go
+++ b/upstream/connections.go
@@ -11,10 +11,12 @@
 // itself repeats an idempotent request when a reused connection breaks.
 type connTracker struct {
 	checkSend        func() error // why the request may not be sent on one more connection
+	mayRepeat        func() bool  // whether a request that was written to a connection may be to another one
 	onTransportRetry func()       // called for each connection after the first one
 	abandon          func(error)  // ends the request
 	current          *sealableconn.Sealableconn
 	written          bool  // whether an earlier connection was written to
+	repeated         bool  // whether the request was sent again after that
 	abandoned        error // why the request was abandoned
 }
 
@@ -26,7 +28,7 @@
 	}
 	c.current = i.Conn.(*sealableconn.Sealableconn)
 	c.current.StartRequest()
-	if err := c.checkSend(); err != nil {
+	if err := c.checkConn(); err != nil {
 		c.abandoned = err
 		c.current.Seal()
 		c.abandon(err)
@@ -37,6 +39,20 @@
 	}
 }
 
+// checkConn returns why the request may not be sent on the current connection, nil if it may.
+// net/http would send it on each idle connection in turn, of which a backend server that ends
+// or breaks off leaves none whole.
+func (c *connTracker) checkConn() error {
+	if err := c.checkSend(); err != nil || !c.written {
+		return err
+	}
+	if c.repeated || !c.mayRepeat() {
+		return errNotRepeated
+	}
+	c.repeated = true
+	return nil
+}
+
 // sealWritten seals the current connection and reports whether any part of the request
 // was written to it or to an earlier one.
 func (c *connTracker) sealWritten() bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -57,6 +57,9 @@
 // time at which any part of it would have been written.
 var ErrNotAllowed = errors.New("the backend server may not serve the request")
 
+// errNotRepeated ends a request that net/http would send again.
+var errNotRepeated = errors.New("the connection broke off, and the request is not sent again on another one")
+
 var errOutOfReach = errors.New("the last connection could not be opened")
 
 // Upstream sends requests through the transports of net/http.
@@ -92,6 +95,9 @@
 	// OnDial is called when a connection to an address was opened or, with an error, could
 	// not be opened. Nil disables the call.
 	OnDial func(address string, err error)
+	// MayRepeat reports whether a request that may have been received on one connection may
+	// be sent again on another. It is called at most once for each Send. Nil permits it.
+	MayRepeat func(r *request.Request) bool
 	// OnTransportRetry is called when net/http by itself sends a request to b again on
 	// another connection. Nil disables the call.
 	OnTransportRetry func(r *request.Request, b backend.Backend)
@@ -176,6 +182,7 @@
 			}
 			return u.CheckSend(r, b)
 		},
+		mayRepeat: func() bool { return u.MayRepeat == nil || u.MayRepeat(r) },
 		onTransportRetry: func() {
 			if u.OnTransportRetry != nil {
 				u.OnTransportRetry(r, b)
