Health checks: at most 64 KiB of a response header are read

Found by the review of places that read from a backend server: the transport of probes had net/http's limit of 10 MB, so a backend server that answers with a header, or informational responses, without end filled that much memory with each probe, eight at a time. TestProbeBytesWithoutEnd fails on the code before in four of five cases, and passes.

--- a/healthcheck/healthcheck.go
+++ b/healthcheck/healthcheck.go
@@ -18,6 +18,9 @@
 // about 6 ms, and backend servers that don't respond must not delay the probes of others.
 const maxConcurrent = 8
 
+// maxHeaderBytes is how much of the header of a response to a probe is read.
+const maxHeaderBytes = 64 << 10
+
 // Healthcheck probes backend servers at regular intervals, each time on a new connection:
 // an existing connection may be dead although the backend server is healthy.
 type Healthcheck struct {
@@ -84,8 +87,8 @@
 		return health.Health{Reached: true, Healthy: true}
 	}
 	t := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext:       func(context.Context, string, string) (net.Conn, error) { return c, nil },
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil },
 	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.Address+b.Health, nil)
 	if err != nil {
--- a/healthcheck/healthcheck_test.go
+++ b/healthcheck/healthcheck_test.go
@@ -1,7 +1,10 @@
 package healthcheck
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +19,9 @@
 	"celeryreach.example/celeryreach/loadreport"
 )
 
+// socketBytes is more than what the buffers of both ends of a connection hold.
+const socketBytes = 8 << 20
+
 // Guards against a probe that accepts an invalid load, or that confuses a backend
 // server that is gone, one that is unhealthy and one that drains: the balancer acts
 // differently on each of the three.
@@ -46,6 +52,53 @@
 	must.Eq(t, health.Health{}, Check(t.Context(), backend.Backend{Address: a}))
 }
 
+// Guards against a backend server that answers probes with bytes without end, which fill the
+// memory or keep the connection open.
+func TestProbeBytesWithoutEnd(t *testing.T) {
+	for _, v := range []struct {
+		name, begin, again string
+		healthy            bool
+	}{
+		{name: "no response", again: "no response in the protocol "},
+		{name: "header field", begin: "HTTP/1.1 200 OK\r\nName: ", again: "value "},
+		{name: "header", begin: "HTTP/1.1 200 OK\r\n", again: "Name: value\r\n"},
+		{name: "informational responses", again: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		{name: "body", begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", again: "2\r\nok\r\n", healthy: true},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer l.Close()
+			taken := make(chan int)
+			go func() {
+				n := 0
+				defer func() { taken <- n }()
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				s := v.begin
+				for {
+					m, err := io.WriteString(c, s+strings.Repeat(v.again, 100))
+					n += m
+					if err != nil {
+						return // the probe has closed the connection
+					}
+					s = ""
+				}
+			}()
+			h := Check(t.Context(), backend.Backend{Address: l.Addr().String(), Health: "/health"})
+			must.EqOp(t, v.healthy, h.Healthy)
+			must.True(t, h.Reached)
+			must.LessEq(t, maxHeaderBytes+socketBytes, <-taken)
+		})
+	}
+}
+
 // One backend server accepts the connection and doesn't answer. Its probe must end at the
 // timeout as unhealthy and must not delay the probes of others.
 func TestProbeTimeout(t *testing.T) {
