--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -41,6 +41,12 @@
 	warmUp      = 3 * time.Second
 )
 
+// A response without end is sent as endlessBytes each endlessPause.
+const (
+	endlessBytes = 16 << 10
+	endlessPause = 5 * time.Millisecond
+)
+
 // server is a fake backend server that states limits, refuses requests, can turn cold and
 // can leave.
 type server struct {
@@ -128,6 +134,10 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if strings.HasPrefix(q.URL.Path, endlessPath) {
+		s.sendEndless(w, q, id, n)
+		return
+	}
 	if strings.HasPrefix(q.URL.Path, slowPath) {
 		d = slowWork
 	}
@@ -151,6 +161,22 @@
 	l.answer(w)
 }
 
+// sendEndless sends a response without end until the host closes the connection.
+func (s *server) sendEndless(w http.ResponseWriter, q *http.Request, id string, began time.Time) {
+	w.Header().Set(upstream.IDHeader, id)
+	b := make([]byte, endlessBytes)
+	for clock.Since(began) < requestTimeout+goneTime {
+		if _, err := w.Write(b); err != nil || q.Context().Err() != nil {
+			return
+		}
+		clock.Sleep(endlessPause)
+	}
+	// A link that hangs holds up the news that the host has closed the connection.
+	if _, v := s.links.gate(link{q.Header.Get(hostHeader), s.backend.Address}); v != linkHangs {
+		s.runs.endless(id)
+	}
+}
+
 // regions returns the regions in which hosts may believe that it stands.
 func (s *server) regions() []string {
 	if clock.Since(s.movedAt) < applyTime {
--- a/edge/ending_test.go
+++ b/edge/ending_test.go
@@ -408,6 +408,14 @@
 	}
 }
 
+// Guards against a response without end that hosts read on after the deadline, that its caller
+// takes for complete, or that keeps others from being served, also over the hop.
+func TestResponsesWithoutEnd(t *testing.T) {
+	for _, s := range []string{linkResets, linkHangs, linkKeeps} {
+		t.Run(s, func(t *testing.T) { runLinkScript(t, "endless", s) })
+	}
+}
+
 // Guards against requests that end one backend server after the other, and harmless ones that
 // are refused for it, whatever happens at the same time.
 func TestEndingsAtRandom(t *testing.T) { runLinkScript(t, "ending-play", "") }
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -16,6 +16,8 @@
 	// slowPath is the path of requests that take slowWork.
 	slowPath = listingPath + "slow/"
 	slowWork = 1200 * time.Millisecond
+	// endlessPath is the path of requests whose response has no end.
+	endlessPath = listingPath + "endless/"
 	// maxBuffered is the longest body that callers' hosts buffer.
 	maxBuffered = 256 << 10
 	// goneTime is how long after its caller has left a request may still be at work.
@@ -41,6 +43,7 @@
 	"long-body":  {path: enrolPath, key: "key", body: 2 * maxBuffered},
 	"home":       {path: homePath},
 	"home-enrol": {path: homeEnrolPath, key: "key", body: 2 << 10},
+	"endless":    {path: endlessPath},
 	"leaves":     {path: slowPath, leaves: 200 * time.Millisecond},
 }
 
@@ -142,6 +145,13 @@
 	return r.homes[len(r.homes)-1].home
 }
 
+// endless records a response without end that a host still reads after its caller's deadline.
+func (r *runs) endless(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errors = append(r.errors, fmt.Sprintf("the response of request %s was still read %s after its deadline", id, goneTime))
+}
+
 func (r *runs) breakOff(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
