--- a/edge/peers.go
+++ b/edge/peers.go
@@ -70,7 +70,7 @@
 	h.BackendLimits = e.limits.Observations()
 	h.LeavingBackends = e.discovery.Departures()
 	e.reportReachability(h)
-	h.SuspectRequests = e.quarantine.Report()
+	h.SuspectRequests = e.quarantine.Report(h.GetFull())
 }
 
 func (e *Edge) receiveHeartbeat(h *wire.Heartbeat, _ time.Time) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -10,8 +10,8 @@
 const (
 	// maxReported limits the requests that a heartbeat lists.
 	maxReported = 32
-	// reportTime is how long a single end is reported. What more processes ended under is
-	// reported for as long as it is remembered, also to hosts that start or were cut off.
+	// reportTime is how long after an end all heartbeats report a suspect. Later, those with more
+	// than one end are reported by full heartbeats, to hosts that start or were cut off.
 	reportTime = 5 * time.Second
 	// clearedTime is how long it is reported that a request was cleared.
 	clearedTime = 5 * time.Second
@@ -19,7 +19,7 @@
 
 // Report returns what other hosts should know, for heartbeats: first the requests under which
 // most processes ended.
-func (q *Quarantine) Report() []*wire.SuspectRequest {
+func (q *Quarantine) Report(full bool) []*wire.SuspectRequest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
@@ -30,7 +30,7 @@
 			continue
 		}
 		c, p := q.count(f, s, n)
-		if c+p > 1 || c+p == 1 && s.isRecent(n) {
+		if c+p > 1 && full || c+p > 0 && s.isRecent(n) {
 			l = append(l, s.message(f, n))
 		}
 	}
