--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -15,6 +15,10 @@
 // somewhat earlier.
 const endConfirmTime = 800 * time.Millisecond
 
+// endLossTime is how long after a connection broke off no connection can be opened any more, if
+// the process has ended then. What happens later has another cause.
+const endLossTime = 2 * time.Second
+
 // setUpQuarantine sets up what this host and the others know of requests under which backend
 // servers end.
 func (e *Edge) setUpQuarantine() {
@@ -43,6 +47,9 @@
 		return false, true
 	}
 	t := e.reachability.LostAt(b)
+	if !t.IsZero() && t.Sub(since) > endLossTime {
+		return false, true
+	}
 	if _, n, a := e.reachability.Lost(); t.IsZero() || e.Clock.Since(t) < endConfirmTime || 2*n > a {
 		return false, false // a host that has lost most of its paths knows nothing of processes
 	}
--- a/edge/reach.go
+++ b/edge/reach.go
@@ -28,6 +28,7 @@
 // setBackends passes the usable backend servers to the parts that keep state for each.
 func (e *Edge) setBackends(l []backend.Backend, cold func(name string) time.Time) {
 	e.reachability.Set(l)
+	e.quarantine.Set(l)
 	e.placement.Set(l, cold)
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -83,7 +83,8 @@
 	suspects *simplelru.LRU[string, *suspect]
 	answered *simplelru.LRU[string, *answers]
 	cleared  *simplelru.LRU[string, time.Time]
-	running  map[string]int // attempts of this host
+	running  map[string]int             // attempts of this host
+	listed   map[uint64]backend.Backend // by process
 	wake     chan struct{}
 }
 
@@ -112,6 +113,17 @@
 	return l
 }
 
+// Set replaces the list of backend servers.
+func (q *Quarantine) Set(l []backend.Backend) {
+	m := make(map[uint64]backend.Backend, len(l))
+	for _, b := range l {
+		m[process(b)] = b
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.listed = m
+}
+
 // Run finds out which processes have ended until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -125,6 +125,11 @@
 	switch {
 	case e == nil:
 		s.ends[m.GetProcess()] = &end{at: t, confirmed: m.GetConfirmed()}
+		// A host that has not tried to reach the process for some time would contradict those
+		// that can't reach it.
+		if b, ok := q.listed[m.GetProcess()]; ok && !m.GetConfirmed() {
+			q.Probe(b)
+		}
 		return true
 	case m.GetConfirmed() && !e.confirmed:
 		e.confirmed = true
