Quarantine: each host judges the ends it is told of; answers count over all hosts

A process that was out of reach since the break is no longer taken for alive, and each host that is told of an end judges it.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -77,7 +77,7 @@
 	e.limits.Merge(h.GetFrom().GetName(), h.GetBackendLimits())
 	e.discovery.Merge(h.GetFrom().GetName(), h.GetLeavingBackends())
 	e.forwardHosts.Merge(h)
-	e.quarantine.Merge(h.GetSuspectRequests())
+	e.quarantine.Merge(h.GetFrom().GetName(), h.GetSuspectRequests())
 	if a := h.GetFrom().GetPeerAddress(); a != "" {
 		// A host that has received the names of the other hosts from one of them can
 		// compute its share of the limits.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,7 +21,7 @@
 	// maxEnds is the number of processes that may end under a request, over all hosts and all
 	// that callers send, before it is quarantined.
 	maxEnds = 3
-	// clearingAnswers in a row show that a request is harmless: it ran beside another one, or by
+	// clearingAnswers in a row, over all hosts, show that a request is harmless: it ran beside another one, or by
 	// chance, when a process ended.
 	clearingAnswers = 3
 	// quarantineTime is how long after the last end a request is refused at first. Then one attempt
@@ -154,7 +154,7 @@
 		c = c || v > s.told
 		s.told = v
 		for _, e := range s.ends {
-			o = o || e.local && !e.confirmed
+			o = o || e.backend.Name != "" && !e.confirmed
 		}
 	}
 	q.mu.Unlock()
@@ -255,7 +255,7 @@
 	return !a
 }
 
-// recordAnswer records an answer, and reports whether it clears the request.
+// recordAnswer records an answer, and reports whether other hosts should be told at once.
 func (q *Quarantine) recordAnswer(f string) bool {
 	a, ok := q.answered.Get(f)
 	if !ok {
@@ -264,13 +264,22 @@
 	}
 	a.inRow++
 	s, ok := q.suspects.Get(f)
-	if !ok || a.inRow < clearingAnswers {
+	if !ok {
+		return false
+	}
+	s.answers++
+	return q.clear(f, s) || len(s.ends) > 1
+}
+
+// clear clears a suspect that was answered often enough, and reports whether it did.
+func (q *Quarantine) clear(f string, s *suspect) bool {
+	n := s.answersInRow()
+	if n < clearingAnswers {
 		return false
 	}
-	n := q.Clock.Now()
 	q.suspects.Remove(f)
-	q.cleared.Add(f, n)
-	q.Log.Info("request cleared", "Fingerprint", short(f), "Answers", a.inRow, "Ended", len(s.ends))
+	q.cleared.Add(f, q.Clock.Now())
+	q.Log.Info("request cleared", "Fingerprint", short(f), "Answers", n, "Ended", len(s.ends))
 	return true
 }
 
@@ -292,15 +301,20 @@
 	k := process(b)
 	s := q.suspect(f)
 	if s.ends[k] == nil {
-		s.ends[k] = &end{at: n, local: true, backend: b}
+		s.addEnd(k, &end{at: n, backend: b})
 	}
 	r.DecisionLog.Add(n, "broke off", "Backend", b.Name, "Started", b.Started, "Fingerprint", short(f), "Ends", len(s.ends))
+	q.watch(b)
+	return true
+}
+
+// watch lets Run find out whether a process has ended.
+func (q *Quarantine) watch(b backend.Backend) {
 	q.Probe(b)
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // Size returns how many answered requests and how many suspects are remembered.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -55,7 +55,7 @@
 }
 
 func (s *suspect) message(f string, now time.Time) *wire.SuspectRequest {
-	m := &wire.SuspectRequest{Fingerprint: []byte(f)}
+	m := &wire.SuspectRequest{Fingerprint: []byte(f), Answers: uint32(s.answers)} //nolint:gosec // a small number
 	for k, e := range s.ends {
 		if e.confirmed || now.Sub(e.at) <= pendingTime {
 			m.Ends = append(m.Ends, &wire.ProcessEnd{Process: k, EndedNanoseconds: int64(now.Sub(e.at)), Confirmed: e.confirmed})
@@ -66,7 +66,7 @@
 
 // Merge adds what another host reported. What is new is passed on, since not all hosts
 // exchange heartbeats with each other.
-func (q *Quarantine) Merge(l []*wire.SuspectRequest) {
+func (q *Quarantine) Merge(from string, l []*wire.SuspectRequest) {
 	if len(l) == 0 {
 		return
 	}
@@ -81,6 +81,7 @@
 		for _, e := range m.GetEnds()[:min(len(m.GetEnds()), 2*maxEnds)] {
 			c = q.mergeEnd(f, e, n) || c
 		}
+		c = q.mergeAnswers(from, f, m) || c
 	}
 	q.mu.Unlock()
 	if c {
@@ -110,6 +111,17 @@
 	return true
 }
 
+// mergeAnswers adds the answers that another host has had, and reports whether they clear the
+// request. A host that knows of fewer ends may have had them before the last one.
+func (q *Quarantine) mergeAnswers(from, f string, m *wire.SuspectRequest) bool {
+	s, ok := q.suspects.Peek(f)
+	if !ok || len(m.GetEnds()) < len(s.ends) || m.GetAnswers() == 0 {
+		return false
+	}
+	s.others[from] = int(m.GetAnswers())
+	return q.clear(f, s)
+}
+
 // mergeEnd adds the end of a process under a request, and reports whether it is new.
 func (q *Quarantine) mergeEnd(f string, m *wire.ProcessEnd, now time.Time) bool {
 	t := now.Add(-time.Duration(m.GetEndedNanoseconds()))
@@ -124,11 +136,12 @@
 	e := s.ends[m.GetProcess()]
 	switch {
 	case e == nil:
-		s.ends[m.GetProcess()] = &end{at: t, confirmed: m.GetConfirmed()}
-		// A host that has not tried to reach the process for some time would contradict those
-		// that can't reach it.
-		if b, ok := q.listed[m.GetProcess()]; ok && !m.GetConfirmed() {
-			q.Probe(b)
+		b, ok := q.listed[m.GetProcess()]
+		s.addEnd(m.GetProcess(), &end{at: t, confirmed: m.GetConfirmed(), backend: b})
+		// The host that saw the end may have lost its own paths, and one that has not tried to
+		// reach the process for some time would contradict those that can't.
+		if ok && !m.GetConfirmed() {
+			q.watch(b)
 		}
 		return true
 	case m.GetConfirmed() && !e.confirmed:
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -11,18 +11,22 @@
 
 // suspect is a request under which processes ended, or may have.
 type suspect struct {
-	ends   map[uint64]*end // by process
-	judged int             // the number of ends when it was last judged
-	told   int             // the number of ends that other hosts were told of at once
-	until  time.Time       // the end of its quarantine
+	ends map[uint64]*end // by process
+	// answers is how many times in a row this host has had it answered since the last end, and
+	// others is the same of other hosts.
+	answers int
+	others  map[string]int
+	judged  int       // the number of ends when it was last judged
+	told    int       // the number of ends that other hosts were told of at once
+	until   time.Time // the end of its quarantine
 }
 
 // end is the end of one process.
 type end struct {
 	at        time.Time
 	confirmed bool
-	local     bool            // observed by this host
-	backend   backend.Backend // if local
+	// backend is the backend server, if this host knows the process.
+	backend backend.Backend
 }
 
 // suspect returns the suspect of a request, a new one if there is none.
@@ -35,6 +39,21 @@
 	return s
 }
 
+// addEnd adds the end of a process. What was answered before is no longer in a row.
+func (s *suspect) addEnd(process uint64, e *end) {
+	s.ends[process] = e
+	s.answers, s.others = 0, make(map[string]int)
+}
+
+// answersInRow returns how many times in a row all hosts have had the request answered.
+func (s *suspect) answersInRow() int {
+	n := s.answers
+	for _, v := range s.others {
+		n += v
+	}
+	return n
+}
+
 // count updates what is known of a suspect, and returns how many processes have ended under
 // it and how many may have.
 func (q *Quarantine) count(f string, s *suspect, now time.Time) (confirmed, pending int) {
@@ -107,7 +126,7 @@
 	if e.confirmed {
 		return false
 	}
-	if !e.local {
+	if e.backend.Name == "" {
 		return now.Sub(e.at) <= pendingTime
 	}
 	d, a := q.State(e.backend, e.at)
--- a/reachability/probes.go
+++ b/reachability/probes.go
@@ -148,7 +148,7 @@
 func (r *Reachability) lose(p *path, now time.Time) {
 	first := p.lostAt.IsZero()
 	if first {
-		p.lostAt = now
+		p.lostAt, p.lastLostAt = now, now
 		r.lost++
 		r.updateAnyLost()
 	}
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -55,6 +55,8 @@
 	backend backend.Backend
 	lostAt  time.Time // when a connection could not be opened; zero if the last one could
 	heardAt time.Time // the last response or opened connection
+	// lastLostAt is when it was last lost, also after it was restored.
+	lastLostAt time.Time
 	// confirmed is set once two dials in a row have failed, or one just after another path
 	// was lost. Other hosts are told of no other losses: a single dial fails on a host that is
 	// busy, or by a lost packet.
@@ -170,13 +172,13 @@
 	return p == nil || p.lostAt.IsZero() || p.heardAt.After(p.lostAt) && r.Clock.Since(p.heardAt) < openConnectionLife
 }
 
-// IsHeardSince reports whether b can be reached, and a connection to it was opened or a response
-// came from it after t.
+// IsHeardSince reports whether a connection to b was opened or a response came from it after t,
+// and it was not out of reach since then: after that, another process may have its address.
 func (r *Reachability) IsHeardSince(b backend.Backend, t time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.paths[b.Address]
-	return p != nil && p.lostAt.IsZero() && p.heardAt.After(t)
+	return p != nil && p.lostAt.IsZero() && p.heardAt.After(t) && !p.lastLostAt.After(t)
 }
 
 // LostAt returns since when no connection to b can be opened, zero if one can.
