--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -43,6 +43,9 @@
 	// pendingTime is how long a connection that broke off counts as the end of a process unless
 	// it is known whether the process has ended.
 	pendingTime = 4 * time.Second
+	// aliveTime is how soon after that a process that is reached has not ended. Later it may be
+	// another one, whose entry has not arrived.
+	aliveTime = time.Second
 	// heldDelay is the delay after which it is mostly known whether processes have ended.
 	heldDelay = time.Second
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -25,6 +25,7 @@
 type end struct {
 	at        time.Time
 	confirmed bool
+	alive     bool // the process was reached soon after
 	// backend is the backend server, if this host knows the process.
 	backend backend.Backend
 }
@@ -130,13 +131,16 @@
 		return now.Sub(e.at) <= pendingTime
 	}
 	d, a := q.State(e.backend, e.at)
+	if a && now.Sub(e.at) <= aliveTime {
+		e.alive = true
+	}
 	if d {
 		e.confirmed = true
 		q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Backend", e.backend.Name,
 			"Started", e.backend.Started, "Process", process, "Service", e.backend.Service, "Ago", now.Sub(e.at))
 		return false
 	}
-	return !a && now.Sub(e.at) <= pendingTime
+	return !e.alive && now.Sub(e.at) <= pendingTime
 }
 
 // processes returns the processes that ended.
