Quarantine: at most ten notices a second, however many connections break off

Found by the time of TestRepeatsStayInBudget/budget-breaks: each end that a host saw or was told of for the first time sent heartbeats at once, hundreds a second when backend servers break off every second request. The first still goes out at once.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -46,6 +46,9 @@
 	// aliveTime is how soon after that a process that is reached has not ended. Later it may be
 	// another one, whose entry has not arrived.
 	aliveTime = time.Second
+	// notifyInterval is the time between two calls of Notify: when many connections break off, one
+	// heartbeat tells of many ends.
+	notifyInterval = 100 * time.Millisecond
 	// heldDelay is the delay after which it is mostly known whether processes have ended.
 	heldDelay = time.Second
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
@@ -89,6 +92,8 @@
 	running  map[string]int             // attempts of this host
 	listed   map[uint64]backend.Backend // by process
 	wake     chan struct{}
+	notified time.Time // when Notify was last called
+	news     bool      // whether it is to be called again
 }
 
 // answers is what this host knows of a request that was answered.
@@ -131,7 +136,7 @@
 func (q *Quarantine) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		var t <-chan time.Time
-		if q.check() {
+		if o := q.check(); q.sendNews() || o {
 			t = q.Clock.After(checkInterval)
 		}
 		select {
@@ -162,11 +167,51 @@
 	}
 	q.mu.Unlock()
 	if c {
-		q.Notify()
+		q.tell()
 	}
 	return o
 }
 
+// tell calls Notify, at once unless it was called just before.
+func (q *Quarantine) tell() {
+	q.mu.Lock()
+	n := q.Clock.Now()
+	w := n.Sub(q.notified) < notifyInterval
+	if w {
+		q.news = true
+		q.wakeUp()
+	} else {
+		q.notified = n
+	}
+	q.mu.Unlock()
+	if !w {
+		q.Notify()
+	}
+}
+
+// sendNews calls Notify if it is due, and reports whether it will be.
+func (q *Quarantine) sendNews() bool {
+	q.mu.Lock()
+	n := q.Clock.Now()
+	d := q.news && n.Sub(q.notified) >= notifyInterval
+	if d {
+		q.notified, q.news = n, false
+	}
+	w := q.news
+	q.mu.Unlock()
+	if d {
+		q.Notify()
+	}
+	return w
+}
+
+func (q *Quarantine) wakeUp() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Allows reports whether a request may be sent. If not, final is set if it is quarantined; else
 // it may be sent after the delay, or is quarantined by then.
 func (q *Quarantine) Allows(fingerprint string) (ok, final bool, again time.Duration) {
@@ -243,7 +288,7 @@
 	}
 	q.mu.Unlock()
 	if c {
-		q.Notify()
+		q.tell()
 	}
 }
 
@@ -314,10 +359,7 @@
 // watch lets Run find out whether a process has ended.
 func (q *Quarantine) watch(b backend.Backend) {
 	q.Probe(b)
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
+	q.wakeUp()
 }
 
 // Size returns how many answered requests and how many suspects are remembered.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -85,7 +85,7 @@
 	}
 	q.mu.Unlock()
 	if c {
-		q.Notify()
+		q.tell()
 	}
 }
 
