Quarantine: an end is reported at once also when news was passed on just before

The host that saw the third end had passed on news of another host within the 100 ms before, so the limit of ten notices a second held its own notice up until the caller had come back at the next host. The limit now counts over a second: ten calls at once, then ten a second.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/request"
@@ -46,9 +47,10 @@
 	// aliveTime is how soon after that a process that is reached has not ended. Later it may be
 	// another one, whose entry has not arrived.
 	aliveTime = time.Second
-	// notifyInterval is the time between two calls of Notify: when many connections break off, one
-	// heartbeat tells of many ends.
-	notifyInterval = 100 * time.Millisecond
+	// notifyRate, in calls a second, and notifyBurst limit the calls of Notify: when many
+	// connections break off, one heartbeat tells of many ends.
+	notifyRate  = 10
+	notifyBurst = 10
 	// heldDelay is the delay after which it is mostly known whether processes have ended.
 	heldDelay = time.Second
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
@@ -92,8 +94,8 @@
 	running  map[string]int             // attempts of this host
 	listed   map[uint64]backend.Backend // by process
 	wake     chan struct{}
-	notified time.Time // when Notify was last called
-	news     bool      // whether it is to be called again
+	notices  *rate.Limiter
+	news     bool // whether Notify is to be called once notices allows it
 }
 
 // answers is what this host knows of a request that was answered.
@@ -106,7 +108,7 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	q := &Quarantine{running: make(map[string]int), wake: make(chan struct{}, 1)}
+	q := &Quarantine{running: make(map[string]int), wake: make(chan struct{}, 1), notices: rate.NewLimiter(notifyRate, notifyBurst)}
 	q.suspects = newLRU[*suspect](maxSuspects)
 	q.answered = newLRU[*answers](maxAnswered)
 	q.cleared = newLRU[time.Time](maxSuspects)
@@ -172,30 +174,24 @@
 	return o
 }
 
-// tell calls Notify, at once unless it was called just before.
+// tell calls Notify, at once unless it was called often just before.
 func (q *Quarantine) tell() {
-	q.mu.Lock()
-	n := q.Clock.Now()
-	w := n.Sub(q.notified) < notifyInterval
-	if w {
-		q.news = true
-		q.wakeUp()
-	} else {
-		q.notified = n
-	}
-	q.mu.Unlock()
-	if !w {
+	if q.notices.AllowN(q.Clock.Now(), 1) {
 		q.Notify()
+		return
 	}
+	q.mu.Lock()
+	q.news = true
+	q.mu.Unlock()
+	q.wakeUp()
 }
 
 // sendNews calls Notify if it is due, and reports whether it will be.
 func (q *Quarantine) sendNews() bool {
 	q.mu.Lock()
-	n := q.Clock.Now()
-	d := q.news && n.Sub(q.notified) >= notifyInterval
+	d := q.news && q.notices.AllowN(q.Clock.Now(), 1)
 	if d {
-		q.notified, q.news = n, false
+		q.news = false
 	}
 	w := q.news
 	q.mu.Unlock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -87,6 +87,27 @@
 	must.EqOp(t, 1, a.Count())
 }
 
+// Guards against an end of which other hosts are told late, since news was passed on just before,
+// and against heartbeats without bound when many connections break off.
+func TestEndsAreReportedAtOnce(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	h := newHost(c)
+	end := func(fingerprint, name string) {
+		h.Start(fingerprint)
+		h.End(&request.Request{Fingerprint: fingerprint}, backend.Backend{Name: name, Started: 1}, c.Now(), result.Failed)
+	}
+	for i := range 3 {
+		end("x", fmt.Sprintf("c%d", i))
+		must.EqOp(t, i+1, h.notified)
+		c.Advance(20 * time.Millisecond)
+	}
+	for i := range 1000 {
+		end(fmt.Sprintf("y%d", i), "c3")
+		c.Advance(time.Millisecond)
+	}
+	must.LessEq(t, 3+20, h.notified)
+}
+
 // Guards against a request that stays refused after a release has mended what it set off, and
 // against one that ends many backend servers again when its time is over.
 func TestQuarantineEnds(t *testing.T) {
