Quarantine: test that a host does not stand still while the list of backend servers changes

By reading: Discovery calls OnChange, and so Quarantine.Set, with its lock held; Quarantine calls State with its own lock held, and State asks Discovery. Two goroutines that do so at the same moment wait for each other for ever, and with them the whole host.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -108,6 +109,38 @@
 	must.LessEq(t, 3+20, h.notified)
 }
 
+// Guards against a host that stands still since State waits for what holds the list of backend
+// servers while it calls Set.
+func TestStateMayWaitForSet(t *testing.T) {
+	h := newHost(clockwork.NewFakeClock())
+	asked := 0
+	h.State = func(backend.Backend, time.Time) (ended, alive bool) {
+		asked++
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.Set(nil)
+		}()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+			t.Error("Set waits until State returns")
+		}
+		return true, false
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- h.Run(ctx) }()
+	h.run("x", "c1", result.Failed)
+	b := h.clock.Now()
+	h.Start("x")
+	h.clock.Advance(time.Second)
+	h.End(&request.Request{Fingerprint: "x", Deadline: h.clock.Now()}, backend.Backend{Name: "c2", Started: 1}, b, result.Canceled)
+	stop()
+	must.NoError(t, <-done)
+	must.Positive(t, asked)
+}
+
 // Guards against a request that stays refused after a release has mended what it set off, and
 // against one that ends many backend servers again when its time is over.
 func TestQuarantineEnds(t *testing.T) {
