Quarantine: State is asked without a lock, and once for each process that ends

A host could stand still for ever: Discovery passes the list of backend servers to Quarantine with its lock held, and Quarantine asked Discovery, through State, with its own lock held.

State was also asked for each request that ran on a process, ten times a second and for each heartbeat and each look at a request, and may look at all paths to backend servers: a process that ended under 1,000 requests was asked for thousands of times. Requests that broke off together share an end now, and each is looked up once in 100 ms (TestProcessIsJudgedOnce). A request that is held is told when it should be known what the ends are, at the latest when they no longer count, instead of a second each time.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -50,7 +50,10 @@
 	if !t.IsZero() && t.Sub(since) > endLossTime {
 		return false, true
 	}
-	if _, n, a := e.reachability.Lost(); t.IsZero() || e.Clock.Since(t) < endConfirmTime || 2*n > a {
+	if t.IsZero() || e.Clock.Since(t) < endConfirmTime {
+		return false, false
+	}
+	if _, n, a := e.reachability.Lost(); 2*n > a {
 		return false, false // a host that has lost most of its paths knows nothing of processes
 	}
 	// A host that has not tried for some time may report that it reaches the backend server, so
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,11 +48,14 @@
 	// aliveTime is how soon after that a process that is reached has not ended. Later it may be
 	// another one, whose entry has not arrived.
 	aliveTime = time.Second
+	// sharedTime is how far apart the connections of a process break off when it ends.
+	sharedTime = 10 * time.Millisecond
 	// notifyRate, in calls a second, and notifyBurst limit the calls of Notify: when many
 	// connections break off, one heartbeat tells of many ends.
 	notifyRate  = 10
 	notifyBurst = 10
-	// heldDelay is the delay after which it is mostly known whether processes have ended.
+	// heldDelay is how long after a connection broke off it is mostly known whether the process has
+	// ended.
 	heldDelay = time.Second
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
 	// another one.
@@ -64,6 +68,8 @@
 	// waitDelay is the delay after which a request may be sent again that waits for another
 	// one like it.
 	waitDelay = 250 * time.Millisecond
+	// maxOpen limits the ends of one process that are open at a time.
+	maxOpen = 64
 	// maxSuspects and maxAnswered limit the requests that are remembered.
 	maxSuspects = 1024
 	maxAnswered = 4096
@@ -80,7 +86,7 @@
 	// Probe finds out soon whether a process still runs.
 	Probe func(b backend.Backend)
 	// State reports what is known of a process whose connection broke off at a given time:
-	// that it has ended, that it is alive, or neither.
+	// that it has ended, that it is alive, or neither. It may wait for what calls Set.
 	State func(b backend.Backend, since time.Time) (ended, alive bool)
 	// Notify is called when other hosts should be told at once.
 	Notify func()
@@ -93,6 +99,7 @@
 	cleared  *simplelru.LRU[string, time.Time]
 	running  map[string]int             // attempts of this host
 	listed   map[uint64]backend.Backend // by process
+	open     map[uint64][]*end          // those of which this host has to find out what they are, by process
 	wake     chan struct{}
 	notices  *rate.Limiter
 	news     bool // whether Notify is to be called once notices allows it
@@ -108,7 +115,7 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	q := &Quarantine{running: make(map[string]int), wake: make(chan struct{}, 1), notices: rate.NewLimiter(notifyRate, notifyBurst)}
+	q := &Quarantine{running: make(map[string]int), open: make(map[uint64][]*end), wake: make(chan struct{}, 1), notices: rate.NewLimiter(notifyRate, notifyBurst)}
 	q.suspects = newLRU[*suspect](maxSuspects)
 	q.answered = newLRU[*answers](maxAnswered)
 	q.cleared = newLRU[time.Time](maxSuspects)
@@ -138,7 +145,7 @@
 func (q *Quarantine) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		var t <-chan time.Time
-		if o := q.check(); q.sendNews() || o {
+		if o := q.Judge(); q.sendNews() || o {
 			t = q.Clock.After(checkInterval)
 		}
 		select {
@@ -150,30 +157,59 @@
 	return nil
 }
 
-// check updates what is known of all ends, and reports whether this host has to find out more.
-func (q *Quarantine) check() bool {
+// Judge finds out which processes have ended, and reports whether that is still open for some.
+func (q *Quarantine) Judge() bool {
+	q.judgeEnds(q.openEnds())
 	q.mu.Lock()
 	n := q.Clock.Now()
-	o, c := false, false // whether ends are open, and whether there are new ones
+	c := false // whether it is news to this host that a process has ended
 	for _, f := range q.suspects.Keys() {
 		s, ok := q.suspects.Peek(f)
 		if !ok {
 			continue
 		}
 		v, _ := q.count(f, s, n)
-		c = c || v > s.told
-		s.told = v
-		for _, e := range s.ends {
-			o = o || e.backend.Name != "" && !e.confirmed
+		if v > s.told {
+			c = true
+			q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Ended", s.names(), "Processes", s.processes())
 		}
+		s.told = v
 	}
 	q.mu.Unlock()
 	if c {
 		q.tell()
 	}
+	return len(q.openEnds()) > 0
+}
+
+// openEnds returns the ends of which this host has to find out what they are.
+func (q *Quarantine) openEnds() []*end {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := q.Clock.Now()
+	var o []*end
+	for k, l := range q.open {
+		l = slices.DeleteFunc(l, func(e *end) bool { return !e.isOpen(n) })
+		if q.open[k] = l; len(l) == 0 {
+			delete(q.open, k)
+		}
+		o = append(o, l...)
+	}
 	return o
 }
 
+// judgeEnds looks up what the ends are. What State asks may hold a lock while it calls Set, so
+// State is called without one.
+func (q *Quarantine) judgeEnds(l []*end) {
+	for _, e := range l {
+		d, a := q.State(e.backend, e.at)
+		q.mu.Lock()
+		e.confirmed = e.confirmed || d
+		e.alive = e.alive || a && q.Clock.Since(e.at) <= aliveTime
+		q.mu.Unlock()
+	}
+}
+
 // tell calls Notify, at once unless it was called often just before.
 func (q *Quarantine) tell() {
 	if q.notices.AllowN(q.Clock.Now(), 1) {
@@ -250,7 +286,7 @@
 	switch {
 	case c+p >= maxEnds:
 		q.refused(false)
-		return false, false, heldDelay
+		return false, false, s.openFor(n)
 	case c+p > 0 && c+p+running >= maxEnds:
 		q.refused(false)
 		return false, false, waitDelay
@@ -271,6 +307,7 @@
 	if f == "" {
 		return
 	}
+	k := b.Name != "" && (v == result.Failed || v == result.Canceled && q.isSilent(r, b, startedAt))
 	q.mu.Lock()
 	if q.running[f]--; q.running[f] <= 0 {
 		delete(q.running, f)
@@ -279,7 +316,7 @@
 	switch {
 	case v == result.Succeeded:
 		c = q.recordAnswer(f)
-	case v == result.Failed && b.Name != "", v == result.Canceled && q.isSilent(r, b, startedAt):
+	case k:
 		c = q.recordBreak(r, b, startedAt)
 	}
 	q.mu.Unlock()
@@ -292,7 +329,7 @@
 // ran until the deadline.
 func (q *Quarantine) isSilent(r *request.Request, b backend.Backend, startedAt time.Time) bool {
 	n := q.Clock.Now()
-	if b.Name == "" || n.Sub(startedAt) < silentTime || n.Before(r.Deadline.Add(-deadlineMargin)) {
+	if n.Sub(startedAt) < silentTime || n.Before(r.Deadline.Add(-deadlineMargin)) {
 		return false
 	}
 	_, a := q.State(b, n.Add(-silentTime))
@@ -345,17 +382,24 @@
 	k := process(b)
 	s := q.suspect(f)
 	if s.ends[k] == nil {
-		s.addEnd(k, &end{at: n, backend: b})
+		s.addEnd(k, q.watch(k, b, n))
 	}
 	r.DecisionLog.Add(n, "broke off", "Backend", b.Name, "Started", b.Started, "Fingerprint", short(f), "Ends", len(s.ends))
-	q.watch(b)
 	return true
 }
 
-// watch lets Run find out whether a process has ended.
-func (q *Quarantine) watch(b backend.Backend) {
+// watch lets Run find out whether a process has ended. Requests that broke off together share
+// the end, so that it is found out once for all of them.
+func (q *Quarantine) watch(k uint64, b backend.Backend, at time.Time) *end {
+	l := q.open[k]
+	if n := len(l); n > 0 && l[n-1].at.Sub(at).Abs() <= sharedTime {
+		return l[n-1]
+	}
+	e := &end{at: at, backend: b}
+	q.open[k] = append(l[max(0, len(l)+1-maxOpen):], e)
 	q.Probe(b)
 	q.wakeUp()
+	return e
 }
 
 // Size returns how many answered requests and how many suspects are remembered.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,7 +1,6 @@
 package quarantine_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -22,13 +21,17 @@
 	*quarantine.Quarantine
 	clock    *clockwork.FakeClock
 	notified int
+	asked    int // how many times State was called
 }
 
 func newHost(c *clockwork.FakeClock) *host {
 	h := &host{Quarantine: quarantine.New(), clock: c}
 	h.Clock, h.Log = c, log.New(io.Discard)
 	h.Probe = func(backend.Backend) {}
-	h.State = func(backend.Backend, time.Time) (ended, alive bool) { return true, false }
+	h.State = func(backend.Backend, time.Time) (ended, alive bool) {
+		h.asked++
+		return true, false
+	}
 	h.Notify = func() { h.notified++ }
 	return h
 }
@@ -65,7 +68,9 @@
 	c := clockwork.NewFakeClock()
 	a, b, d := newHost(c), newHost(c), newHost(c)
 	a.run("x", "c1", result.Failed)
+	a.Judge()
 	b.run("x", "c2", result.Failed)
+	b.Judge()
 	for range 3 {
 		for _, p := range [][2]*host{{a, b}, {b, a}, {b, d}, {d, a}, {a, d}} {
 			p[1].Merge("", p[0].Report(true))
@@ -79,6 +84,7 @@
 	ok, _ := d.allows("x")
 	must.True(t, ok)
 	d.run("x", "c3", result.Failed)
+	d.Judge()
 	a.Merge("", d.Report(true))
 	for _, h := range []*host{a, d} {
 		ok, final := h.allows("x")
@@ -109,6 +115,23 @@
 	must.LessEq(t, 3+20, h.notified)
 }
 
+// Guards against work that grows with the number of requests that a process was running when it
+// ended.
+func TestProcessIsJudgedOnce(t *testing.T) {
+	h := newHost(clockwork.NewFakeClock())
+	for i := range 1000 {
+		f := fmt.Sprintf("x%d", i)
+		h.Start(f)
+		h.End(&request.Request{Fingerprint: f}, backend.Backend{Name: "c1", Started: 1}, h.clock.Now(), result.Failed)
+	}
+	h.Judge()
+	for i := range 1000 {
+		h.allows(fmt.Sprintf("x%d", i))
+	}
+	h.Report(true)
+	must.LessEq(t, 1, h.asked)
+}
+
 // Guards against a host that stands still since State waits for what holds the list of backend
 // servers while it calls Set.
 func TestStateMayWaitForSet(t *testing.T) {
@@ -128,17 +151,13 @@
 		}
 		return true, false
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan error)
-	go func() { done <- h.Run(ctx) }()
 	h.run("x", "c1", result.Failed)
+	h.Judge()
 	b := h.clock.Now()
 	h.Start("x")
 	h.clock.Advance(time.Second)
 	h.End(&request.Request{Fingerprint: "x", Deadline: h.clock.Now()}, backend.Backend{Name: "c2", Started: 1}, b, result.Canceled)
-	stop()
-	must.NoError(t, <-done)
-	must.Positive(t, asked)
+	must.GreaterEq(t, 2, asked)
 }
 
 // Guards against a request that stays refused after a release has mended what it set off, and
@@ -148,6 +167,7 @@
 	h := newHost(c)
 	for i := range 3 {
 		h.run("x", fmt.Sprintf("c%d", i), result.Failed)
+		h.Judge()
 	}
 	_, final := h.allows("x")
 	must.True(t, final)
@@ -159,6 +179,7 @@
 	must.False(t, final)
 	must.Positive(t, again)
 	h.End(&request.Request{Fingerprint: "x"}, backend.Backend{Name: "c3", Started: 1}, c.Now(), result.Failed)
+	h.Judge()
 	c.Advance(6 * time.Minute)
 	_, final = h.allows("x")
 	must.True(t, final) // for twice the time
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -137,12 +137,13 @@
 	switch {
 	case e == nil:
 		b, ok := q.listed[m.GetProcess()]
-		s.addEnd(m.GetProcess(), &end{at: t, confirmed: m.GetConfirmed(), backend: b})
+		e = &end{at: t, confirmed: m.GetConfirmed(), backend: b}
 		// The host that saw the end may have lost its own paths, and one that has not tried to
 		// reach the process for some time would contradict those that can't.
 		if ok && !m.GetConfirmed() {
-			q.watch(b)
+			e = q.watch(m.GetProcess(), b, t)
 		}
+		s.addEnd(m.GetProcess(), e)
 		return true
 	case m.GetConfirmed() && !e.confirmed:
 		e.confirmed = true
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -21,13 +21,22 @@
 	until   time.Time // the end of its quarantine
 }
 
-// end is the end of one process.
+// end is the end of one process, or a connection of it that broke off.
 type end struct {
 	at        time.Time
 	confirmed bool
-	alive     bool // the process was reached soon after
-	// backend is the backend server, if this host knows the process.
-	backend backend.Backend
+	alive     bool            // the process was reached soon after
+	backend   backend.Backend // without a name if this host does not know the process
+}
+
+// isPending reports whether it is not known whether the process has ended.
+func (e *end) isPending(now time.Time) bool {
+	return !e.confirmed && !e.alive && now.Sub(e.at) <= pendingTime
+}
+
+// isOpen reports whether it may still turn out that the process has ended.
+func (e *end) isOpen(now time.Time) bool {
+	return !e.confirmed && now.Sub(e.at) <= pendingTime+watchTime
 }
 
 // suspect returns the suspect of a request, a new one if there is none.
@@ -55,12 +64,29 @@
 	return n
 }
 
-// count updates what is known of a suspect, and returns how many processes have ended under
-// it and how many may have.
+// openFor returns after how long it should be known of all ends of s whether they are ends of
+// processes. It is known at the latest after pendingTime.
+func (s *suspect) openFor(now time.Time) time.Duration {
+	var d time.Duration
+	for _, e := range s.ends {
+		if !e.isPending(now) {
+			continue
+		}
+		t := e.at.Add(heldDelay)
+		if !t.After(now) {
+			t = e.at.Add(pendingTime)
+		}
+		d = max(d, t.Sub(now))
+	}
+	return max(d, checkInterval)
+}
+
+// count returns how many processes have ended under a suspect and how many may have, and
+// forgets what is too old.
 func (q *Quarantine) count(f string, s *suspect, now time.Time) (confirmed, pending int) {
 	var last time.Time // the last confirmed end
-	for k, e := range s.ends {
-		if p := q.update(f, k, e, now); p {
+	for _, e := range s.ends {
+		if e.isPending(now) {
 			pending++
 		}
 		if e.confirmed {
@@ -122,28 +148,8 @@
 	return requests, len(a)
 }
 
-// update looks up whether a process has ended, and reports whether that is open.
-func (q *Quarantine) update(f string, process uint64, e *end, now time.Time) (pending bool) {
-	if e.confirmed {
-		return false
-	}
-	if e.backend.Name == "" {
-		return now.Sub(e.at) <= pendingTime
-	}
-	d, a := q.State(e.backend, e.at)
-	if a && now.Sub(e.at) <= aliveTime {
-		e.alive = true
-	}
-	if d {
-		e.confirmed = true
-		q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Backend", e.backend.Name,
-			"Started", e.backend.Started, "Process", process, "Service", e.backend.Service, "Ago", now.Sub(e.at))
-		return false
-	}
-	return !e.alive && now.Sub(e.at) <= pendingTime
-}
-
-// processes returns the processes that ended.
+// processes returns the processes that ended, and names those of their backend servers that
+// this host knows.
 func (s *suspect) processes() []uint64 {
 	var l []uint64
 	for k, e := range s.ends {
@@ -154,6 +160,16 @@
 	return l
 }
 
+func (s *suspect) names() []string {
+	var l []string
+	for _, e := range s.ends {
+		if e.confirmed && e.backend.Name != "" {
+			l = append(l, e.backend.Name)
+		}
+	}
+	return l
+}
+
 // process returns the number by which hosts name a process to each other.
 func process(b backend.Backend) uint64 {
 	h := xxhash.New()
