--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,7 +56,9 @@
 	notifyBurst = 10
 	// heldDelay is how long after a connection broke off it is mostly known whether the process has
 	// ended.
-	heldDelay = time.Second
+	heldDelay = 1200 * time.Millisecond
+	// lateDelay is the delay after which it may be known if it is not known by then.
+	lateDelay = 500 * time.Millisecond
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
 	// another one.
 	watchTime = 5 * time.Second
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -65,18 +65,15 @@
 }
 
 // openFor returns after how long it should be known of all ends of s whether they are ends of
-// processes. It is known at the latest after pendingTime.
+// processes. Those that take longer than most no longer count after pendingTime.
 func (s *suspect) openFor(now time.Time) time.Duration {
 	var d time.Duration
 	for _, e := range s.ends {
 		if !e.isPending(now) {
 			continue
 		}
-		t := e.at.Add(heldDelay)
-		if !t.After(now) {
-			t = e.at.Add(pendingTime)
-		}
-		d = max(d, t.Sub(now))
+		t := max(heldDelay-now.Sub(e.at), lateDelay)
+		d = max(d, min(t, pendingTime-now.Sub(e.at)))
 	}
 	return max(d, checkInterval)
 }
