--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -60,6 +60,7 @@
 	log              *logbuffer.Logbuffer
 	report           func(text string) // writes to the test's output
 	members          []member.Member
+	starts           map[string]time.Duration // when hosts start, zero for most
 	servers          map[string]*server
 	seed             uint64   // of the callers' random numbers
 	requestCount     int      // requests sent by callers
@@ -279,8 +280,11 @@
 			w.network.near, err = time.ParseDuration(a[1])
 		case "way":
 			w.network.latency, err = time.ParseDuration(a[1])
-		case "host":
+		case "host": // NAME DOMAIN REGION [START], after the others
 			w.hosts[a[1]] = w.host(a[1], a[2], a[3])
+			if len(a) > 4 {
+				w.starts[a[1]], err = time.ParseDuration(a[4])
+			}
 		default:
 			_, err = w.runCommand(a[0], a[1:])
 		}
@@ -292,7 +296,7 @@
 // runScript runs a script. Every command after the setup is delayed by shift.
 func runScript(t *testing.T, script string, shift time.Duration, seed uint64) {
 	w := &deployment{
-		servers: make(map[string]*server), seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), stopCallers: func() {},
+		servers: make(map[string]*server), starts: make(map[string]time.Duration), seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), stopCallers: func() {},
 		config: feedstandin.New(clock), backends: feedstandin.New(clock), hosts: make(map[string]*edge.Edge),
 		log: new(logbuffer.Logbuffer), network: &memoryNetwork{listeners: make(map[string]*listener)},
 	}
@@ -304,7 +308,7 @@
 	begun := clock.Now()
 	for i, m := range w.members {
 		go func() {
-			clock.Sleep(time.Duration(i) * startInterval) // so that hosts do not send heartbeats at the same time
+			clock.Sleep(w.starts[m.Name] + time.Duration(i)*startInterval) // so that hosts do not send heartbeats at the same time
 			done <- w.hosts[m.Name].Run(ctx)
 		}()
 	}
--- a/edge/ending_test.go
+++ b/edge/ending_test.go
@@ -407,7 +407,7 @@
 // Guards against a request under which backend servers end and that hosts send to one after
 // another, each time its caller comes back.
 func TestRequestThatEndsBackendsIsStopped(t *testing.T) {
-	for _, n := range []string{"ending", "ending-copies", "ending-silent", "ending-deposit", "ending-cut", "ending-sometimes"} {
+	for _, n := range []string{"ending", "ending-copies", "ending-silent", "ending-deposit", "ending-cut", "ending-late-host", "ending-sometimes"} {
 		t.Run(n, func(t *testing.T) { runLinkScript(t, n, "") })
 	}
 	for _, s := range []string{linkResets, linkHangs, linkKeeps} {
