Reachability: a probe that was made just before is repeated, not left out

By a line for each call of processState, two hosts had opened a connection to the process less than 300 ms before they were told of its end, by chance, and so were not asked to probe it again; they went on reporting that they reach it, and no host took it for ended. Earlier each request that ran there asked for a probe, so that one soon came late enough.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -146,7 +146,7 @@
 		}()
 		select {
 		case <-done:
-		case <-time.After(time.Second):
+		case <-clockwork.NewRealClock().After(time.Second):
 			t.Error("Set waits until State returns")
 		}
 		return true, false
--- a/reachability/probes.go
+++ b/reachability/probes.go
@@ -93,8 +93,8 @@
 	defer r.mu.Unlock()
 	n := r.Clock.Now()
 	for _, p := range r.paths {
-		if p.lostAt.IsZero() && n.Sub(p.probed) >= confirmInterval && slices.Contains(hashes, Hash(p.backend.Name)) {
-			r.schedule(p, n)
+		if p.lostAt.IsZero() && slices.Contains(hashes, Hash(p.backend.Name)) {
+			r.schedule(p, n.Add(max(0, confirmInterval-n.Sub(p.probed))))
 		}
 	}
 }
