Quarantine: a host that forwarded a request counts the end that the other host saw

By a line for each decision: the host to which the request was forwarded saw the third end, and its answer was 40 ms faster than its news, since a heartbeat was under way; the host that forwarded it sent it to another one, which had no news either.

--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -18,6 +18,7 @@
 	q := *r
 	q.Attempts = left
 	p := responsepipe.New(r.Method)
+	n, b := len(r.AttemptedBackends.Received()), d.Clock.Now()
 	done := make(chan forwardEnd, 1)
 	go d.serveForward(x, &q, p, done)
 	var o forwardEnd
@@ -33,6 +34,7 @@
 	default:
 	}
 	f()
+	d.recordForwarded(r, o.outcome, n, b)
 	t := attempt{outcome: o.outcome, sent: o.used}
 	if t.outcome.Ran == outcome.RanNo && !r.SendGate.Unsend() {
 		t.outcome = refuse(outcome.Left, "the caller left")
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -41,6 +41,17 @@
 	return s, outcome.Outcome{}
 }
 
+// recordForwarded tells Quarantine of an attempt that broke off at another host. That is known here
+// before the other host's news arrives. The request had been received so many times when it was
+// forwarded.
+func (d *Dispatch) recordForwarded(r *request.Request, o outcome.Outcome, received int, startedAt time.Time) {
+	l := r.AttemptedBackends.Received()
+	if d.Quarantine == nil || len(l) <= received || o.Outcome != outcome.BackendFailed && o.Outcome != outcome.OutcomeUnknown {
+		return
+	}
+	d.Quarantine.EndElsewhere(r, l[len(l)-1], startedAt)
+}
+
 // quarantineOutcome returns the outcome of a request that may not be sent. What was run by
 // earlier attempts or under another id is not known here, so the final one does not say that
 // the request has not run.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -101,6 +101,7 @@
 	cleared  *simplelru.LRU[string, time.Time]
 	running  map[string]int             // attempts of this host
 	listed   map[uint64]backend.Backend // by process
+	named    map[string]backend.Backend // the same by name
 	open     map[uint64][]*end          // those of which this host has to find out what they are, by process
 	wake     chan struct{}
 	notices  *rate.Limiter
@@ -134,13 +135,13 @@
 
 // Set replaces the list of backend servers.
 func (q *Quarantine) Set(l []backend.Backend) {
-	m := make(map[uint64]backend.Backend, len(l))
+	m, n := make(map[uint64]backend.Backend, len(l)), make(map[string]backend.Backend, len(l))
 	for _, b := range l {
-		m[process(b)] = b
+		m[process(b)], n[b.Name] = b, b
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.listed = m
+	q.listed, q.named = m, n
 }
 
 // Run finds out which processes have ended until ctx ends.
@@ -327,6 +328,18 @@
 	}
 }
 
+// EndElsewhere records that an attempt of another host broke off, at the backend server of that
+// name. StartedAt is when the request was forwarded.
+func (q *Quarantine) EndElsewhere(r *request.Request, name string, startedAt time.Time) {
+	q.mu.Lock()
+	b, ok := q.named[name]
+	c := ok && r.Fingerprint != "" && q.recordBreak(r, b, startedAt)
+	q.mu.Unlock()
+	if c {
+		q.tell()
+	}
+}
+
 // isSilent reports whether nothing has come from a process lately, at the end of an attempt that
 // ran until the deadline.
 func (q *Quarantine) isSilent(r *request.Request, b backend.Backend, startedAt time.Time) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -160,6 +160,22 @@
 	must.GreaterEq(t, 2, asked)
 }
 
+// Guards against a request that is sent once more by the host that forwarded it, before the news
+// of the host that saw the end arrives, and against an end that counts twice since both saw it.
+func TestEndAtAnotherHostCountsAtOnce(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	a, b := newHost(c), newHost(c)
+	l := []backend.Backend{{Name: "c1", Started: 1}, {Name: "c2", Started: 1}, {Name: "c3", Started: 1}}
+	a.Set(l)
+	for i, v := range l {
+		b.run("x", v.Name, result.Failed)
+		a.EndElsewhere(&request.Request{Fingerprint: "x"}, v.Name, c.Now())
+		a.Merge("", b.Report(true))
+		ok, _ := a.allows("x")
+		must.EqOp(t, i < 2, ok)
+	}
+}
+
 // Guards against a request that stays refused after a release has mended what it set off, and
 // against one that ends many backend servers again when its time is over.
 func TestQuarantineEnds(t *testing.T) {
