Test: responses without end on all connections that backend servers take

endless-all: for four seconds no response has an end; afterwards 99 in 100 requests are served again.

--- a/edge/ending_test.go
+++ b/edge/ending_test.go
@@ -421,6 +421,7 @@
 	for _, s := range []string{linkResets, linkHangs, linkKeeps} {
 		t.Run(s, func(t *testing.T) { runLinkScript(t, "endless", s) })
 	}
+	t.Run("all", func(t *testing.T) { runLinkScript(t, "endless-all", "") })
 }
 
 // Guards against requests that end one backend server after the other, whatever happens at the
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -173,7 +173,9 @@
 			w.setLinks(h, "", nil)
 		}
 	case "kinds":
+		w.mu.Lock()
 		w.kinds = a
+		w.mu.Unlock()
 	case "home":
 		w.runs.moveHome(a[0])
 	case "attempts":
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -49,6 +49,8 @@
 
 // kind returns the kind of a request. The kinds of a script take turns.
 func (w *deployment) kind(id string) kind {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if len(w.kinds) == 0 {
 		return kinds["view"]
 	}
