Quarantine: fewer and shorter notices of ends

Each end was passed on at once by each host that was told of it, to all its peers, with all suspects of the last 5 s.

A host tells all hosts of its region, so only news from other regions is passed on at once; suspects are in all heartbeats for 2 s, two intervals, instead of 5; four notices a second instead of ten once ten went out together; a first end that is confirmed is no news. What remains of the loss is bytes and the probes by which each host judges.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -77,7 +77,8 @@
 	e.limits.Merge(h.GetFrom().GetName(), h.GetBackendLimits())
 	e.discovery.Merge(h.GetFrom().GetName(), h.GetLeavingBackends())
 	e.forwardHosts.Merge(h)
-	e.quarantine.Merge(h.GetFrom().GetName(), h.GetSuspectRequests())
+	// A host tells all hosts of its region and a few of each other one, which tell the rest of theirs.
+	e.quarantine.Merge(h.GetFrom().GetName(), h.GetSuspectRequests(), h.GetFrom().GetRegion() != e.Self.Region)
 	if a := h.GetFrom().GetPeerAddress(); a != "" {
 		// A host that has received the names of the other hosts from one of them can
 		// compute its share of the limits.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,7 +52,7 @@
 	sharedTime = 10 * time.Millisecond
 	// notifyRate, in calls a second, and notifyBurst limit the calls of Notify: when many
 	// connections break off, one heartbeat tells of many ends.
-	notifyRate  = 10
+	notifyRate  = 4
 	notifyBurst = 10
 	// heldDelay is how long after a connection broke off it is mostly known whether the process has
 	// ended.
@@ -165,7 +165,7 @@
 	q.judgeEnds(q.openEnds())
 	q.mu.Lock()
 	n := q.Clock.Now()
-	c := false // whether it is news to this host that a process has ended
+	c := false // whether hosts that can't judge should be told at once
 	for _, f := range q.suspects.Keys() {
 		s, ok := q.suspects.Peek(f)
 		if !ok {
@@ -173,7 +173,7 @@
 		}
 		v, _ := q.count(f, s, n)
 		if v > s.told {
-			c = true
+			c = c || v > 1
 			q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Ended", s.names(), "Processes", s.processes())
 		}
 		s.told = v
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -73,19 +73,19 @@
 	b.Judge()
 	for range 3 {
 		for _, p := range [][2]*host{{a, b}, {b, a}, {b, d}, {d, a}, {a, d}} {
-			p[1].Merge("", p[0].Report(true))
+			p[1].Merge("", p[0].Report(true), true)
 		}
 	}
 	n := a.notified + b.notified + d.notified
 	for _, p := range [][2]*host{{a, b}, {b, a}, {b, d}, {d, a}, {a, d}} {
-		p[1].Merge("", p[0].Report(true))
+		p[1].Merge("", p[0].Report(true), true)
 	}
 	must.EqOp(t, n, a.notified+b.notified+d.notified)
 	ok, _ := d.allows("x")
 	must.True(t, ok)
 	d.run("x", "c3", result.Failed)
 	d.Judge()
-	a.Merge("", d.Report(true))
+	a.Merge("", d.Report(true), true)
 	for _, h := range []*host{a, d} {
 		ok, final := h.allows("x")
 		must.False(t, ok)
@@ -170,7 +170,7 @@
 	for i, v := range l {
 		b.run("x", v.Name, result.Failed)
 		a.EndElsewhere(&request.Request{Fingerprint: "x"}, v.Name, c.Now())
-		a.Merge("", b.Report(true))
+		a.Merge("", b.Report(true), true)
 		ok, _ := a.allows("x")
 		must.EqOp(t, i < 2, ok)
 	}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -12,7 +12,7 @@
 	maxReported = 32
 	// reportTime is how long after an end all heartbeats report a suspect. Later, those with more
 	// than one end are reported by full heartbeats, to hosts that start or were cut off.
-	reportTime = 5 * time.Second
+	reportTime = 2 * time.Second
 	// clearedTime is how long it is reported that a request was cleared.
 	clearedTime = 5 * time.Second
 )
@@ -64,9 +64,8 @@
 	return m
 }
 
-// Merge adds what another host reported. What is new is passed on, since not all hosts
-// exchange heartbeats with each other.
-func (q *Quarantine) Merge(from string, l []*wire.SuspectRequest) {
+// Merge adds what another host reported. What is new is passed on at once if passOn is set.
+func (q *Quarantine) Merge(from string, l []*wire.SuspectRequest, passOn bool) {
 	if len(l) == 0 {
 		return
 	}
@@ -84,7 +83,7 @@
 		c = q.mergeAnswers(from, f, m) || c
 	}
 	q.mu.Unlock()
-	if c {
+	if c && passOn {
 		q.tell()
 	}
 }
