--- /dev/null
+++ b/quarantine/judge.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"celeryreach.example/celeryreach/backend"
+)
+
+// Run finds out which processes have ended until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		var t <-chan time.Time
+		if o := q.Judge(); q.sendNews() || o {
+			t = q.Clock.After(checkInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-t:
+		case <-q.wake:
+		}
+	}
+	return nil
+}
+
+// Judge finds out which processes have ended, and reports whether that is still open for some.
+func (q *Quarantine) Judge() bool {
+	q.judgeEnds(q.openEnds())
+	q.mu.Lock()
+	n := q.Clock.Now()
+	c := false // whether hosts that can't judge should be told at once
+	for _, f := range q.suspects.Keys() {
+		s, ok := q.suspects.Peek(f)
+		if !ok {
+			continue
+		}
+		v, _ := q.count(f, s, n)
+		if v > s.told {
+			c = c || v > 1
+			q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Ended", s.names(), "Processes", s.processes())
+		}
+		s.told = v
+	}
+	q.mu.Unlock()
+	if c {
+		q.tell()
+	}
+	return len(q.openEnds()) > 0
+}
+
+// openEnds returns the ends of which this host has to find out what they are.
+func (q *Quarantine) openEnds() []*end {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := q.Clock.Now()
+	var o []*end
+	for k, l := range q.open {
+		l = slices.DeleteFunc(l, func(e *end) bool { return !e.isOpen(n) })
+		if q.open[k] = l; len(l) == 0 {
+			delete(q.open, k)
+		}
+		o = append(o, l...)
+	}
+	return o
+}
+
+// judgeEnds looks up what the ends are. What State asks may hold a lock while it calls Set, so
+// State is called without one.
+func (q *Quarantine) judgeEnds(l []*end) {
+	for _, e := range l {
+		d, a := q.State(e.backend, e.at)
+		q.mu.Lock()
+		e.confirmed = e.confirmed || d
+		e.alive = e.alive || a && q.Clock.Since(e.at) <= aliveTime
+		q.mu.Unlock()
+	}
+}
+
+// tell calls Notify, at once unless it was called often just before.
+func (q *Quarantine) tell() {
+	if q.notices.AllowN(q.Clock.Now(), 1) {
+		q.Notify()
+		return
+	}
+	q.mu.Lock()
+	q.news = true
+	q.mu.Unlock()
+	q.wakeUp()
+}
+
+// sendNews calls Notify if it is due, and reports whether it will be.
+func (q *Quarantine) sendNews() bool {
+	q.mu.Lock()
+	d := q.news && q.notices.AllowN(q.Clock.Now(), 1)
+	if d {
+		q.news = false
+	}
+	w := q.news
+	q.mu.Unlock()
+	if d {
+		q.Notify()
+	}
+	return w
+}
+
+func (q *Quarantine) wakeUp() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// watch lets Run find out whether a process has ended. Requests that broke off together share
+// the end, so that it is found out once for all of them.
+func (q *Quarantine) watch(k uint64, b backend.Backend, at time.Time) *end {
+	l := q.open[k]
+	if n := len(l); n > 0 && l[n-1].at.Sub(at).Abs() <= sharedTime {
+		return l[n-1]
+	}
+	e := &end{at: at, backend: b}
+	q.open[k] = append(l[max(0, len(l)+1-maxOpen):], e)
+	q.Probe(b)
+	q.wakeUp()
+	return e
+}
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -94,8 +94,7 @@
 		}
 	}
 	for k, e := range s.ends {
-		old := !e.confirmed && now.Sub(e.at) > pendingTime+watchTime
-		if old || e.confirmed && now.Sub(last) > rememberTime {
+		if !e.confirmed && !e.isOpen(now) || e.confirmed && now.Sub(last) > rememberTime {
 			delete(s.ends, k)
 		}
 	}
@@ -145,8 +144,7 @@
 	return requests, len(a)
 }
 
-// processes returns the processes that ended, and names those of their backend servers that
-// this host knows.
+// processes returns the processes that ended.
 func (s *suspect) processes() []uint64 {
 	var l []uint64
 	for k, e := range s.ends {
@@ -157,6 +155,8 @@
 	return l
 }
 
+// names returns the backend servers of the processes that ended, without those that this host
+// does not know.
 func (s *suspect) names() []string {
 	var l []string
 	for _, e := range s.ends {
