Quarantine: what the larger size can bear

Each host that was told of an end opened a connection to the process, and each end set off up to ten heartbeats a second at each host, with up to 32 suspects, answered with as many; suspects of two ends stayed in all full heartbeats, one a second, for 80 minutes.

Only the host that saw an end probes; the others are told of the loss, as of each loss. A heartbeat lists eight recent suspects, two older ones, in turn, and four cleared ones. Answers and confirmed ends go with the next heartbeat.

--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -7,6 +7,8 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
+	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/wire"
 )
@@ -29,7 +31,9 @@
 func BenchmarkReport(b *testing.B) {
 	h := newHost(clockwork.NewFakeClock())
 	for i := range 32 * 3 {
-		h.run(fmt.Sprintf("%016d", i%32), fmt.Sprintf("c%d", i), result.Failed)
+		r := &request.Request{Fingerprint: fmt.Sprintf("%016d", i%32)}
+		h.Start(r.Fingerprint)
+		h.End(r, backend.Backend{Name: fmt.Sprintf("c%d", i), Started: 1}, h.clock.Now(), result.Failed)
 	}
 	var n int
 	for b.Loop() {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -29,7 +29,7 @@
 	q.judgeEnds(q.openEnds())
 	q.mu.Lock()
 	n := q.Clock.Now()
-	c := false // whether hosts that can't judge should be told at once
+	c := noNews
 	for _, f := range q.suspects.Keys() {
 		s, ok := q.suspects.Peek(f)
 		if !ok {
@@ -37,15 +37,15 @@
 		}
 		v, _ := q.count(f, s, n)
 		if v > s.told {
-			c = c || v > 1
+			if v >= maxEnds { // to hosts that can't judge
+				c = otherNews
+			}
 			q.Log.Info("backend server ended under a request", "Fingerprint", short(f), "Ended", s.names(), "Processes", s.processes())
 		}
 		s.told = v
 	}
 	q.mu.Unlock()
-	if c {
-		q.tell()
-	}
+	q.tell(c)
 	return len(q.openEnds()) > 0
 }
 
@@ -77,26 +77,43 @@
 	}
 }
 
-// tell calls Notify, at once unless it was called often just before.
-func (q *Quarantine) tell() {
-	if q.notices.AllowN(q.Clock.Now(), 1) {
+// news is what other hosts should be told at once. First ends are the most frequent and the least
+// urgent.
+type news int
+
+const (
+	noNews news = iota
+	firstEnd
+	otherNews
+)
+
+// tell calls Notify if there is news, at once unless it was called often just before.
+func (q *Quarantine) tell(n news) {
+	l := q.other
+	switch n {
+	case noNews:
+		return
+	case firstEnd:
+		l = q.first
+	}
+	if l.AllowN(q.Clock.Now(), 1) {
 		q.Notify()
 		return
 	}
 	q.mu.Lock()
-	q.news = true
+	q.late = true
 	q.mu.Unlock()
 	q.wakeUp()
 }
 
-// sendNews calls Notify if it is due, and reports whether it will be.
+// sendNews calls Notify for late news if it is due, and reports whether it will be.
 func (q *Quarantine) sendNews() bool {
 	q.mu.Lock()
-	d := q.news && q.notices.AllowN(q.Clock.Now(), 1)
+	d := q.late && q.other.AllowN(q.Clock.Now(), 1)
 	if d {
-		q.news = false
+		q.late = false
 	}
-	w := q.news
+	w := q.late
 	q.mu.Unlock()
 	if d {
 		q.Notify()
@@ -112,15 +129,14 @@
 }
 
 // watch lets Run find out whether a process has ended. Requests that broke off together share
-// the end, so that it is found out once for all of them.
-func (q *Quarantine) watch(k uint64, b backend.Backend, at time.Time) *end {
+// the end, so that it is found out once for all of them; first is set for the first one.
+func (q *Quarantine) watch(k uint64, b backend.Backend, at time.Time) (e *end, first bool) {
 	l := q.open[k]
 	if n := len(l); n > 0 && l[n-1].at.Sub(at).Abs() <= sharedTime {
-		return l[n-1]
+		return l[n-1], false
 	}
-	e := &end{at: at, backend: b}
+	e = &end{at: at, backend: b}
 	q.open[k] = append(l[max(0, len(l)+1-maxOpen):], e)
-	q.Probe(b)
 	q.wakeUp()
-	return e
+	return e, true
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -48,9 +48,9 @@
 	aliveTime = time.Second
 	// sharedTime is how far apart the connections of a process break off when it ends.
 	sharedTime = 10 * time.Millisecond
-	// notifyRate, in calls a second, and notifyBurst limit the calls of Notify: when many
-	// connections break off, one heartbeat tells of many ends.
-	notifyRate  = 4
+	// notifyRate, in calls a second, and notifyBurst limit the calls of Notify, for first ends and
+	// for others: when many connections break off, the heartbeats that are due tell of many ends.
+	notifyRate  = 1
 	notifyBurst = 10
 	// heldDelay is how long after a connection broke off it is mostly known whether the process has
 	// ended.
@@ -102,8 +102,9 @@
 	named    map[string]backend.Backend // the same by name
 	open     map[uint64][]*end          // those of which this host has to find out what they are, by process
 	wake     chan struct{}
-	notices  *rate.Limiter
-	news     bool // whether Notify is to be called once notices allows it
+	first    *rate.Limiter // of calls of Notify for first ends
+	other    *rate.Limiter // of those for other news
+	late     bool          // whether Notify is to be called once other allows it
 }
 
 // answers is what this host knows of a request that was answered.
@@ -116,7 +117,8 @@
 
 // New returns an empty Quarantine.
 func New() *Quarantine {
-	q := &Quarantine{running: make(map[string]int), open: make(map[uint64][]*end), wake: make(chan struct{}, 1), notices: rate.NewLimiter(notifyRate, notifyBurst)}
+	q := &Quarantine{running: make(map[string]int), open: make(map[uint64][]*end), wake: make(chan struct{}, 1)}
+	q.first, q.other = rate.NewLimiter(notifyRate, notifyBurst), rate.NewLimiter(notifyRate, notifyBurst)
 	q.suspects = newLRU[*suspect](maxSuspects)
 	q.answered = newLRU[*answers](maxAnswered)
 	q.cleared = newLRU[time.Time](maxSuspects)
@@ -210,28 +212,24 @@
 	if q.running[f]--; q.running[f] <= 0 {
 		delete(q.running, f)
 	}
-	c := false
+	c := noNews
 	switch {
-	case v == result.Succeeded:
-		c = q.recordAnswer(f)
+	case v == result.Succeeded && q.recordAnswer(f):
+		c = otherNews
 	case k:
 		c = q.recordBreak(r, b, startedAt)
 	}
 	q.mu.Unlock()
-	if c {
-		q.tell()
-	}
+	q.tell(c)
 }
 
 // EndElsewhere records that an attempt of another host broke off, at the backend server of that
-// name. StartedAt is when the request was forwarded.
+// name. That host tells the others. StartedAt is when the request was forwarded.
 func (q *Quarantine) EndElsewhere(r *request.Request, name string, startedAt time.Time) {
 	q.mu.Lock()
-	b, ok := q.named[name]
-	c := ok && r.Fingerprint != "" && q.recordBreak(r, b, startedAt)
-	q.mu.Unlock()
-	if c {
-		q.tell()
+	defer q.mu.Unlock()
+	if b, ok := q.named[name]; ok && r.Fingerprint != "" {
+		q.recordBreak(r, b, startedAt)
 	}
 }
 
@@ -259,7 +257,7 @@
 		return false
 	}
 	s.answers++
-	return q.clear(f, s) || len(s.ends) > 1
+	return q.clear(f, s)
 }
 
 // clear clears a suspect that was answered often enough, and reports whether it did.
@@ -274,9 +272,8 @@
 	return true
 }
 
-// recordBreak records an attempt that broke off, and reports whether it says anything about
-// the request.
-func (q *Quarantine) recordBreak(r *request.Request, b backend.Backend, startedAt time.Time) bool {
+// recordBreak records an attempt that broke off. It is no news if it says nothing about the request.
+func (q *Quarantine) recordBreak(r *request.Request, b backend.Backend, startedAt time.Time) news {
 	n := q.Clock.Now()
 	f := r.Fingerprint
 	if a, ok := q.answered.Get(f); ok {
@@ -286,16 +283,20 @@
 		a.inRow = 0
 		if !startedAt.After(a.knownUntil) {
 			r.DecisionLog.Add(n, "broke off, and was answered before", "Backend", b.Name, "Started", b.Started, "Fingerprint", short(f))
-			return false
+			return noNews
 		}
 	}
 	k := process(b)
 	s := q.suspect(f)
 	if s.ends[k] == nil {
-		s.addEnd(k, q.watch(k, b, n))
+		e, first := q.watch(k, b, n)
+		s.addEnd(k, e)
+		if first {
+			q.Probe(b)
+		}
 	}
 	r.DecisionLog.Add(n, "broke off", "Backend", b.Name, "Started", b.Started, "Fingerprint", short(f), "Ends", len(s.ends))
-	return true
+	return s.news()
 }
 
 // Size returns how many answered requests and how many suspects are remembered.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -8,11 +8,17 @@
 )
 
 const (
-	// maxReported limits the requests that a heartbeat lists.
-	maxReported = 32
-	// reportTime is how long after an end all heartbeats report a suspect. Later, those with more
-	// than one end are reported by full heartbeats, to hosts that start or were cut off.
+	// maxRecent, maxOld and maxCleared limit the requests that a heartbeat lists.
+	maxRecent  = 8
+	maxOld     = 2
+	maxCleared = 4
+	// maxMerged limits the requests that are taken from a heartbeat.
+	maxMerged = 64
+	// reportTime is how long after an end all heartbeats report a suspect. Later, full heartbeats report
+	// those that are quarantined, and for oldTime those with more than one end, in turn, to hosts that
+	// start or were cut off.
 	reportTime = 2 * time.Second
+	oldTime    = 10 * time.Second
 	// clearedTime is how long it is reported that a request was cleared.
 	clearedTime = 5 * time.Second
 )
@@ -23,35 +29,43 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
-	var l []*wire.SuspectRequest
+	var l, o []*wire.SuspectRequest
 	for _, f := range q.suspects.Keys() {
 		s, ok := q.suspects.Peek(f)
 		if !ok {
 			continue
 		}
 		c, p := q.count(f, s, n)
-		if c+p > 1 && full || c+p > 0 && s.isRecent(n) {
+		switch a := n.Sub(s.lastAt()); {
+		case c+p > 0 && a <= reportTime:
 			l = append(l, s.message(f, n))
+		case full && c+p > 1 && (a <= oldTime || s.until.After(n)):
+			o = append(o, s.message(f, n))
 		}
 	}
 	slices.SortStableFunc(l, func(a, b *wire.SuspectRequest) int { return len(b.GetEnds()) - len(a.GetEnds()) })
-	l = l[:min(len(l), maxReported)]
+	l = l[:min(len(l), maxRecent)]
+	for i := range min(len(o), maxOld) { // each second others, to all peers
+		l = append(l, o[(int(n.Unix()%int64(len(o)))*maxOld+i)%len(o)])
+	}
+	m := len(l) + maxCleared
 	for _, f := range q.cleared.Keys() {
-		if t, _ := q.cleared.Peek(f); n.Sub(t) <= clearedTime && len(l) < 2*maxReported {
+		if t, _ := q.cleared.Peek(f); n.Sub(t) <= clearedTime && len(l) < m {
 			l = append(l, &wire.SuspectRequest{Fingerprint: []byte(f), ClearedNanoseconds: int64(n.Sub(t)) + 1})
 		}
 	}
 	return l
 }
 
-// isRecent reports whether a process ended within reportTime.
-func (s *suspect) isRecent(now time.Time) bool {
+// lastAt returns when the last process ended that did, or may have.
+func (s *suspect) lastAt() time.Time {
+	var t time.Time
 	for _, e := range s.ends {
-		if now.Sub(e.at) <= reportTime {
-			return true
+		if e.at.After(t) {
+			t = e.at
 		}
 	}
-	return false
+	return t
 }
 
 func (s *suspect) message(f string, now time.Time) *wire.SuspectRequest {
@@ -71,32 +85,33 @@
 	}
 	q.mu.Lock()
 	n := q.Clock.Now()
-	c := false
-	for _, m := range l[:min(len(l), 2*maxReported)] {
+	c := noNews
+	for _, m := range l[:min(len(l), maxMerged)] {
 		f := string(m.GetFingerprint())
 		if m.GetClearedNanoseconds() > 0 {
-			c = q.mergeCleared(f, n.Add(-time.Duration(m.GetClearedNanoseconds()))) || c
+			c = max(c, q.mergeCleared(f, n.Add(-time.Duration(m.GetClearedNanoseconds()))))
 		}
 		for _, e := range m.GetEnds()[:min(len(m.GetEnds()), 2*maxEnds)] {
-			c = q.mergeEnd(f, e, n) || c
+			c = max(c, q.mergeEnd(f, e, n))
+		}
+		if q.mergeAnswers(from, f, m) {
+			c = otherNews
 		}
-		c = q.mergeAnswers(from, f, m) || c
 	}
 	q.mu.Unlock()
-	if c && passOn {
-		q.tell()
+	if passOn {
+		q.tell(c)
 	}
 }
 
-// mergeCleared removes what ended under a request before it was cleared, and reports whether
-// that is new.
-func (q *Quarantine) mergeCleared(f string, at time.Time) bool {
+// mergeCleared removes what ended under a request before it was cleared.
+func (q *Quarantine) mergeCleared(f string, at time.Time) news {
 	if t, ok := q.cleared.Peek(f); ok && at.Sub(t) < time.Second {
-		return false // the same, told again
+		return noNews // the same, told again
 	}
 	s, ok := q.suspects.Peek(f)
 	if !ok {
-		return false
+		return noNews
 	}
 	for k, e := range s.ends {
 		if !e.at.After(at) {
@@ -107,7 +122,7 @@
 		q.suspects.Remove(f)
 	}
 	q.cleared.Add(f, at)
-	return true
+	return otherNews
 }
 
 // mergeAnswers adds the answers that another host has had, and reports whether they clear the
@@ -121,15 +136,15 @@
 	return q.clear(f, s)
 }
 
-// mergeEnd adds the end of a process under a request, and reports whether it is new.
-func (q *Quarantine) mergeEnd(f string, m *wire.ProcessEnd, now time.Time) bool {
+// mergeEnd adds the end of a process under a request. That it is confirmed is no news: each host judges it.
+func (q *Quarantine) mergeEnd(f string, m *wire.ProcessEnd, now time.Time) news {
 	t := now.Add(-time.Duration(m.GetEndedNanoseconds()))
 	d := rememberTime
 	if !m.GetConfirmed() {
 		d = pendingTime
 	}
 	if c, ok := q.cleared.Peek(f); ok && !t.After(c) || f == "" || now.Sub(t) > d {
-		return false
+		return noNews
 	}
 	s := q.suspect(f)
 	e := s.ends[m.GetProcess()]
@@ -137,16 +152,14 @@
 	case e == nil:
 		b, ok := q.listed[m.GetProcess()]
 		e = &end{at: t, confirmed: m.GetConfirmed(), backend: b}
-		// The host that saw the end may have lost its own paths, and one that has not tried to
-		// reach the process for some time would contradict those that can't.
+		// The host that saw the end may have lost its own paths, so each host judges it.
 		if ok && !m.GetConfirmed() {
-			e = q.watch(m.GetProcess(), b, t)
+			e, _ = q.watch(m.GetProcess(), b, t)
 		}
 		s.addEnd(m.GetProcess(), e)
-		return true
-	case m.GetConfirmed() && !e.confirmed:
+		return s.news()
+	case m.GetConfirmed():
 		e.confirmed = true
-		return true
 	}
-	return false
+	return noNews
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -55,6 +55,13 @@
 	s.answers, s.others = 0, make(map[string]int)
 }
 
+func (s *suspect) news() news {
+	if len(s.ends) > 1 {
+		return otherNews
+	}
+	return firstEnd
+}
+
 // answersInRow returns how many times in a row all hosts have had the request answered.
 func (s *suspect) answersInRow() int {
 	n := s.answers
