Quarantine: ends are reported by those who saw them, and looked at less often later

Each host repeated for two seconds what all hosts of its region had been told, and asked ten times a second for nine seconds what became of each end. Now only the host that saw an end, and the hosts of other regions that pass it on, list it while it is recent; after 1.2 s an end is looked up every half second.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -26,7 +26,8 @@
 
 // Judge finds out which processes have ended, and reports whether that is still open for some.
 func (q *Quarantine) Judge() bool {
-	q.judgeEnds(q.openEnds())
+	l, o := q.openEnds()
+	q.judgeEnds(l)
 	q.mu.Lock()
 	n := q.Clock.Now()
 	c := noNews
@@ -46,23 +47,27 @@
 	}
 	q.mu.Unlock()
 	q.tell(c)
-	return len(q.openEnds()) > 0
+	return o
 }
 
-// openEnds returns the ends of which this host has to find out what they are.
-func (q *Quarantine) openEnds() []*end {
+// openEnds returns the ends that are to be judged now, and whether any are open.
+func (q *Quarantine) openEnds() (due []*end, anyOpen bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := q.Clock.Now()
-	var o []*end
 	for k, l := range q.open {
 		l = slices.DeleteFunc(l, func(e *end) bool { return !e.isOpen(n) })
 		if q.open[k] = l; len(l) == 0 {
 			delete(q.open, k)
 		}
-		o = append(o, l...)
+		for _, e := range l {
+			if n.Sub(e.at) <= heldDelay || n.Sub(e.judgedAt) >= lateDelay {
+				e.judgedAt = n
+				due = append(due, e)
+			}
+		}
 	}
-	return o
+	return due, len(q.open) > 0
 }
 
 // judgeEnds looks up what the ends are. What State asks may hold a lock while it calls Set, so
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -55,7 +55,8 @@
 	// heldDelay is how long after a connection broke off it is mostly known whether the process has
 	// ended.
 	heldDelay = 1200 * time.Millisecond
-	// lateDelay is the delay after which it may be known if it is not known by then.
+	// lateDelay is the delay after which it may be known if it is not known by then, and the time
+	// between two looks.
 	lateDelay = 500 * time.Millisecond
 	// watchTime is how long after that a process that seems to be alive may still turn out to be
 	// another one.
@@ -288,6 +289,7 @@
 	}
 	k := process(b)
 	s := q.suspect(f)
+	s.tells = true
 	if s.ends[k] == nil {
 		e, first := q.watch(k, b, n)
 		s.addEnd(k, e)
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -14,9 +14,9 @@
 	maxCleared = 4
 	// maxMerged limits the requests that are taken from a heartbeat.
 	maxMerged = 64
-	// reportTime is how long after an end all heartbeats report a suspect. Later, full heartbeats report
-	// those that are quarantined, and for oldTime those with more than one end, in turn, to hosts that
-	// start or were cut off.
+	// reportTime is how long after an end the heartbeats of hosts that saw it or pass it on report a
+	// suspect. Full heartbeats of all hosts report those that are quarantined, and for oldTime those
+	// with more than one end, in turn, to hosts that start or were cut off.
 	reportTime = 2 * time.Second
 	oldTime    = 10 * time.Second
 	// clearedTime is how long it is reported that a request was cleared.
@@ -37,7 +37,7 @@
 		}
 		c, p := q.count(f, s, n)
 		switch a := n.Sub(s.lastAt()); {
-		case c+p > 0 && a <= reportTime:
+		case c+p > 0 && s.tells && a <= reportTime:
 			l = append(l, s.message(f, n))
 		case full && c+p > 1 && (a <= oldTime || s.until.After(n)):
 			o = append(o, s.message(f, n))
@@ -78,7 +78,7 @@
 	return m
 }
 
-// Merge adds what another host reported. What is new is passed on at once if passOn is set.
+// Merge adds what another host reported. What is new is passed on if passOn is set.
 func (q *Quarantine) Merge(from string, l []*wire.SuspectRequest, passOn bool) {
 	if len(l) == 0 {
 		return
@@ -92,7 +92,10 @@
 			c = max(c, q.mergeCleared(f, n.Add(-time.Duration(m.GetClearedNanoseconds()))))
 		}
 		for _, e := range m.GetEnds()[:min(len(m.GetEnds()), 2*maxEnds)] {
-			c = max(c, q.mergeEnd(f, e, n))
+			if v := q.mergeEnd(f, e, n); v != noNews {
+				c = max(c, v)
+				q.suspect(f).tells = q.suspect(f).tells || passOn
+			}
 		}
 		if q.mergeAnswers(from, f, m) {
 			c = otherNews
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -16,6 +16,7 @@
 	// others is the same of other hosts.
 	answers int
 	others  map[string]int
+	tells   bool      // this host saw an end, or passes news of one on
 	judged  int       // the number of ends when it was last judged
 	told    int       // the number of ends that other hosts were told of at once
 	until   time.Time // the end of its quarantine
@@ -26,6 +27,7 @@
 	at        time.Time
 	confirmed bool
 	alive     bool            // the process was reached soon after
+	judgedAt  time.Time       // when State was last asked
 	backend   backend.Backend // without a name if this host does not know the process
 }
 
