--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -225,13 +225,15 @@
 }
 
 // EndElsewhere records that an attempt of another host broke off, at the backend server of that
-// name. That host tells the others. StartedAt is when the request was forwarded.
+// name. StartedAt is when the request was forwarded.
 func (q *Quarantine) EndElsewhere(r *request.Request, name string, startedAt time.Time) {
+	c := noNews
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	if b, ok := q.named[name]; ok && r.Fingerprint != "" {
-		q.recordBreak(r, b, startedAt)
+		c = q.recordBreak(r, b, startedAt)
 	}
+	q.mu.Unlock()
+	q.tell(c)
 }
 
 // isSilent reports whether nothing has come from a process lately, at the end of an attempt that
