--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -54,10 +54,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer os.RemoveAll(d)
-	if v := os.Getenv("LAB_DIR"); v != "" {
-		d = v
-	}
 	l := &lab{record: newRecord(), store: newStore(), dir: d, trouble: os.Getenv("TROUBLE") != "0"}
 	defer l.end()
 	go l.endOnSignal()
@@ -80,7 +76,7 @@
 	return exitHeld
 }
 
-// end ends all processes that the case started.
+// end ends all processes that the case started, and removes their settings and logs.
 func (l *lab) end() {
 	for _, h := range l.hosts {
 		if h.process != nil {
@@ -88,6 +84,7 @@
 			<-h.ended
 		}
 	}
+	_ = os.RemoveAll(l.dir) // what is left lies in the folder for temporary files
 }
 
 func (l *lab) endOnSignal() {
