--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -30,6 +32,7 @@
 
 	http    *http.Server
 	running atomic.Int32
+	waiting atomic.Int32
 	queue   chan struct{} // one token a slot
 }
 
@@ -68,9 +71,19 @@
 	if _, err := io.ReadAll(q.Body); err != nil {
 		return
 	}
+	x, f := context.WithTimeout(q.Context(), timeLeft(q))
+	defer f()
+	if s.waiting.Add(1) > int32(queuePerSlot*s.slots) {
+		s.waiting.Add(-1)
+		shed(w)
+		return
+	}
 	select {
 	case s.queue <- struct{}{}:
-	case <-q.Context().Done():
+		s.waiting.Add(-1)
+	case <-x.Done():
+		s.waiting.Add(-1)
+		shed(w)
 		return
 	}
 	defer func() { <-s.queue }()
@@ -83,13 +96,40 @@
 	s.record.addRun(r)
 	select {
 	case <-time.After(s.work):
-	case <-q.Context().Done(): // drops a request whose connection closes
+	case <-x.Done():
 		s.record.endRun(r, false)
+		if q.Context().Err() == nil { // the time limit; else the connection has closed
+			s.sign(w, id)
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
 		return
 	}
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Server-Stamp", "stamp."+s.name+"."+id)
+	s.sign(w, id)
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", n-1, s.slots))
 	s.record.endRun(r, true)
 	_, _ = io.WriteString(w, "done "+id) // a failed write means that the host left
 }
+
+// queuePerSlot is how many requests may wait for each slot, as on the site hppc-reach.
+const queuePerSlot = 3
+
+// timeLeft returns for how long the sender of a request waits.
+func timeLeft(q *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(q.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// shed refuses a request that was not run.
+func shed(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// sign marks an answer as that of the server.
+func (s *server) sign(w http.ResponseWriter, id string) {
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Server-Stamp", "stamp."+s.name+"."+id)
+}
