--- a/edge/edge.go
+++ b/edge/edge.go
@@ -161,6 +161,7 @@
 // callers and are stopped first.
 func (e *Edge) Run(ctx context.Context, serving ...child.Child) error {
 	e.assemble()
+	defer context.AfterFunc(ctx, e.logShutdown)()
 	s := &peerserver.Peerserver{
 		Listener: e.Peers, OnHeartbeat: e.membership.Receive, OnFetch: e.mirrorSync.Answer, OnBorrow: e.lendTokens, OnLend: e.receiveTokens,
 		OnNotify: e.answerNotice, OnForward: e.receive.Stream, OnPermit: e.permits.HandleRequest,
--- a/inflight/inflight.go
+++ b/inflight/inflight.go
@@ -24,6 +24,13 @@
 	return i.end
 }
 
+// Count returns how many requests are in flight.
+func (i *Inflight) Count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.count
+}
+
 // Wait waits until no requests are in flight or ctx ends, and returns how many
 // are left.
 func (i *Inflight) Wait(ctx context.Context) int {
