--- a/edge/edge.go
+++ b/edge/edge.go
@@ -124,15 +124,16 @@
 	// to a backend server that states a limit.
 	LimitOverage, LimitSlack float64
 	LimitWindow              time.Duration
-	// DrainTime is how long a leaving host waits for requests that others forwarded to it.
-	DrainTime time.Duration
+	// StopTime is how long after it was told to stop a host ends all waits for requests.
+	StopTime time.Duration
 	// RetryRatio and RetrySlack bound retries over all hosts: RetryRatio for each first
 	// try, plus RetrySlack at any time.
 	RetryRatio, RetrySlack float64
 
 	index        atomic.Pointer[routeindex.Routeindex]
 	leaving      atomic.Bool
-	leaveStarted chan struct{} // closed by StartLeaving
+	leaveStarted chan struct{} // closed by startLeaving
+	stopBy       time.Time     // set before leaveStarted is closed
 	hostsKnown   atomic.Bool
 	membership   *membership.Membership
 	client       *peerclient.Peerclient
@@ -157,11 +158,11 @@
 	quarantine        *quarantine.Quarantine
 }
 
-// Run runs the host until ctx ends. The children in serving accept requests from
-// callers and are stopped first.
+// Run runs the host until ctx ends. The host then says at once that it leaves. The children
+// in serving accept requests from callers and are stopped first.
 func (e *Edge) Run(ctx context.Context, serving ...child.Child) error {
 	e.assemble()
-	defer context.AfterFunc(ctx, e.logShutdown)()
+	defer context.AfterFunc(ctx, e.startLeaving)()
 	s := &peerserver.Peerserver{
 		Listener: e.Peers, OnHeartbeat: e.membership.Receive, OnFetch: e.mirrorSync.Answer, OnBorrow: e.lendTokens, OnLend: e.receiveTokens,
 		OnNotify: e.answerNotice, OnForward: e.receive.Stream, OnPermit: e.permits.HandleRequest,
@@ -187,22 +188,33 @@
 			child.Child{Name: "discovery", Run: e.discovery.Run},
 			child.Child{Name: "silence", Run: e.storeSilence.Run},
 		),
-		e.branch("serving", append(serving, child.Child{Name: "forwarded", Run: e.drainForwarded})...),
+		// Callers of other hosts are served until this host's own callers are.
+		e.branch("serving", append([]child.Child{{Name: "forwarded", Run: e.drainForwarded}}, serving...)...),
 	).Run(ctx)
 }
 
-// StartLeaving starts the shutdown of this host: other hosts stop offering it to callers.
-func (e *Edge) StartLeaving() {
-	if e.leaving.CompareAndSwap(false, true) {
-		close(e.leaveStarted)
-	}
+// startLeaving starts the shutdown of this host: other hosts stop offering it to callers
+// and forwarding requests to it.
+func (e *Edge) startLeaving() {
+	e.stopBy = e.Clock.Now().Add(e.StopTime)
+	e.leaving.Store(true)
+	close(e.leaveStarted)
+	e.membership.SendSoon()
+	e.Log.Info("host leaves", "Host", e.Self.Name, "Forwarded", e.forwardedInFlight.Count(), "StopTime", e.StopTime)
 }
 
-// IsLeaving reports whether StartLeaving was called.
+// IsLeaving reports whether this host was told to stop.
 func (e *Edge) IsLeaving() bool {
 	return e.leaving.Load()
 }
 
+// StopBy returns the time by which all waits of the shutdown end. It waits until the host
+// was told to stop.
+func (e *Edge) StopBy() time.Time {
+	<-e.leaveStarted
+	return e.stopBy
+}
+
 // IsReady reports whether this host can serve callers.
 func (e *Edge) IsReady() bool {
 	return e.index.Load() != nil && e.hostsKnown.Load() && !e.leaving.Load()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -57,6 +57,8 @@
 	network          *memoryNetwork
 	contact          time.Duration
 	hosts            map[string]*edge.Edge
+	processes        map[string]*process
+	ended            chan error // receives what each process of a host returned
 	log              *logbuffer.Logbuffer
 	report           func(text string) // writes to the test's output
 	members          []member.Member
@@ -95,7 +97,7 @@
 		Upstream:       w.upstream(name, region), LimitValues: limitValues, SaysLeaving: saysLeaving, BackoffValues: backoffValues,
 		Gateway: &gateway.Gateway{ReportedLoad: noReport}, Random: w.random,
 		RecoveryTime: w.contact, EvacuationTime: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: retryRatio, RetrySlack: retrySlack,
-		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow,
+		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow, StopTime: shutdownTime,
 	}
 }
 
@@ -151,6 +153,8 @@
 //	never TEXT, some TEXT               checks that no host, or at least one, has logged the text
 //	metric NAME REGEXP                  checks a metric of the process
 //	homes ...                           see runHomesCommand
+//
+// runHostCommand has those for the processes of hosts.
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -188,7 +192,7 @@
 			return "no host has logged it", nil
 		}
 	default:
-		return w.runBackendCommand(command, a)
+		return w.runHostCommand(command, a)
 	}
 	return "", nil
 }
@@ -298,25 +302,23 @@
 	w := &deployment{
 		servers: make(map[string]*server), starts: make(map[string]time.Duration), seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), stopCallers: func() {},
 		config: feedstandin.New(clock), backends: feedstandin.New(clock), hosts: make(map[string]*edge.Edge),
+		processes: make(map[string]*process), ended: make(chan error),
 		log: new(logbuffer.Logbuffer), network: &memoryNetwork{listeners: make(map[string]*listener)},
 	}
 	w.backends.Put("c1", nil)
 	w.report = func(s string) { t.Log(s) }
 	l := w.setUp(t, parse(t, script))
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error)
 	begun := clock.Now()
 	for i, m := range w.members {
-		go func() {
-			clock.Sleep(w.starts[m.Name] + time.Duration(i)*startInterval) // so that hosts do not send heartbeats at the same time
-			done <- w.hosts[m.Name].Run(ctx)
-		}()
+		w.startProcess(m.Name, w.starts[m.Name]+time.Duration(i)*startInterval) // so that hosts do not send heartbeats at the same time
 	}
 	defer func() { // also after a failure, because a bubble ends only with its last goroutine
 		w.stopServers()
-		stop()
-		for range w.hosts {
-			test.NoError(t, <-done)
+		for _, p := range w.processes {
+			p.terminate()
+		}
+		for range w.processes {
+			test.NoError(t, <-w.ended)
 		}
 		w.network.close()
 	}()
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -139,19 +139,13 @@
 // drainForwarded waits at the end of the host for the requests that others forwarded.
 func (e *Edge) drainForwarded(ctx context.Context) error {
 	<-ctx.Done()
-	t := e.Clock.Now()
-	x, f := deadline.With(context.WithoutCancel(ctx), e.Clock, e.DrainTime)
+	x, f := deadline.With(context.WithoutCancel(ctx), e.Clock, e.Clock.Until(e.StopBy()))
 	defer f()
 	n := e.forwardedInFlight.Wait(x)
-	e.Log.Info("forwarded requests ended", "Host", e.Self.Name, "Cut", n, "Took", e.Clock.Since(t))
+	e.Log.Info("forwarded requests ended", "Host", e.Self.Name, "Cut", n)
 	return nil
 }
 
-// logShutdown logs that the host was told to stop.
-func (e *Edge) logShutdown() {
-	e.Log.Info("host shuts down", "Host", e.Self.Name, "Forwarded", e.forwardedInFlight.Count())
-}
-
 func refuseForwarded(o, m string) outcome.Outcome {
 	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m, RetryAfter: forwardRetryDelay}
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -275,9 +275,11 @@
 
 // sendRequest sends one request to a host if it is ready.
 func (w *deployment) sendRequest(host, object, id string) {
-	if !w.hosts[host].IsReady() {
+	h := w.processes[host]
+	if !h.accepts() {
 		return
 	}
+	defer h.calls.Begin()()
 	k := w.kind(id)
 	p := k.path + object
 	r := &request.Request{
--- /dev/null
+++ b/edge/shutdown_test.go
@@ -0,0 +1,120 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"celeryreach.example/celeryreach/child"
+	"celeryreach.example/celeryreach/deadline"
+	"celeryreach.example/celeryreach/edge"
+	"celeryreach.example/celeryreach/inflight"
+)
+
+const (
+	// graceTime is the time from the signal to a process until it is killed.
+	graceTime = 6 * time.Second
+	// shutdownTime is the StopTime of the hosts.
+	shutdownTime = graceTime - 500*time.Millisecond
+	// leaveTime is how long a host accepts requests after it was told to stop.
+	leaveTime = 2500 * time.Millisecond
+)
+
+// process is a process of a host.
+type process struct {
+	edge  *edge.Edge
+	stop  context.CancelFunc
+	calls inflight.Inflight // requests of its own callers
+
+	mu    sync.Mutex
+	told  time.Time // when it was told to stop, zero before
+	ended time.Time
+	cut   int // calls in flight when it ended
+}
+
+// startProcess starts a process of a host after a delay.
+func (w *deployment) startProcess(host string, delay time.Duration) {
+	ctx, f := context.WithCancel(context.Background())
+	p := &process{edge: w.hosts[host], stop: f}
+	w.processes[host] = p
+	go func() {
+		clock.Sleep(delay)
+		err := p.edge.Run(ctx, child.Child{Name: "callers", Run: p.serveCallers})
+		p.end()
+		w.ended <- err
+	}()
+}
+
+// serveCallers stands for the listener for callers.
+func (p *process) serveCallers(ctx context.Context) error {
+	<-ctx.Done()
+	clock.Sleep(leaveTime)
+	x, f := deadline.With(context.WithoutCancel(ctx), clock, clock.Until(p.edge.StopBy()))
+	defer f()
+	p.calls.Wait(x)
+	return nil
+}
+
+// accepts reports whether callers may send requests.
+func (p *process) accepts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.edge.IsReady() || !p.told.IsZero() && clock.Since(p.told) < leaveTime
+}
+
+func (p *process) terminate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.told.IsZero() {
+		p.told = clock.Now()
+		p.stop()
+	}
+}
+
+func (p *process) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended, p.cut = clock.Now(), p.calls.Count()
+}
+
+// checkTerminated describes a shutdown that took longer than graceTime or cut a request.
+func (p *process) checkTerminated() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended.IsZero() || p.ended.Sub(p.told) > graceTime || p.cut > 0 {
+		return fmt.Sprintf("ended after %s, %d requests cut", p.ended.Sub(p.told), p.cut)
+	}
+	return ""
+}
+
+// runHostCommand runs one command for the processes of hosts, and passes others to
+// runBackendCommand:
+//
+//	terminate HOST    the host is told to stop
+//	leaving HOST      checks that it says that it leaves
+//	terminated HOST   checks that it ended within graceTime, and cut no request
+func (w *deployment) runHostCommand(command string, a []string) (string, error) {
+	switch command {
+	case "terminate":
+		w.processes[a[0]].terminate()
+	case "leaving":
+		if !w.hosts[a[0]].IsLeaving() {
+			return "it does not say so", nil
+		}
+	case "terminated":
+		return w.processes[a[0]].checkTerminated(), nil
+	default:
+		return w.runBackendCommand(command, a)
+	}
+	return "", nil
+}
+
+// Guards against a host that waits for requests of other hosts before it says that it leaves,
+// goes on as before meanwhile, and is killed while it serves requests that it took late.
+func TestForwardedRequestsDoNotDelayShutdown(t *testing.T) {
+	for _, s := range []string{linkResets, linkHangs} {
+		t.Run(s, func(t *testing.T) { runLinkScript(t, "shutdown-forwarded", s) })
+	}
+}
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -50,6 +50,9 @@
 	Clock clockwork.Clock
 	// DrainTimeout limits the wait for requests in flight.
 	DrainTimeout time.Duration
+	// StopBy, if set, returns the time by which this wait ends even if DrainTimeout is
+	// longer. It is called after ctx has ended.
+	StopBy func() time.Time
 	// Log receives one line for each request that reached the handler and whose connection
 	// this host closes before the response is complete, and the errors of net/http. Nil
 	// logs nothing, and net/http prints its errors itself.
@@ -79,11 +82,26 @@
 	}
 	_ = l.Listener.Close()
 	<-e //nolint:errcheck // always that of a closed listener
-	x, f := context.WithTimeout(context.WithoutCancel(ctx), l.DrainTimeout)
+	x, f := context.WithTimeout(context.WithoutCancel(ctx), l.drainTime())
 	defer f()
 	return l.drain(x, s, g)
 }
 
+// drainTime returns how long the wait for requests in flight may take now.
+func (l *Httplisten) drainTime() time.Duration {
+	if l.StopBy == nil {
+		return l.DrainTimeout
+	}
+	return min(l.DrainTimeout, l.clock().Until(l.StopBy()))
+}
+
+func (l *Httplisten) clock() clockwork.Clock {
+	if l.Clock == nil {
+		return clockwork.NewRealClock()
+	}
+	return l.Clock
+}
+
 func (l *Httplisten) server(g *connections) *http.Server {
 	s := &http.Server{
 		MaxHeaderBytes: maxHeaderBytes,
@@ -132,11 +150,7 @@
 
 // wrap returns c with the limits of this listener.
 func (l *Httplisten) wrap(c net.Conn) net.Conn {
-	k := l.Clock
-	if k == nil {
-		k = clockwork.NewRealClock()
-	}
-	return &serverconn.Serverconn{Conn: c, Clock: k, Limits: l.limits, BeginsWithHandshake: l.TLS != nil}
+	return &serverconn.Serverconn{Conn: c, Clock: l.clock(), Limits: l.limits, BeginsWithHandshake: l.TLS != nil}
 }
 
 func (l *Httplisten) limits() (header, idle time.Duration) {
