Limits: a log line when the hosts between which limits are divided change

Without it a division by too few hosts can't be told from tokens that are made twice. limits divided Hosts=N Counted=B is logged when that changes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -238,7 +238,7 @@
 	e.borrower = borrower.New()
 	e.borrower.Clock, e.borrower.Self, e.borrower.Hosts = e.Clock, e.self, e.membership.Alive
 	e.borrower.Log, e.borrower.Borrow, e.borrower.Deliver = e.Log, e.client.Borrow, e.client.Lend
-	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.knownHostNames, StartBorrowing: e.borrower.Request, SendLoan: e.borrower.Lend}
+	e.tokens = &tokens.Tokens{Clock: e.Clock, Self: e.Self.Name, Hosts: e.knownHostNames, OnHosts: e.logDivision, StartBorrowing: e.borrower.Request, SendLoan: e.borrower.Lend}
 	e.borrower.OnReceived, e.borrower.RequestDone = e.tokens.Receive, e.tokens.BorrowingDone
 	e.retryBudget = e.newRetryBudget()
 	e.setUpBackendLimits()
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -59,6 +60,11 @@
 	return e.membership.Known()
 }
 
+// logDivision logs between which hosts the rate limits are divided.
+func (e *Edge) logDivision(hosts []string) {
+	e.Log.Info("limits divided", "Host", e.Self.Name, "Hosts", len(hosts), "Counted", slices.Contains(hosts, e.Self.Name))
+}
+
 // retryLimit returns how many retries this host may send in a burst.
 func (e *Edge) retryLimit() float64 {
 	return max(retryBudgetFraction*e.RetrySlack/float64(max(len(e.membership.Known()), 1)), 1)
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -34,6 +34,8 @@
 	// including this one. It returns none while the hosts are unknown; no request
 	// may be admitted then.
 	Hosts func() []string
+	// OnHosts is called with the hosts when they have changed; nil disables the call.
+	OnHosts func(hosts []string)
 	// StartBorrowing starts to borrow n tokens from hosts among holders. Requests
 	// already wait for the number urgent of these tokens. StartBorrowing passes
 	// borrowed tokens to Receive and calls BorrowingDone at the end. It must not
@@ -66,12 +68,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := t.Clock.Now()
-	h := t.Hosts()
-	c := !slices.Equal(h, t.hosts)
-	t.hosts = h
+	c := t.updateHosts()
 	for _, e := range t.accounts {
 		if c {
-			e.resize(t.Self, h, n)
+			e.resize(t.Self, t.hosts, n)
 		}
 		e.refill(n)
 		t.lendSpare(e, n)
@@ -83,7 +83,7 @@
 func (t *Tokens) Set(l []account.Account) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hosts = t.Hosts()
+	t.updateHosts()
 	m := make(map[string]*entry, len(l))
 	for _, a := range l {
 		e := t.accounts[a.Name]
@@ -101,6 +101,19 @@
 	t.accounts = m
 }
 
+// updateHosts reads the hosts and reports whether they have changed.
+func (t *Tokens) updateHosts() bool {
+	h := t.Hosts()
+	if slices.Equal(h, t.hosts) {
+		return false
+	}
+	t.hosts = h
+	if t.OnHosts != nil {
+		t.OnHosts(h)
+	}
+	return true
+}
+
 // Take admits one request of an account, or returns the time after which to retry. If
 // the bucket is empty and an attempt to borrow is in progress, the request waits for
 // its result, at most for maxWait. left is the number of tokens in the bucket
