--- a/backendlimit/part.go
+++ b/backendlimit/part.go
@@ -40,7 +40,7 @@
 	dividedAt    time.Time
 	hosts        int       // number of hosts
 	holders      int       // number of hosts with a share
-	rank         int       // number of hosts before this one
+	rank         int       // number of hosts before this one, negative if this one is not counted yet
 	lastSent     time.Time // when this host last sent a request
 	loggedRate   float64   // the limit that was last logged
 	ignoredValue string    // the last invalid value
@@ -67,10 +67,13 @@
 	if len(h) > int(u) {
 		u = max(u-probeReserve, 1)
 	}
-	m.rank = max(slices.IndexFunc(h, func(v member.Member) bool { return v.Name == l.Self }), 0)
+	m.rank = 0
+	if len(h) > 0 {
+		m.rank = slices.IndexFunc(h, func(v member.Member) bool { return v.Name == l.Self })
+	}
 	// Each holder may send one request immediately, however small its share is.
 	m.hosts, m.holders = len(h), min(len(h), int(u))
-	if m.rank >= m.holders {
+	if m.rank < 0 || m.rank >= m.holders {
 		m.bucket.Set(now, 0, 0)
 		return
 	}
@@ -123,18 +126,26 @@
 // recordSent counts a request.
 func (m *limit) recordSent(now time.Time) {
 	m.lastSent = now
-	if m.rank < m.holders && !m.bucket.Take(now) {
+	if m.hasShare() && !m.bucket.Take(now) {
 		m.overdraft++
 	}
 }
 
 // retryAfter returns the time until this host may send the next request.
 func (m *limit) retryAfter(now time.Time) time.Duration {
-	if m.rank < m.holders {
+	switch {
+	case m.hasShare():
 		d, e, _ := m.bucket.UntilNextToken()
 		return d + time.Duration(m.overdraft)*e
+	case m.rank < 0:
+		return refreshInterval
+	default:
+		return m.untilProbe(now)
 	}
-	return m.untilProbe(now)
+}
+
+func (m *limit) hasShare() bool {
+	return m.rank >= 0 && m.rank < m.holders
 }
 
 // untilProbe returns the time until this host's next probe turn, zero during the turn.
--- a/coldrate/coldrate.go
+++ b/coldrate/coldrate.go
@@ -3,6 +3,7 @@
 package coldrate
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -25,7 +26,7 @@
 type Coldrate struct {
 	// Self is the name of this host.
 	Self string
-	// Hosts returns the names of all hosts that may send requests, this one included.
+	// Hosts returns the names of all hosts that have a part of the rate.
 	Hosts func() []string
 	// Overage and Slack define the bound for a rate: rate x Overage + Slack requests
 	// in any second.
@@ -37,7 +38,7 @@
 func (c *Coldrate) Share(backend string, rate float64) int {
 	t := int((rate*c.Overage + c.Slack) * safetyFactor)
 	h := c.Hosts()
-	if len(h) == 0 {
+	if !slices.Contains(h, c.Self) {
 		return 0
 	}
 	n := t / len(h)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,8 +57,9 @@
 	// peerTimeout is the time without a heartbeat after which a host is no longer
 	// offered to callers. A host may miss two heartbeats.
 	peerTimeout = 3 * time.Second
-	// hostListInterval is how often the list of hosts is read again once it is known.
-	// The interval can be long because new hosts announce themselves by heartbeats.
+	// hostListInterval is how often the list of hosts is read again once it is known. The
+	// interval can be long because new hosts announce themselves by heartbeats. Calls to
+	// the store cost money.
 	hostListInterval = 20 * time.Second
 	// dialTimeout bounds the opening of a connection to another host.
 	dialTimeout = time.Second
@@ -90,8 +91,8 @@
 	Decode func(rows map[string]row.Row) (*config.Config, map[string]bool)
 	// DecodeBackends returns the backend servers of a table.
 	DecodeBackends func(rows map[string]row.Row) []backend.Backend
-	// Announce adds this host to the list of hosts in the store, Withdraw removes it,
-	// and ReadHosts reads the list.
+	// Announce adds this host to the list of hosts in the store, Withdraw marks it there
+	// as having left, and ReadHosts reads the list.
 	Announce  func(ctx context.Context, m member.Member) error
 	Withdraw  func(ctx context.Context, m member.Member) error
 	ReadHosts func(ctx context.Context) ([]member.Member, error)
@@ -134,7 +135,7 @@
 	leaving      atomic.Bool
 	leaveStarted chan struct{} // closed by startLeaving
 	stopBy       time.Time     // set before leaveStarted is closed
-	hostsKnown   atomic.Bool
+	announced    atomic.Bool   // the store's list has this process
 	membership   *membership.Membership
 	client       *peerclient.Peerclient
 	tokens       *tokens.Tokens
@@ -217,7 +218,7 @@
 
 // IsReady reports whether this host can serve callers.
 func (e *Edge) IsReady() bool {
-	return e.index.Load() != nil && e.hostsKnown.Load() && !e.leaving.Load()
+	return e.index.Load() != nil && e.membership.HasList() && !e.leaving.Load()
 }
 
 // Index returns the configuration in force, nil before the first one.
@@ -232,7 +233,7 @@
 		e.client.Dial = dial
 	}
 	e.membership = &membership.Membership{
-		Clock: e.Clock, Log: e.Log, Self: e.self, Seeds: e.Seeds, ListHosts: e.cachedHostList(),
+		Clock: e.Clock, Log: e.Log, Self: e.self, Seeds: e.Seeds, ListHosts: e.readHosts, ListInterval: hostListInterval,
 		SelectPeers: heartbeatpeers.Select, Interval: heartbeatInterval, Hold: peerTimeout, SendHeartbeat: e.client.Beat, FillHeartbeat: e.composeHeartbeat, OnHeartbeat: e.receiveHeartbeat,
 	}
 	e.borrower = borrower.New()
@@ -251,7 +252,7 @@
 	e.placement = &placement.Placement{
 		Clock: e.Clock, Log: e.Log, Region: e.Self.Region, RemoteWeight: remoteWeight, ColdCapacity: e.coldRate, Limit: e.limits, Backoff: e.backoffs,
 		Reachability: e.reachability, ReachedByOthers: e.forwardHosts.Reach,
-		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.membership.Known, Overage: e.ColdOverage, Slack: e.ColdSlack},
+		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.knownHostNames, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
 		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.setBackends, Notify: e.membership.SendSoon,
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -57,8 +57,11 @@
 	network          *memoryNetwork
 	contact          time.Duration
 	hosts            map[string]*edge.Edge
-	processes        map[string]*process
-	ended            chan error // receives what each process of a host returned
+	processes        map[string]*process // the last one of each host
+	started          int                 // processes
+	ended            chan error          // receives what each process of a host returned
+	list             map[string]member.Member
+	silent           map[string]bool // hosts that can't read or change the list
 	log              *logbuffer.Logbuffer
 	report           func(text string) // writes to the test's output
 	members          []member.Member
@@ -81,20 +84,29 @@
 	refusals []refusal // since the last check
 }
 
-func (w *deployment) host(name, domain, region string) *edge.Edge {
-	m := member.Member{Name: name, Incarnation: uint64(len(w.members) + 1), Domain: domain, Region: region, CallerAddress: name, PeerAddress: name}
+// addHost adds a host, which is on the store's list.
+func (w *deployment) addHost(name, domain, region string) {
+	m := member.Member{Name: name, Domain: domain, Region: region, CallerAddress: name, PeerAddress: name}
 	w.members = append(w.members, m)
+	w.list[name] = m
+	w.hosts[name] = w.newEdge(m)
+}
+
+// newEdge returns a new process of a host.
+func (w *deployment) newEdge(m member.Member) *edge.Edge {
+	w.started++
+	m.Incarnation = uint64(w.started)
 	l := log.NewWithOptions(w.log, log.Options{Formatter: log.LogfmtFormatter})
 	return &edge.Edge{
-		Self: m, Seeds: []string{w.members[0].PeerAddress}, Clock: clock, Log: l, Peers: w.network.listen(name, region),
-		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.network.dial(ctx, name, region, a) },
+		Self: m, Seeds: []string{w.members[0].PeerAddress}, Clock: clock, Log: l, Peers: w.network.listen(m.Name, m.Region),
+		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return w.dial(ctx, m, a) },
 		Config: w.mirror("Config", w.config, m, l), Backends: w.mirror("Backends", w.backends, m, l),
 		Decode:         decode,
 		DecodeBackends: decodeBackends,
-		Announce:       func(context.Context, member.Member) error { return nil },
-		Withdraw:       func(context.Context, member.Member) error { return nil },
-		ReadHosts:      func(context.Context) ([]member.Member, error) { return w.members, nil },
-		Upstream:       w.upstream(name, region), LimitValues: limitValues, SaysLeaving: saysLeaving, BackoffValues: backoffValues,
+		Announce:       w.announce,
+		Withdraw:       w.withdraw,
+		ReadHosts:      func(ctx context.Context) ([]member.Member, error) { return w.readHosts(ctx, m) },
+		Upstream:       w.upstream(m.Name, m.Region), LimitValues: limitValues, SaysLeaving: saysLeaving, BackoffValues: backoffValues,
 		Gateway: &gateway.Gateway{ReportedLoad: noReport}, Random: w.random,
 		RecoveryTime: w.contact, EvacuationTime: evacuate, ColdOverage: 1.5, ColdSlack: 5, RetryRatio: retryRatio, RetrySlack: retrySlack,
 		LimitOverage: limitOverage, LimitSlack: limitSlack, LimitWindow: limitWindow, StopTime: shutdownTime,
@@ -154,7 +166,7 @@
 //	metric NAME REGEXP                  checks a metric of the process
 //	homes ...                           see runHomesCommand
 //
-// runHostCommand has those for the processes of hosts.
+// runHostCommand and runShareCommand have those for the processes of hosts.
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -166,6 +178,7 @@
 	case "silent", "answers":
 		w.config.SetMuted(command == "silent", h...)
 		w.backends.SetMuted(command == "silent", h...)
+		w.setSilent(command == "silent", h)
 	case "slow":
 		d, err := time.ParseDuration(a[0])
 		w.config.SetDelay(d)
@@ -285,7 +298,7 @@
 		case "way":
 			w.network.latency, err = time.ParseDuration(a[1])
 		case "host": // NAME DOMAIN REGION [START], after the others
-			w.hosts[a[1]] = w.host(a[1], a[2], a[3])
+			w.addHost(a[1], a[2], a[3])
 			if len(a) > 4 {
 				w.starts[a[1]], err = time.ParseDuration(a[4])
 			}
@@ -302,7 +315,7 @@
 	w := &deployment{
 		servers: make(map[string]*server), starts: make(map[string]time.Duration), seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), stopCallers: func() {},
 		config: feedstandin.New(clock), backends: feedstandin.New(clock), hosts: make(map[string]*edge.Edge),
-		processes: make(map[string]*process), ended: make(chan error),
+		processes: make(map[string]*process), ended: make(chan error), list: make(map[string]member.Member), silent: make(map[string]bool),
 		log: new(logbuffer.Logbuffer), network: &memoryNetwork{listeners: make(map[string]*listener)},
 	}
 	w.backends.Put("c1", nil)
@@ -317,7 +330,7 @@
 		for _, p := range w.processes {
 			p.terminate()
 		}
-		for range w.processes {
+		for range w.started {
 			test.NoError(t, <-w.ended)
 		}
 		w.network.close()
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -51,10 +51,10 @@
 )
 
 // knownHostNames returns the names of the hosts that share the rate limits. It returns
-// none before the list of hosts is known, because a host that has not yet seen any
-// other must not claim the complete limits.
+// none before the list of hosts is known, because a host that may not know all others
+// must not claim a share.
 func (e *Edge) knownHostNames() []string {
-	if !e.hostsKnown.Load() {
+	if !e.membership.HasList() {
 		return nil
 	}
 	return e.membership.Known()
@@ -67,13 +67,17 @@
 
 // retryLimit returns how many retries this host may send in a burst.
 func (e *Edge) retryLimit() float64 {
-	return max(retryBudgetFraction*e.RetrySlack/float64(max(len(e.membership.Known()), 1)), 1)
+	h := e.knownHostNames()
+	if !slices.Contains(h, e.Self.Name) {
+		return 1
+	}
+	return max(retryBudgetFraction*e.RetrySlack/float64(len(h)), 1)
 }
 
 // knownHosts returns the hosts that share the rate limits, none before the list of
 // hosts is known.
 func (e *Edge) knownHosts() []member.Member {
-	if !e.hostsKnown.Load() {
+	if !e.membership.HasList() {
 		return nil
 	}
 	return e.membership.Hosts()
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -275,7 +275,7 @@
 
 // sendRequest sends one request to a host if it is ready.
 func (w *deployment) sendRequest(host, object, id string) {
-	h := w.processes[host]
+	h := w.process(host)
 	if !h.accepts() {
 		return
 	}
@@ -313,7 +313,7 @@
 			panic(v)
 		}
 	}()
-	u := w.hosts[host].Gateway.Serve(ctx, r, p, k.key, a)
+	u := h.edge.Gateway.Serve(ctx, r, p, k.key, a)
 	w.runs.end(id, u.Ran == outcome.RanNo)
 	w.recordCall(call{id: id, host: host, sent: t, outcome: u.Outcome, message: u.Message, retryAfter: u.RetryAfter, left: ctx.Err() != nil})
 	w.recordRefusal(host, t, u, len(r.AttemptedBackends.Names()))
--- a/edge/links_test.go
+++ b/edge/links_test.go
@@ -290,16 +290,21 @@
 	}
 }
 
+// seeds returns how many seeds to play: n, or as many as the environment variable SEEDS says.
+func seeds(t *testing.T, n int) int {
+	s := os.Getenv("SEEDS")
+	if s == "" {
+		return n
+	}
+	v, err := strconv.Atoi(s)
+	must.NoError(t, err)
+	return v
+}
+
 // runLinkScript runs a script in which STATE is the state of lost links, with one seed or as
-// many as the environment variable SEEDS says.
+// many as SEEDS says.
 func runLinkScript(t *testing.T, name, state string) {
-	n := 1
-	if s := os.Getenv("SEEDS"); s != "" {
-		v, err := strconv.Atoi(s)
-		must.NoError(t, err)
-		n = v
-	}
-	runInBubbles(t, name, n, func(t *testing.T, script string, i int) {
+	runInBubbles(t, name, seeds(t, 1), func(t *testing.T, script string, i int) {
 		runScript(t, strings.ReplaceAll(script, "STATE", state), 0, uint64(i))
 	})
 }
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -21,7 +21,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     []pipe
-	cut       map[string]bool // hosts that are cut off from the others
+	side      map[string]string // hosts reach those of the same side
 	links     links
 }
 
@@ -49,7 +49,7 @@
 // dial opens a connection from a host to another host.
 func (n *memoryNetwork) dial(ctx context.Context, from, region, address string) (net.Conn, error) {
 	n.mu.Lock()
-	c := n.cut[from] || n.cut[address]
+	c := n.side[from] != n.side[address]
 	n.mu.Unlock()
 	if c {
 		return nil, errors.Errorf("no route from %s to %s", from, address)
@@ -99,17 +99,49 @@
 	clock.Sleep(2*n.latency + closeTimeout) // until all have delivered
 }
 
-// setCut closes the connections between a host and the others and allows no new ones, or
-// allows them again.
+// setCut cuts a host off from the others, or joins it to them again.
 func (n *memoryNetwork) setCut(host string, cut bool) {
+	side := ""
+	if cut {
+		side = host
+	}
+	n.setSide(side, host)
+}
+
+// setSide moves hosts to a side, and closes the connections between sides. All hosts are on
+// the side without a name at first.
+func (n *memoryNetwork) setSide(side string, hosts ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cut == nil {
-		n.cut = make(map[string]bool)
+	if n.side == nil {
+		n.side = make(map[string]string)
+	}
+	for _, h := range hosts {
+		n.side[h] = side
+	}
+	for _, p := range n.conns {
+		if !strings.Contains(p.to, ":") && n.side[p.from] != n.side[p.to] {
+			p.close()
+		}
 	}
-	n.cut[host] = cut
+}
+
+// join moves a host to the side of another one.
+func (n *memoryNetwork) join(other, host string) {
+	n.mu.Lock()
+	s := n.side[other]
+	n.mu.Unlock()
+	n.setSide(s, host)
+}
+
+// closeAll closes the connections from and to a host, and its listener, as the end of its
+// process does.
+func (n *memoryNetwork) closeAll(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.listeners[host].Close() // it returns no error
 	for _, p := range n.conns {
-		if cut && !strings.Contains(p.to, ":") && (p.from == host || p.to == host) {
+		if p.from == host || p.to == host {
 			p.close()
 		}
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sort"
-	"sync"
 	"time"
 
 	"celeryreach.example/celeryreach/member"
@@ -66,7 +65,7 @@
 }
 
 func (e *Edge) composeHeartbeat(h *wire.Heartbeat) {
-	h.Versions = e.mirrorSync.Versions()
+	h.Versions, h.Listed = e.mirrorSync.Versions(), e.announced.Load()
 	h.BackendLimits = e.limits.Observations()
 	h.LeavingBackends = e.discovery.Departures()
 	e.reportReachability(h)
@@ -80,9 +79,6 @@
 	// A host tells all hosts of its region and a few of each other one, which tell the rest of theirs.
 	e.quarantine.Merge(h.GetFrom().GetName(), h.GetSuspectRequests(), h.GetFrom().GetRegion() != e.Self.Region)
 	if a := h.GetFrom().GetPeerAddress(); a != "" {
-		// A host that has received the names of the other hosts from one of them can
-		// compute its share of the limits.
-		e.hostsKnown.Store(e.hostsKnown.Load() || len(h.GetKnown()) > 0)
 		e.mirrorSync.HandleVersions(a, h.GetVersions())
 	}
 }
@@ -106,16 +102,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// announce adds this host to the list of hosts in the store and removes it when the
-// host starts to leave. It does not wait for the end of the shutdown, because no time
+// announce adds this host to the list of hosts in the store and marks it as having left when
+// the host starts to leave. It does not wait for the end of the shutdown, because no time
 // may be left by then if the store does not respond.
 func (e *Edge) announce(ctx context.Context) error {
-	for !e.tryAnnounce(ctx) {
+	for !e.leaving.Load() && !e.tryAnnounce(ctx) {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-e.leaveStarted:
-			return nil
 		case <-e.Clock.After(announceRetryDelay):
 		}
 	}
@@ -123,12 +118,24 @@
 	case <-ctx.Done():
 	case <-e.leaveStarted:
 	}
-	x, f := context.WithTimeout(context.WithoutCancel(ctx), announceTimeout)
+	for !e.tryWithdraw(context.WithoutCancel(ctx)) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.Clock.After(announceRetryDelay):
+		}
+	}
+	return nil
+}
+
+func (e *Edge) tryWithdraw(ctx context.Context) bool {
+	x, f := context.WithTimeout(ctx, announceTimeout)
 	defer f()
-	if err := e.Withdraw(x, e.Self); err != nil {
+	err := e.Withdraw(x, e.Self)
+	if err != nil {
 		e.Log.Warn("host not withdrawn", "Error", err)
 	}
-	return nil
+	return err == nil
 }
 
 func (e *Edge) tryAnnounce(ctx context.Context) bool {
@@ -137,32 +144,19 @@
 	err := e.Announce(x, e.Self)
 	if err != nil {
 		e.Log.Warn("host not announced", "Error", err)
+		return false
 	}
-	return err == nil
+	e.announced.Store(true)
+	return true
 }
 
-// cachedHostList returns a function that reads the list of hosts from the store, and
-// after the first success only once per hostListInterval. Membership calls it once per
-// Hold, and calls to the store cost money.
-func (e *Edge) cachedHostList() func(ctx context.Context) ([]member.Member, error) {
-	var mu sync.Mutex
-	var last []member.Member
-	var at time.Time
-	return func(ctx context.Context) ([]member.Member, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		if !at.IsZero() && e.Clock.Since(at) < hostListInterval {
-			return last, nil
-		}
-		x, f := context.WithTimeout(ctx, announceTimeout)
-		defer f()
-		l, err := e.ReadHosts(x)
-		if err != nil {
-			e.Log.Warn("reading the list of hosts failed", "Error", err)
-			return nil, err
-		}
-		last, at = l, e.Clock.Now()
-		e.hostsKnown.Store(true)
-		return l, nil
+// readHosts reads the list of hosts from the store.
+func (e *Edge) readHosts(ctx context.Context) ([]member.Member, error) {
+	x, f := context.WithTimeout(ctx, announceTimeout)
+	defer f()
+	l, err := e.ReadHosts(x)
+	if err != nil {
+		e.Log.Warn("reading the list of hosts failed", "Error", err)
 	}
+	return l, err
 }
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -28,17 +28,21 @@
 	stop  context.CancelFunc
 	calls inflight.Inflight // requests of its own callers
 
-	mu    sync.Mutex
-	told  time.Time // when it was told to stop, zero before
-	ended time.Time
-	cut   int // calls in flight when it ended
+	mu      sync.Mutex
+	running bool      // it was assembled and has not ended
+	killed  bool      // it counts as ended
+	told    time.Time // when it was told to stop, zero before
+	ended   time.Time
+	cut     int // calls in flight when it ended
 }
 
 // startProcess starts a process of a host after a delay.
 func (w *deployment) startProcess(host string, delay time.Duration) {
 	ctx, f := context.WithCancel(context.Background())
 	p := &process{edge: w.hosts[host], stop: f}
+	w.mu.Lock()
 	w.processes[host] = p
+	w.mu.Unlock()
 	go func() {
 		clock.Sleep(delay)
 		err := p.edge.Run(ctx, child.Child{Name: "callers", Run: p.serveCallers})
@@ -47,8 +51,18 @@
 	}()
 }
 
+// process returns the last process of a host.
+func (w *deployment) process(host string) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.processes[host]
+}
+
 // serveCallers stands for the listener for callers.
 func (p *process) serveCallers(ctx context.Context) error {
+	p.mu.Lock()
+	p.running = !p.killed
+	p.mu.Unlock()
 	<-ctx.Done()
 	clock.Sleep(leaveTime)
 	x, f := deadline.With(context.WithoutCancel(ctx), clock, clock.Until(p.edge.StopBy()))
@@ -61,6 +75,9 @@
 func (p *process) accepts() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.killed {
+		return false
+	}
 	return p.edge.IsReady() || !p.told.IsZero() && clock.Since(p.told) < leaveTime
 }
 
@@ -76,7 +93,7 @@
 func (p *process) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ended, p.cut = clock.Now(), p.calls.Count()
+	p.ended, p.cut, p.running = clock.Now(), p.calls.Count(), false
 }
 
 // checkTerminated describes a shutdown that took longer than graceTime or cut a request.
@@ -89,8 +106,8 @@
 	return ""
 }
 
-// runHostCommand runs one command for the processes of hosts, and passes others to
-// runBackendCommand:
+// runHostCommand runs one command for the shutdown of hosts, and passes others to
+// runShareCommand:
 //
 //	terminate HOST    the host is told to stop
 //	leaving HOST      checks that it says that it leaves
@@ -106,7 +123,7 @@
 	case "terminated":
 		return w.processes[a[0]].checkTerminated(), nil
 	default:
-		return w.runBackendCommand(command, a)
+		return w.runShareCommand(command, a)
 	}
 	return "", nil
 }
--- a/membership/compact.go
+++ b/membership/compact.go
@@ -18,7 +18,7 @@
 // heartbeat and rarely changes, so it is omitted while the peer's digest shows
 // that it already has the list.
 func (m *Membership) newHeartbeat(to string) *wire.Heartbeat {
-	h := &wire.Heartbeat{Protocol: Protocol, From: toWire(m.Self()), Full: true}
+	h := &wire.Heartbeat{Protocol: Protocol, From: toWire(m.Self()), Full: true, WantsHosts: !m.hasList.Load()}
 	for _, v := range m.Alive() {
 		h.Known = append(h.Known, toWire(v))
 	}
@@ -28,6 +28,7 @@
 	h.Sequence = m.sequence
 	if p := m.peers[to]; p != nil {
 		m.compact(h, p)
+		h.AllHosts = m.listFor(p)
 	}
 	m.mu.Unlock()
 	m.FillHeartbeat(h)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -37,7 +39,8 @@
 	Self func() member.Member
 	// Seeds are peer addresses to contact before any list of hosts is known.
 	Seeds []string
-	// ListHosts returns the platform's list of hosts.
+	// ListHosts returns the platform's list of hosts, with those that have left if it has
+	// them.
 	ListHosts func(ctx context.Context) ([]member.Member, error)
 	// SelectPeers selects the hosts to send heartbeats to; nil selects all hosts.
 	SelectPeers func(self member.Member, all []member.Member, alive func(name string) bool) []member.Member
@@ -45,6 +48,9 @@
 	Interval time.Duration
 	// Hold is the time without a heartbeat after which a peer counts as dead.
 	Hold time.Duration
+	// ListInterval is the time between two reads of the platform's list once it was read,
+	// if that is longer than Hold. It is read sooner after a host has left or is heard again.
+	ListInterval time.Duration
 	// SendHeartbeat sends a heartbeat to an address and returns the reply.
 	SendHeartbeat func(ctx context.Context, address string, h *wire.Heartbeat) (*wire.Heartbeat, error)
 	// FillHeartbeat adds this host's versions and loads to a heartbeat. If the
@@ -55,12 +61,23 @@
 	// peer sent, sent is zero.
 	OnHeartbeat func(h *wire.Heartbeat, sent time.Time)
 
-	mu       sync.Mutex
-	peers    map[string]*peer
-	listed   []member.Member
-	sequence uint64
-	replaced map[uint64]bool // incarnations of processes that were replaced
-	sendNow  chan struct{}   // closed to send the next heartbeats at once
+	hasList atomic.Bool
+
+	mu        sync.Mutex
+	peers     map[string]*peer
+	listed    []member.Member
+	listedAt  time.Time                // when the platform's list was last read, zero before
+	startedAt time.Time                // when Run was called
+	replaces  bool                     // the list showed another process of this host that had not left
+	listDue   bool                     // a host was heard again, so the list may have changed unheard
+	copied    map[string]member.Member // from other hosts' lists, until the platform's is read
+	withdrawn map[string]uint64        // incarnations that the platform's list shows as having left, by name
+	unlisted  map[string]time.Time     // when hosts that were on the platform's list before left it
+	sequence  uint64
+	replaced  map[uint64]bool // incarnations of processes that were replaced
+	sendNow   chan struct{}   // closed to send the next heartbeats at once
+	counted   []string        // result of Known
+	countAt   time.Time       // when counted was computed, zero if it is outdated
 }
 
 type peer struct {
@@ -72,11 +89,15 @@
 	ackedDigest     uint64       // hash of the list that the peer has received from this host
 	lastFull        time.Time    // when the last full heartbeat was created for the peer
 	silenceLogged   bool         // a missing heartbeat was logged
+	isSuccessor     bool         // a process of this name was known before this one
 }
 
 // Run sends heartbeats until ctx ends.
 func (m *Membership) Run(ctx context.Context) error {
 	d := make(chan struct{})
+	m.mu.Lock()
+	m.startedAt = m.Clock.Now()
+	m.mu.Unlock()
 	go m.pollHostList(ctx, d)
 	t := make(map[string]*heartbeatLoop)
 	for ctx.Err() == nil {
@@ -135,49 +156,6 @@
 	return r
 }
 
-// Known returns the sorted names of all hosts that may be serving, including this
-// one: those on the platform's list and those known from heartbeats, whether alive
-// or unreachable. Only hosts that announced their shutdown and then stopped sending
-// heartbeats are omitted.
-func (m *Membership) Known() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := m.Clock.Now()
-	s := map[string]bool{m.Self().Name: true}
-	for _, v := range m.listed {
-		s[v.Name] = true
-	}
-	for k, p := range m.peers {
-		s[k] = !p.member.Leaving || n.Sub(p.lastHeartbeatAt) <= m.Hold
-		for _, v := range p.lastHeartbeat.GetKnown() {
-			if m.peers[v.Name] == nil {
-				s[v.Name] = true
-			}
-		}
-	}
-	var r []string
-	for k, v := range s {
-		if v {
-			r = append(r, k)
-		}
-	}
-	sort.Strings(r)
-	return r
-}
-
-// Hosts returns the members for the names that Known returns, ordered by name.
-func (m *Membership) Hosts() []member.Member {
-	k := m.Known()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	l := slices.DeleteFunc(append(m.otherHosts(), m.Self()), func(v member.Member) bool {
-		_, ok := slices.BinarySearch(k, v.Name)
-		return !ok
-	})
-	sort.Slice(l, func(i, j int) bool { return l[i].Name < l[j].Name })
-	return l
-}
-
 // IsLeaving reports whether a host is shutting down according to its latest heartbeat.
 func (m *Membership) IsLeaving(name string) bool {
 	m.mu.Lock()
@@ -191,12 +169,9 @@
 func (m *Membership) IsListed(h holder.Holder) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, v := range m.listed {
-		if v.Name == h.Name && v.Incarnation == h.Incarnation {
-			return !v.Leaving
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.listed, func(v member.Member) bool {
+		return v.Name == h.Name && v.Incarnation == h.Incarnation
+	})
 }
 
 // LastHeartbeat returns the latest heartbeat of a peer that is alive.
@@ -210,13 +185,16 @@
 	return p.lastHeartbeat, true
 }
 
-// pollHostList reads the platform's list of hosts once per Hold.
+// pollHostList reads the platform's list of hosts when it is due, which it checks once per
+// Hold.
 func (m *Membership) pollHostList(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	for ctx.Err() == nil {
-		l, err := m.ListHosts(ctx)
-		if err == nil {
-			m.setListed(l)
+		if m.isListDue() {
+			t := m.Clock.Now()
+			if l, err := m.ListHosts(ctx); err == nil {
+				m.setListed(l, t)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -225,10 +203,46 @@
 	}
 }
 
-func (m *Membership) setListed(l []member.Member) {
+// isListDue reports whether the platform's list must be read: it is old, or a host has left
+// or was heard again since it was read.
+func (m *Membership) isListDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = l
+	n := m.Clock.Now()
+	if m.listDue || m.listedAt.IsZero() || n.Sub(m.listedAt) >= m.ListInterval {
+		return true
+	}
+	for _, p := range m.peers {
+		if m.hasLeft(p, n) && m.listedAt.Before(p.lastHeartbeatAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// setListed sets the platform's list of hosts, as it was at t.
+func (m *Membership) setListed(l []member.Member, t time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.unlisted == nil {
+		m.unlisted = make(map[string]time.Time)
+	}
+	for _, v := range m.listed {
+		m.unlisted[v.Name] = t
+	}
+	o := m.Self()
+	m.listed, m.withdrawn = nil, make(map[string]uint64)
+	for _, v := range l {
+		if v.Leaving {
+			m.withdrawn[v.Name] = v.Incarnation
+			continue
+		}
+		m.listed = append(m.listed, v)
+		delete(m.unlisted, v.Name)
+		m.replaces = m.replaces || v.Name == o.Name && v.Incarnation != o.Incarnation
+	}
+	m.listedAt, m.listDue, m.copied, m.countAt = t, false, nil, time.Time{}
+	m.hasList.Store(true)
 }
 
 // recordHeartbeat stores a heartbeat if it supersedes the last one of its host, and
@@ -244,12 +258,17 @@
 	}
 	if m.supersedes(v, h) {
 		p := &peer{}
-		if o := m.peers[v.Name]; o != nil && o.member.Incarnation == v.Incarnation {
+		o := m.peers[v.Name]
+		m.listDue = m.listDue || o != nil && !m.isAlive(o, m.Clock.Now())
+		if o != nil && o.member.Incarnation == v.Incarnation {
 			*p = *o
+		} else {
+			p.isSuccessor = o != nil
 		}
 		p.expand(h)
 		p.member, p.lastHeartbeatAt, p.lastHeartbeat = fromWire(h.From), m.Clock.Now(), h
 		m.peers[v.Name] = p
+		m.copyHosts(h.GetAllHosts())
 	}
 	m.mu.Unlock()
 	m.OnHeartbeat(h, sent)
@@ -283,7 +302,8 @@
 }
 
 // forget removes peers that have sent no heartbeat for forgetAfterHolds, so that
-// replaced hosts are not contacted forever.
+// replaced hosts are not contacted forever, and hosts that left the platform's list as
+// long ago.
 func (m *Membership) forget() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -293,6 +313,11 @@
 			delete(m.replaced, p.member.Incarnation)
 		}
 	}
+	for k, v := range m.unlisted {
+		if m.Clock.Since(v) > forgetAfterHolds*m.Hold {
+			delete(m.unlisted, k)
+		}
+	}
 }
 
 // logSilentPeers logs peers that stopped sending heartbeats and those that resumed.
@@ -358,17 +383,22 @@
 // heartbeat takes precedence over the platform's list, and the list over what other
 // hosts report.
 func (m *Membership) otherHosts() []member.Member {
-	s := make(map[string]member.Member)
+	s := maps.Clone(m.copied)
+	if s == nil {
+		s = make(map[string]member.Member)
+	}
+	n := m.Clock.Now()
+	h := m.heard(n)
 	for _, p := range m.peers {
-		for _, k := range p.lastHeartbeat.GetKnown() {
+		for _, k := range m.listOf(p, h, n) {
 			s[k.Name] = fromWire(k)
 		}
 	}
 	for _, v := range m.listed {
 		s[v.Name] = v
 	}
-	for n, p := range m.peers {
-		s[n] = p.member
+	for k, p := range m.peers {
+		s[k] = p.member
 	}
 	delete(s, m.Self().Name)
 	r := make([]member.Member, 0, len(s))
