Forwarding: a forwarded request ends when its last frame is sent

A host that shuts down waits for the requests that others forwarded to it. One counted as ended before its end frame, or its refusal, was sent, so the connection could be closed in between; the caller's answer then broke off at the other host.

--- a/receive/receive.go
+++ b/receive/receive.go
@@ -64,15 +64,9 @@
 	}
 	w := &answerWriter{stream: s, header: make(http.Header)}
 	o = v.run(s, r, h.HasBody, w)
-	e(o, w.bytes)
-	if w.err != nil {
-		return w.err
-	}
-	if o.Outcome == outcome.Answered {
-		w.WriteHeader(http.StatusOK) // no-op if the head has been sent
-		return s.Send(&wire.Frame{Part: &wire.Frame_End{End: true}})
-	}
-	return sendRefusal(s, r, o)
+	err = w.finish(r, o)
+	e(o, w.bytes) // a host that shuts down may end its connections now
+	return err
 }
 
 // run serves r and watches the sender. When the caller has disconnected or the
@@ -209,6 +203,18 @@
 	return len(b), nil
 }
 
+// finish sends what is missing of the answer, or the outcome of a request without one.
+func (a *answerWriter) finish(r *request.Request, o outcome.Outcome) error {
+	if a.err != nil {
+		return a.err
+	}
+	if o.Outcome != outcome.Answered {
+		return sendRefusal(a.stream, r, o)
+	}
+	a.WriteHeader(http.StatusOK) // no-op if the head has been sent
+	return a.stream.Send(&wire.Frame{Part: &wire.Frame_End{End: true}})
+}
+
 func (a *answerWriter) send(m *wire.Frame) {
 	if a.err == nil {
 		a.err = a.stream.Send(m)
