--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -35,11 +35,13 @@
 
 // Main runs the command line of the process and returns the exit code.
 func Main(args []string) int {
-	ctx, f := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, f := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer f()
-	// The first signal starts the graceful shutdown and restores the default
-	// signal handling, so that a second one terminates the process immediately.
-	defer context.AfterFunc(ctx, f)()
+	ctx, g := signal.NotifyContext(ctx, os.Interrupt)
+	// The first signal starts the graceful shutdown and restores the default handling of
+	// SIGINT, so that a person can end the process at once. Further SIGTERMs change
+	// nothing: a platform may repeat them, and ends what takes too long with SIGKILL.
+	defer context.AfterFunc(ctx, g)()
 	m := &Cmd{Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv, Clock: clockwork.NewRealClock()}
 	return m.Run(ctx, args)
 }
--- a/host/requests.go
+++ b/host/requests.go
@@ -124,7 +124,7 @@
 func (x *components) shutDown(ctx context.Context) {
 	h := x.host
 	x.leaving.Store(true)
-	h.Log.Info("host leaves", "Host", h.Settings.Name, "DrainTimeout", h.Settings.DrainTimeout, "Note", "a second signal ends at once")
+	h.Log.Info("host leaves", "Host", h.Settings.Name, "DrainTimeout", h.Settings.DrainTimeout, "Note", "SIGINT ends at once")
 	d := make(chan struct{})
 	n := leaveNoticeHeartbeats * h.Settings.Heartbeat
 	go x.announceLeaving(ctx, n, d)
--- a/processes/freeze_test.go
+++ b/processes/freeze_test.go
@@ -167,3 +167,28 @@
 	k, _ := d.send("a1", http.MethodGet, "/listings/1", "")
 	must.EqOp(t, http.StatusOK, k)
 }
+
+// Guards against a host that a second SIGTERM ends at once, with the requests that it was
+// finishing.
+func TestRepeatedTerminationCutsNothing(t *testing.T) {
+	d := deploy(t)
+	const deposits = 8
+	d.backendSignal(syscall.SIGSTOP)
+	c := make(chan int)
+	for i := range deposits {
+		go func() {
+			k, _ := d.send("l2", http.MethodPost, "/listings/deposit", fmt.Sprint("child-", i))
+			c <- k
+		}()
+	}
+	<-clock.After(hold / 2) // until they have reached backend servers
+	for range 3 {
+		d.signal("l2", syscall.SIGTERM)
+		<-clock.After(hold / 10)
+	}
+	d.backendSignal(syscall.SIGCONT)
+	for range deposits {
+		must.EqOp(t, http.StatusOK, <-c)
+	}
+	must.NoError(t, d.hosts["l2"].command.Wait())
+}
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -46,6 +46,7 @@
 	operatorKey string
 	callerKey   string
 	backends    map[string]string
+	standins    map[string]*exec.Cmd // backend servers by name
 	hosts       map[string]*host
 }
 
@@ -61,13 +62,14 @@
 func deploy(t *testing.T) *deployment {
 	x, f := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(f)
-	d := &deployment{t: t, ctx: x, dir: t.TempDir(), backends: make(map[string]string), hosts: make(map[string]*host)}
+	d := &deployment{t: t, ctx: x, dir: t.TempDir(), backends: make(map[string]string), standins: make(map[string]*exec.Cmd), hosts: make(map[string]*host)}
 	d.binary = filepath.Join(d.dir, "celeryreach")
 	o, err := exec.CommandContext(x, "go", "build", "-o", d.binary, "..").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(o)))
-	d.platformURL = "http://" + d.startStandin("platform", "--listen", "127.0.0.1:0")
+	a, _ := d.startStandin("platform", "--listen", "127.0.0.1:0")
+	d.platformURL = "http://" + a
 	for _, v := range domains {
-		d.backends[v[0]] = d.startStandin("backend", "--listen", "127.0.0.1:0", "--name", v[0], "--work", "2ms")
+		d.backends[v[0]], d.standins[v[0]] = d.startStandin("backend", "--listen", "127.0.0.1:0", "--name", v[0], "--work", "2ms")
 	}
 	o = d.runCommand("config", "init", "--platform", d.platformURL, d.writeFile("config.hujson", d.configText()))
 	d.operatorKey = regexp.MustCompile(`[A-Z2-7]{26}`).FindString(string(o))
@@ -123,9 +125,9 @@
 	must.NoError(d.t, d.hosts[name].command.Process.Signal(s))
 }
 
-// startStandin starts a stand-in and returns the address from its first log
-// line.
-func (d *deployment) startStandin(args ...string) string {
+// startStandin starts a stand-in and returns the address from its first log line, and its
+// process.
+func (d *deployment) startStandin(args ...string) (string, *exec.Cmd) {
 	c := exec.CommandContext(d.ctx, d.binary, args...)
 	e, err := c.StderrPipe()
 	must.NoError(d.t, err)
@@ -136,7 +138,14 @@
 	m := regexp.MustCompile(`Address=(\S+)`).FindStringSubmatch(s.Text())
 	must.SliceLen(d.t, 2, m)
 	go func() { _, _ = io.Copy(io.Discard, e) }()
-	return m[1]
+	return m[1], c
+}
+
+// backendSignal sends a signal to all backend servers.
+func (d *deployment) backendSignal(s syscall.Signal) {
+	for _, c := range d.standins {
+		must.NoError(d.t, c.Process.Signal(s))
+	}
 }
 
 func (d *deployment) runCommand(args ...string) []byte {
