--- a/edge/shares_test.go
+++ b/edge/shares_test.go
@@ -194,14 +194,19 @@
 	}
 	l := w.running(hosts...)
 	if s := share(l); s < a || s > b {
-		for _, p := range l {
-			w.report(fmt.Sprint(p.edge.Self.Name, " divides by ", p.edge.LimitHosts()))
-		}
+		w.reportHosts(l)
 		return fmt.Sprintf("%.3f of the rate", s), err
 	}
 	return "", err
 }
 
+// reportHosts writes between which hosts each process divides limits.
+func (w *deployment) reportHosts(l []*process) {
+	for _, p := range l {
+		w.report(fmt.Sprint(p.edge.Self.Name, " divides by ", p.edge.LimitHosts()))
+	}
+}
+
 // excessShares describes shares that add up to too much, of an account over the last window,
 // of a cold backend server's rate or of the retry budget.
 func (w *deployment) excessShares(window []float64) string {
@@ -250,16 +255,12 @@
 		window = append(window, share(w.running()))
 		window = window[max(len(window)-int(quotaWindow/sharesTick), 0):]
 		if e := w.excessShares(window); e != "" {
-			for _, p := range w.running() {
-				w.report(fmt.Sprint(p.edge.Self.Name, " divides by ", p.edge.LimitHosts()))
-			}
+			w.reportHosts(w.running())
 			return e
 		}
 	}
 	w.heal()
-	for _, m := range w.members {
-		w.muteStore(false, []string{m.Name})
-	}
+	w.muteStore(false, w.hostsOf(func(member.Member) bool { return true }))
 	return ""
 }
 
@@ -268,59 +269,80 @@
 	short := time.Duration(float64(500*time.Millisecond) + r.Float64()*float64(8*time.Second))
 	long := time.Duration(float64(2*time.Second) + r.Float64()*float64(20*time.Second))
 	m := w.members[r.IntN(len(w.members))]
-	p := w.process(m.Name)
-	p.mu.Lock()
-	up := p.running && p.told.IsZero()
-	p.mu.Unlock()
 	switch k := r.IntN(10); {
-	case k < 3: // a failure domain or a region is cut off, often from the store, too
-		region, store := r.IntN(3) == 0, r.IntN(3) > 0
-		var l []string
-		for _, v := range w.members {
-			if v.Domain == m.Domain || region && v.Region == m.Region {
-				l = append(l, v.Name)
-			}
-		}
-		w.report(fmt.Sprint(clock.Now().Format("05.0"), " cut off ", l, " store ", store))
-		w.network.setSide(m.Domain, l...)
-		w.muteStore(store, l)
-		return long, func() {
-			w.network.setSide("", l...)
-			w.muteStore(false, l)
-		}
+	case k < 3:
+		return long, w.cutOffPlace(m, r.IntN(3) == 0, r.IntN(3) > 0)
 	case k < 4:
-		var l []string
-		for _, v := range w.members {
-			l = append(l, v.Name)
-		}
-		w.report(fmt.Sprint(clock.Now().Format("05.0"), " store silent"))
+		w.reportEvent("store silent")
+		l := w.hostsOf(func(member.Member) bool { return true })
 		w.muteStore(true, l)
 		return short, func() { w.muteStore(false, l) }
-	case k < 9 && up:
-		w.report(fmt.Sprint(clock.Now().Format("05.0"), " ends ", m.Name, " killed ", k < 6))
-		if k < 6 {
-			w.kill(m.Name)
-		} else {
-			p.terminate()
-			short += shutdownTime
-			if r.IntN(6) == 0 && !w.isSilent(m.Name) { // for good
-				return 0, func() {}
-			}
-		}
-		return short, func() { w.restart(m.Name) }
-	case k == 9 && len(w.members) < maxHosts:
-		n := m
-		n.Name = fmt.Sprintf("added-%d", len(w.members))
-		n.CallerAddress, n.PeerAddress = n.Name, n.Name
-		w.report(fmt.Sprint(clock.Now().Format("05.0"), " added ", n.Name, " in ", n.Domain))
-		w.members = append(w.members, n)
-		w.network.join(m.Name, n.Name)
-		w.muteStore(w.isSilent(m.Name), []string{n.Name})
-		w.restart(n.Name)
+	case k < 9:
+		return w.endProcess(m, short, k < 6, r.IntN(6) == 0)
+	case len(w.members) < maxHosts:
+		w.addRunningHost(m)
 	}
 	return 0, func() {}
 }
 
+func (w *deployment) reportEvent(a ...any) {
+	w.report(fmt.Sprint(clock.Now().Format("05.0 "), fmt.Sprint(a...)))
+}
+
+func (w *deployment) hostsOf(has func(m member.Member) bool) []string {
+	var l []string
+	for _, m := range w.members {
+		if has(m) {
+			l = append(l, m.Name)
+		}
+	}
+	return l
+}
+
+// cutOffPlace cuts off a host's failure domain or region, maybe from the store, too, and returns
+// what ends that.
+func (w *deployment) cutOffPlace(m member.Member, region, store bool) func() {
+	l := w.hostsOf(func(v member.Member) bool { return v.Domain == m.Domain || region && v.Region == m.Region })
+	w.reportEvent("cut off ", l, " store ", store)
+	w.network.setSide(m.Domain, l...)
+	w.muteStore(store, l)
+	return func() {
+		w.network.setSide("", l...)
+		w.muteStore(false, l)
+	}
+}
+
+// endProcess kills or stops a host that runs, and returns when it starts again and what starts
+// it. A host that is stopped in touch with the store may not.
+func (w *deployment) endProcess(m member.Member, down time.Duration, kill, forGood bool) (time.Duration, func()) {
+	p := w.process(m.Name)
+	if !slices.Contains(w.running(m.Name), p) || p.isTold() {
+		return 0, func() {}
+	}
+	w.reportEvent("ends ", m.Name, " killed ", kill)
+	if kill {
+		w.kill(m.Name)
+		return down, func() { w.restart(m.Name) }
+	}
+	p.terminate()
+	if forGood && !w.isSilent(m.Name) {
+		return 0, func() {}
+	}
+	return shutdownTime + down, func() { w.restart(m.Name) }
+}
+
+// addRunningHost starts a host that was never there beside another one.
+func (w *deployment) addRunningHost(beside member.Member) {
+	n := beside
+	n.Name = fmt.Sprintf("added-%d", len(w.members))
+	n.CallerAddress, n.PeerAddress = n.Name, n.Name
+	w.reportEvent("added ", n.Name, " in ", n.Domain)
+	w.members = append(w.members, n)
+	w.network.join(beside.Name, n.Name)
+	w.muteStore(w.isSilent(beside.Name), []string{n.Name})
+	w.restart(n.Name)
+}
+
 func (w *deployment) muteStore(mute bool, hosts []string) {
 	w.config.SetMuted(mute, hosts...)
 	w.backends.SetMuted(mute, hosts...)
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -90,6 +90,12 @@
 	}
 }
 
+func (p *process) isTold() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.told.IsZero()
+}
+
 func (p *process) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/membership/counted.go
+++ b/membership/counted.go
@@ -60,7 +60,8 @@
 // count returns the names of the hosts that may be serving.
 func (m *Membership) count(now time.Time) []string {
 	h := m.heard(now)
-	all := sync.OnceValue(func() bool { return m.hearsAll(h, now) })
+	// Most of the time no host has left, and this is not needed.
+	a := sync.OnceValue(func() bool { return m.hearsAll(h, now) })
 	s := make(map[string]bool)
 	for k := range m.copied {
 		s[k] = true
@@ -74,10 +75,10 @@
 		}
 	}
 	for k := range m.unlisted {
-		s[k] = s[k] || !all()
+		s[k] = s[k] || !a()
 	}
 	for k, p := range m.peers {
-		s[k] = !m.hasLeft(p, now) || !m.listedAt.After(p.lastHeartbeatAt) || m.hasSuccessor(p.member, h) || !all()
+		s[k] = !m.hasLeft(p, now) || !m.listedAt.After(p.lastHeartbeatAt) || m.hasSuccessor(p.member, h) || !a()
 	}
 	delete(s, m.Self().Name)
 	maps.DeleteFunc(s, func(_ string, counted bool) bool { return !counted })
