--- a/membership/counted.go
+++ b/membership/counted.go
@@ -169,15 +169,6 @@
 	return now.Sub(p.lastHeartbeatAt) <= m.Hold
 }
 
-// isHeard reports whether a peer is heard, by this host or by one that is alive.
-func (m *Membership) isHeard(p *peer, now time.Time) bool {
-	if m.isAlive(p, now) {
-		return true
-	}
-	_, ok := m.heard(now)[p.member.Name]
-	return ok
-}
-
 // listFor returns the hosts that this host counts, for a peer that has asked for them, and
 // none without the platform's list. The peer is on it only if it was counted before its
 // process started.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -187,7 +187,7 @@
 	if m.supersedes(v, h) {
 		p := &peer{}
 		o := m.peers[v.Name]
-		m.listDue = m.listDue || o != nil && !m.isHeard(o, m.Clock.Now())
+		m.listDue = m.listDue || o != nil && !m.isAlive(o, m.Clock.Now())
 		if o != nil && o.member.Incarnation == v.Incarnation {
 			*p = *o
 		} else {
