Shutdown: the log has the end of each request of a leaving host (LOST)

Callers saw connections that ended without an answer around SIGTERM, and the log could not tell why: answered requests and those whose caller left are in it once in a hundred, the supervisor of a host that ends drops the error with which the callers' listener reports requests that it cut, and handlers whose connection was closed at the end raced with the end of the process.

Now each request that ends after the signal has its line, "requests cut by the shutdown" says how many the listener cut, and the listener waits up to 100 ms for their handlers, whose lines would be lost. No decision changes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -266,7 +266,7 @@
 	g := e.Gateway
 	g.Clock, g.Log, g.Index, g.Tokens, g.Placement = e.Clock, e.Log, e.index.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
-	g.RequestPermit, g.Random = e.permit, e.Random
+	g.RequestPermit, g.Random, g.IsLeaving = e.permit, e.Random, e.leaving.Load
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	Random func() float64
 	// OnOutcome is called with the outcome of each request.
 	OnOutcome func(o string)
+	// IsLeaving reports whether the host is shutting down. The log then has the end of each
+	// request; nil means never.
+	IsLeaving func() bool
 
 	split       split.Split
 	sampleCount atomic.Uint64 // requests subject to sampling in the log
@@ -277,9 +280,10 @@
 }
 
 // logEnd logs the end of a request, unless it was answered or its caller left and it is
-// not in the sample.
+// not in the sample. While the host shuts down, all are in the sample.
 func (g *Gateway) logEnd(r *request.Request, o outcome.Outcome, d time.Duration, version uint64) {
-	if (o.Outcome == outcome.Answered || o.Outcome == outcome.Left) && g.sampleCount.Add(1)%logSampleInterval != 0 {
+	l := g.IsLeaving != nil && g.IsLeaving()
+	if (o.Outcome == outcome.Answered || o.Outcome == outcome.Left) && g.sampleCount.Add(1)%logSampleInterval != 0 && !l {
 		return
 	}
 	r.DecisionLog.Write(g.Log, r.ID, g.Clock.Now())
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/inflight"
 	"celeryreach.example/celeryreach/serverconn"
 )
 
@@ -25,6 +26,8 @@
 	// Idle connections are closed so that connections that have gone silent do not
 	// accumulate.
 	idleTimeout = 2 * time.Minute
+	// handlerEndTimeout bounds the wait for handlers whose connections were closed.
+	handlerEndTimeout = 100 * time.Millisecond
 )
 
 // Httplisten serves one handler on one listener. When it ends, requests in flight can
@@ -63,7 +66,8 @@
 	// header that was not complete in time.
 	OnUnanswered func(reason string)
 
-	closed atomic.Bool // connections with requests in flight were closed
+	closed   atomic.Bool       // connections with requests in flight were closed
+	handlers inflight.Inflight // calls of Handler
 }
 
 // Run serves until ctx ends and the last request has finished.
@@ -84,7 +88,15 @@
 	<-e //nolint:errcheck // always that of a closed listener
 	x, f := context.WithTimeout(context.WithoutCancel(ctx), l.drainTime())
 	defer f()
-	return l.drain(x, s, g)
+	return l.logDrain(l.drain(x, s, g))
+}
+
+// logDrain logs the result of a drain, which the supervisor of a host that ends does not.
+func (l *Httplisten) logDrain(err error) error {
+	if err != nil && l.Log != nil {
+		l.Log.Error("requests cut by the shutdown", "Address", l.Listener.Addr(), "Error", err)
+	}
+	return err
 }
 
 // drainTime returns how long the wait for requests in flight may take now.
@@ -125,12 +137,23 @@
 	n := g.busy()
 	l.closed.Store(true)
 	_ = s.Close()
+	l.awaitHandlers(ctx)
 	if n > 0 {
 		return errors.Errorf("drain: %d requests cut", n)
 	}
 	return nil
 }
 
+// awaitHandlers waits until the handlers of the closed connections have returned, since their
+// log lines would be lost with the process.
+func (l *Httplisten) awaitHandlers(ctx context.Context) {
+	x, f := context.WithTimeout(context.WithoutCancel(ctx), handlerEndTimeout)
+	defer f()
+	if n := l.handlers.Wait(x); n > 0 && l.Log != nil {
+		l.Log.Error("handlers still run after their connections were closed", "Address", l.Listener.Addr(), "Handlers", n)
+	}
+}
+
 // listener returns Listener with connections that have the limits, and TLS above them.
 func (l *Httplisten) listener() net.Listener {
 	n := &connListener{Listener: l.Listener, wrap: l.wrap}
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -23,6 +23,7 @@
 // serve runs the handler and reports the request if this host closes its connection
 // before the response is complete.
 func (l *Httplisten) serve(g *connections, w http.ResponseWriter, q *http.Request) {
+	defer l.handlers.Begin()()
 	c := &drainWriter{ResponseWriter: w, connections: g}
 	defer func() {
 		v := recover()
