--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,6 +61,9 @@
 	IsKeyValid func(c credential.Credential) bool
 	// ConfirmToken reports whether the rate token of a request may still be used.
 	ConfirmToken func(r *request.Request) bool
+	// MayStart reports whether a request with this deadline ends before the host does; nil
+	// means always.
+	MayStart func(deadline time.Time) bool
 	// Upstream sends requests to backend servers.
 	Upstream *upstream.Upstream
 	// Forward sends a request through another host, for slots that demand it. It writes the
@@ -194,12 +197,20 @@
 		// The process may also have been paused after the wait for a slot, and the request
 		// may have ended during that pause.
 		return contextOutcome(ctx, false)
+	case !d.mayStart(r):
+		return refuse(outcome.Leaving, "the host may shut down before the request ends")
 	case !r.SendGate.Send():
 		return refuse(outcome.Left, "the caller left")
 	}
 	return outcome.Outcome{}
 }
 
+// mayStart reports whether r ends before the host does. The host may have begun to shut down
+// since r was admitted.
+func (d *Dispatch) mayStart(r *request.Request) bool {
+	return d.MayStart == nil || d.MayStart(r.Deadline)
+}
+
 // send sends r on a slot.
 func (d *Dispatch) send(ctx context.Context, r *request.Request, s slot.Slot, fresh bool, sent func()) attempt {
 	sent()
@@ -276,7 +287,7 @@
 	o := t.outcome
 	s := o.Outcome == outcome.NoCapacity && isAboutBackend(o.Message)
 	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
-	if !s && !b || !rewindBody(r) {
+	if !s && !b || !d.mayStart(r) || !rewindBody(r) {
 		return false
 	}
 	return t.sent == 0 || d.Budget.TakeRetry(r.Service.Name)
--- a/dispatch/hedgedrequest.go
+++ b/dispatch/hedgedrequest.go
@@ -58,7 +58,9 @@
 			}
 		case <-c:
 			c = nil
-			if a.takeAttemptIf(func() bool { return rewindBody(a.request) && a.dispatch.Budget.TakeRetry(a.request.Service.Name) }) {
+			if a.takeAttemptIf(func() bool {
+				return a.dispatch.mayStart(a.request) && rewindBody(a.request) && a.dispatch.Budget.TakeRetry(a.request.Service.Name)
+			}) {
 				a.startAttempt(ctx, true)
 			}
 		case t := <-a.results:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,6 +42,7 @@
 	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/shutdown"
 	"celeryreach.example/celeryreach/storesilence"
 	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/supervisor"
@@ -132,10 +133,8 @@
 	RetryRatio, RetrySlack float64
 
 	index        atomic.Pointer[routeindex.Routeindex]
-	leaving      atomic.Bool
-	leaveStarted chan struct{} // closed by startLeaving
-	stopBy       time.Time     // set before leaveStarted is closed
-	announced    atomic.Bool   // the store's list has this process
+	shutdown     shutdown.Shutdown
+	announced    atomic.Bool // the store's list has this process
 	membership   *membership.Membership
 	client       *peerclient.Peerclient
 	tokens       *tokens.Tokens
@@ -197,28 +196,25 @@
 // startLeaving starts the shutdown of this host: other hosts stop offering it to callers
 // and forwarding requests to it.
 func (e *Edge) startLeaving() {
-	e.stopBy = e.Clock.Now().Add(e.StopTime)
-	e.leaving.Store(true)
-	close(e.leaveStarted)
+	e.shutdown.Begin(e.StopTime)
 	e.membership.SendSoon()
 	e.Log.Info("host leaves", "Host", e.Self.Name, "Forwarded", e.forwardedInFlight.Count(), "StopTime", e.StopTime)
 }
 
 // IsLeaving reports whether this host was told to stop.
 func (e *Edge) IsLeaving() bool {
-	return e.leaving.Load()
+	return e.shutdown.HasBegun()
 }
 
 // StopBy returns the time by which all waits of the shutdown end. It waits until the host
 // was told to stop.
 func (e *Edge) StopBy() time.Time {
-	<-e.leaveStarted
-	return e.stopBy
+	return e.shutdown.By()
 }
 
 // IsReady reports whether this host can serve callers.
 func (e *Edge) IsReady() bool {
-	return e.index.Load() != nil && e.membership.HasList() && !e.leaving.Load()
+	return e.index.Load() != nil && e.membership.HasList() && !e.IsLeaving()
 }
 
 // Index returns the configuration in force, nil before the first one.
@@ -227,7 +223,7 @@
 }
 
 func (e *Edge) assemble() {
-	e.leaveStarted = make(chan struct{})
+	e.shutdown.Clock = e.Clock
 	e.client = &peerclient.Peerclient{Dial: e.Dial}
 	if e.Dial == nil {
 		e.client.Dial = dial
@@ -266,7 +262,8 @@
 	g := e.Gateway
 	g.Clock, g.Log, g.Index, g.Tokens, g.Placement = e.Clock, e.Log, e.index.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
-	g.RequestPermit, g.Random, g.IsLeaving = e.permit, e.Random, e.leaving.Load
+	g.RequestPermit, g.Random, g.IsLeaving = e.permit, e.Random, e.IsLeaving
+	g.MayStart = e.shutdown.Allows
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
@@ -278,7 +275,7 @@
 	return &dispatch.Dispatch{
 		Clock: e.Clock, AcquireSlot: e.Gateway.AcquireSlot, ReuseForNonIdempotent: true, IsKeyValid: e.Gateway.IsKeyValid, ConfirmToken: tokenAlwaysValid,
 		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
-		Budget: e.retryBudget, Quarantine: e.quarantine,
+		Budget: e.retryBudget, Quarantine: e.quarantine, MayStart: e.shutdown.Allows,
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -125,7 +125,7 @@
 // admitForwarded counts a forwarded request until it ends. Placement decides whether a
 // backend server has room for it.
 func (e *Edge) admitForwarded(r *request.Request, _ string) (func(outcome.Outcome, int64), outcome.Outcome) {
-	if e.leaving.Load() {
+	if e.IsLeaving() {
 		return nil, refuseForwarded(outcome.Leaving, "the host is shutting down")
 	}
 	e.Gateway.HoldToHomes(r)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,7 +20,7 @@
 
 func (e *Edge) self() member.Member {
 	m := e.Self
-	m.Leaving = e.leaving.Load()
+	m.Leaving = e.IsLeaving()
 	m.Starting = !m.Leaving && !e.IsReady()
 	return m
 }
@@ -106,17 +106,17 @@
 // the host starts to leave. It does not wait for the end of the shutdown, because no time
 // may be left by then if the store does not respond.
 func (e *Edge) announce(ctx context.Context) error {
-	for !e.leaving.Load() && !e.tryAnnounce(ctx) {
+	for !e.IsLeaving() && !e.tryAnnounce(ctx) {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-e.leaveStarted:
+		case <-e.shutdown.Begun():
 		case <-e.Clock.After(announceRetryDelay):
 		}
 	}
 	select {
 	case <-ctx.Done():
-	case <-e.leaveStarted:
+	case <-e.shutdown.Begun():
 	}
 	for !e.tryWithdraw(context.WithoutCancel(ctx)) {
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 	Random func() float64
 	// OnOutcome is called with the outcome of each request.
 	OnOutcome func(o string)
+	// MayStart reports whether a request with this deadline ends before the host does; nil
+	// means always.
+	MayStart func(deadline time.Time) bool
 	// IsLeaving reports whether the host is shutting down. The log then has the end of each
 	// request; nil means never.
 	IsLeaving func() bool
@@ -157,6 +160,9 @@
 		r.Credential = credential.Credential{Account: a.Name, Hash: credential.Hash(key)}
 	}
 	g.applyRoute(b, r, i, a)
+	if g.MayStart != nil && !g.MayStart(r.Deadline) {
+		return i, refuse(outcome.Leaving, "the host may shut down before the request ends", 0)
+	}
 	if a != nil {
 		n, d, ok := g.Tokens.Take(ctx, a.Name, r.MaxWait)
 		if !ok && ctx.Err() != nil {
