--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -43,6 +45,9 @@
 		fmt.Fprintf(c.Root().Writer, "%s: no mistakes\n", n)
 		return nil
 	}
+	// Without this, SIGHUP would end the process at once, with the requests in flight.
+	ctx, f := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer f()
 	p := &platformclient.Platformclient{URL: s.PlatformURL, Timeout: platformTimeout}
 	h := &host.Host{
 		Settings: s, Store: p.Store(), Clock: clockwork.NewRealClock(), Log: logger(),
--- a/cmd/steer.go
+++ b/cmd/steer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
@@ -29,6 +31,10 @@
 }
 
 func runSteer(ctx context.Context, c *cli.Command) error {
+	// The default action of SIGHUP ends the process, so it is caught until the end, also
+	// while the host starts or shuts down.
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
 	k := clockwork.NewRealClock()
 	s := logsink.New(k, os.Stdout)
 	x, f := context.WithCancel(context.WithoutCancel(ctx))
@@ -38,7 +44,7 @@
 		_ = s.Run(x) // Run returns no error when x is canceled
 	}()
 	defer func() { f(); <-d }()
-	p := &platform.Platform{Path: c.String("settings"), Clock: k, Log: log.NewWithOptions(s, logOptions)}
+	p := &platform.Platform{Path: c.String("settings"), Clock: k, Log: log.NewWithOptions(s, logOptions), Reload: h}
 	e, err := p.Check()
 	if err != nil {
 		return &exitError{code: exitInvalid, text: err.Error()}
--- a/processes/freeze_test.go
+++ b/processes/freeze_test.go
@@ -171,6 +171,17 @@
 // Guards against a host that a second SIGTERM ends at once, with the requests that it was
 // finishing.
 func TestRepeatedTerminationCutsNothing(t *testing.T) {
+	signalDuringDeposits(t, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM)
+}
+
+// Guards against a host that SIGHUP ends at once, before or during its shutdown.
+func TestHangupCutsNothing(t *testing.T) {
+	signalDuringDeposits(t, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+}
+
+// signalDuringDeposits sends signals to a host with deposits in flight, and expects each
+// answer and the exit code 0.
+func signalDuringDeposits(t *testing.T, signals ...syscall.Signal) {
 	d := deploy(t)
 	const deposits = 8
 	d.backendSignal(syscall.SIGSTOP)
@@ -182,8 +193,8 @@
 		}()
 	}
 	<-clock.After(hold / 2) // until they have reached backend servers
-	for range 3 {
-		d.signal("l2", syscall.SIGTERM)
+	for _, s := range signals {
+		d.signal("l2", s)
 		<-clock.After(hold / 10)
 	}
 	d.backendSignal(syscall.SIGCONT)
