--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,8 @@
 	// IsLeaving reports whether the host is shutting down, and RefusesRequests
 	// whether it refuses new requests.
 	IsLeaving, RefusesRequests func() bool
+	// MayStart reports whether a request with this deadline ends before the host does.
+	MayStart func(deadline time.Time) bool
 	// ServeLocally runs a request in the host's own failure domain.
 	ServeLocally func(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome
 	// Forward runs a request in another failure domain. It returns NoCapacity
@@ -72,7 +74,7 @@
 	}
 	b := &body{reader: h.Body, writer: w, empty: h.ContentLength == 0}
 	r, o := e.identify(h, b)
-	if o.Outcome == "" && e.RefusesRequests() {
+	if o.Outcome == "" && (e.RefusesRequests() || !e.MayStart(r.Deadline)) {
 		o = refuse(outcome.Leaving, "the host is shutting down")
 	}
 	if o.Outcome == "" {
@@ -180,7 +182,7 @@
 // request to another domain if the local one refuses it.
 func (e *Entry) serveLocallyOrForward(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
 	o := e.ServeLocally(ctx, r, w)
-	if o.Outcome != outcome.NoCapacity || o.Ran != outcome.RanNo || !rewindBody(r) {
+	if o.Outcome != outcome.NoCapacity || o.Ran != outcome.RanNo || !e.MayStart(r.Deadline) || !rewindBody(r) {
 		return o
 	}
 	if !r.SendGate.Send() {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -41,6 +41,7 @@
 	"celeryreach.example/celeryreach/result"
 	"celeryreach.example/celeryreach/retrybudget"
 	"celeryreach.example/celeryreach/service"
+	"celeryreach.example/celeryreach/shutdown"
 	"celeryreach.example/celeryreach/slot"
 	"celeryreach.example/celeryreach/snapshot"
 	"celeryreach.example/celeryreach/store"
@@ -59,6 +60,7 @@
 	store       memorytable.Memorytable
 	stop        []func()
 	closed      atomic.Bool
+	shutdown    shutdown.Shutdown
 	done        chan string
 	queue       *queue.Queue
 	tickets     *ticketstore.Ticketstore
@@ -133,7 +135,7 @@
 			return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
 		},
 		EntryHosts: func(string, string) []string { return []string{"10.0.0.2:80"} },
-		IsLeaving:  s.closed.Load, RefusesRequests: s.closed.Load,
+		IsLeaving:  s.closed.Load, RefusesRequests: s.closed.Load, MayStart: s.shutdown.Allows,
 		OnOutcome: func(_ *request.Request, o outcome.Outcome, _ time.Duration) { s.done <- o.Outcome },
 	}
 }
@@ -174,6 +176,7 @@
 //	commits COUNT            checks the number of commits
 //	ticket NAME ACCOUNT      sets the variable NAME to a new ticket
 //	enrol COUNT own|ticket   sends COUNT enrolments and prints how many were answered
+//	leaving DURATION         begins a shutdown that ends after that time
 //	shutdown                 makes the host refuse new requests
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -193,6 +196,13 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"backend": backendCommand, "send": send, "leave": leave, "stall": stall, "half": half, "ended": ended, "raw": raw, "runs": runs, "seen": seen,
 			"store": setStore, "commits": commits, "ticket": issueTicket, "enrol": enrol,
+			"leaving": func(t *testscript.TestScript, _ bool, a []string) {
+				d, err := time.ParseDuration(a[0])
+				t.Check(err)
+				s := t.Value("site").(*testHost)
+				s.shutdown.Clock = s.clock
+				s.shutdown.Begin(d)
+			},
 			"shutdown": func(t *testscript.TestScript, _ bool, _ []string) { t.Value("site").(*testHost).closed.Store(true) },
 		},
 	})
--- a/host/requests.go
+++ b/host/requests.go
@@ -19,6 +19,7 @@
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/responsecopier"
 	"celeryreach.example/celeryreach/retrybudget"
+	"celeryreach.example/celeryreach/shutdown"
 	"celeryreach.example/celeryreach/ticketendpoint"
 	"celeryreach.example/celeryreach/ticketstore"
 	"celeryreach.example/celeryreach/upstream"
@@ -60,12 +61,14 @@
 	expiry      *expiry.Expiry
 	tickets     *ticketstore.Ticketstore
 	inflight    inflight.Inflight
+	shutdown    shutdown.Shutdown
 	closed      atomic.Bool
 }
 
 func (x *components) newRequests() {
 	h := x.host
 	q := &x.requests
+	q.shutdown.Clock = h.Clock
 	q.idempotency = &idempotency.Idempotency{
 		Clock: h.Clock, Store: h.Store, Host: h.Settings.Name, Incarnation: h.Incarnation,
 		CommitBatch: &commitbatch.Commitbatch{Clock: h.Clock, Commit: h.Store.Commit, MinInterval: minCommitInterval, MaxRows: maxCommitBatch, Timeout: storeTimeout},
@@ -78,6 +81,7 @@
 	}
 	x.dispatch = &dispatch.Dispatch{
 		Clock: h.Clock, Queue: x.serviceQueues.Queue, IsKeyValid: x.authenticator.Valid, ConfirmToken: x.confirmToken, Upstream: upstream.New(h.Clock, dialTimeout),
+		MayStart:       q.shutdown.Allows,
 		Timeout:        func() time.Duration { return x.configFollower.Snapshot().Preset.MaxWait },
 		Budget:         &retrybudget.Retrybudget{Ratio: func() float64 { return x.configFollower.Snapshot().Preset.RetryBudget }},
 		Hedge:          &hedge.Hedge{Initial: initialHedgeDelay, Min: minHedgeDelay, Max: maxHedgeDelay},
@@ -92,7 +96,7 @@
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.configFollower.Snapshot, Authenticator: x.authenticator,
 		Quota: x.quota, ServeLocally: x.serveCaller, Forward: x.forwardCaller, EntryHosts: x.entryHosts, OnOutcome: x.recordOutcome,
-		RunOnce: o.Serve, IsLeaving: x.leaving.Load, RefusesRequests: q.closed.Load,
+		RunOnce: o.Serve, IsLeaving: x.leaving.Load, RefusesRequests: q.closed.Load, MayStart: q.shutdown.Allows,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
@@ -123,15 +127,16 @@
 // refuses new requests and waits for the requests in flight.
 func (x *components) shutDown(ctx context.Context) {
 	h := x.host
+	n := leaveNoticeHeartbeats * h.Settings.Heartbeat
+	x.requests.shutdown.Begin(n + h.Settings.DrainTimeout)
 	x.leaving.Store(true)
 	h.Log.Info("host leaves", "Host", h.Settings.Name, "DrainTimeout", h.Settings.DrainTimeout, "Note", "SIGINT ends at once")
 	d := make(chan struct{})
-	n := leaveNoticeHeartbeats * h.Settings.Heartbeat
 	go x.announceLeaving(ctx, n, d)
 	h.Clock.Sleep(n)
 	<-d
 	x.requests.closed.Store(true)
-	y, f := deadline.With(ctx, h.Clock, h.Settings.DrainTimeout)
+	y, f := deadline.With(ctx, h.Clock, h.Clock.Until(x.requests.shutdown.By()))
 	defer f()
 	c := x.requests.inflight.Wait(y)
 	h.unfinished.Store(int64(c))
