--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -24,3 +24,15 @@
 	c.Advance(2 * time.Second)
 	must.False(t, s.Allows(c.Now().Add(4*time.Second)))
 }
+
+// BenchmarkAllows measures what each request costs before it is sent.
+func BenchmarkAllows(b *testing.B) {
+	c := clockwork.NewRealClock()
+	s := &shutdown.Shutdown{Clock: c}
+	d := c.Now().Add(time.Second)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			s.Allows(d)
+		}
+	})
+}
