--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -221,8 +221,13 @@
 	return q, nil
 }
 
-// checkAnswer applies CheckResponse, or the rules of this package if it is nil.
+// checkAnswer applies CheckResponse, or the rules of this package if it is nil. A status that
+// isn't final can't be passed on: writers of responses take it for an interim one, and the body
+// for that of a success.
 func (u *Upstream) checkAnswer(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error) {
+	if p.StatusCode < http.StatusOK {
+		return true, errors.Errorf("status %d is not a final one", p.StatusCode)
+	}
 	if u.CheckResponse != nil {
 		return u.CheckResponse(p, r, b)
 	}
@@ -241,8 +246,6 @@
 	switch {
 	case v != "" && v != r.ID, v == "" && e:
 		return true, errors.New("the answer belongs to another request")
-	case p.StatusCode == http.StatusSwitchingProtocols:
-		return true, errors.New("the backend server changed the protocol")
 	case p.StatusCode == http.StatusServiceUnavailable && p.Header.Get(responsecopier.NotRunHeader) != "":
 		return false, ErrNotRun
 	default:
