--- a/httplisten/connections.go
+++ b/httplisten/connections.go
@@ -69,6 +69,15 @@
 	return g.draining
 }
 
+// reset ends the responses that have no other end than that of their connection.
+func (g *connections) reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.open {
+		c.Reset()
+	}
+}
+
 // busy returns on how many connections a request is being received or served.
 func (g *connections) busy() int {
 	g.mu.Lock()
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -117,8 +117,11 @@
 func (l *Httplisten) server(g *connections) *http.Server {
 	s := &http.Server{
 		MaxHeaderBytes: maxHeaderBytes,
-		Handler:        http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.serve(g, w, q) }),
+		Handler:        http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.serveProto(g, w, q) }),
 		ConnState:      func(c net.Conn, v http.ConnState) { g.setState(serverConn(c), v) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, serverConn(c))
+		},
 	}
 	if l.Log != nil {
 		s.ErrorLog = l.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
@@ -136,6 +139,7 @@
 	}
 	n := g.busy()
 	l.closed.Store(true)
+	g.reset()
 	_ = s.Close()
 	l.awaitHandlers(ctx)
 	if n > 0 {
--- a/serverconn/serverconn.go
+++ b/serverconn/serverconn.go
@@ -53,6 +53,7 @@
 	since    time.Time // when the state began
 	kept     bool      // a request was served
 	draining bool
+	resets   bool      // a close resets the connection
 	overdue  bool      // Read returns only what has arrived
 	readEnd  time.Time // the end of arrivedTimeout, zero until Read was called after the limit
 	late     bool      // a header was incomplete when its limit had passed
@@ -116,6 +117,33 @@
 	return w.CloseWrite()
 }
 
+// SetResets sets whether the connection ends with a reset, however it is closed, also by the end
+// of the process. Otherwise a response that has no other end looks whole wherever it is cut.
+func (c *Serverconn) SetResets(resets bool) {
+	c.mu.Lock()
+	c.resets = resets
+	c.mu.Unlock()
+	t, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	s := -1
+	if resets {
+		s = 0
+	}
+	_ = t.SetLinger(s) // fails only on a closed connection
+}
+
+// Reset closes the connection if SetResets has set it. To close the TLS above would first send the
+// message of an orderly end.
+func (c *Serverconn) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.resets {
+		_ = c.Close() // nothing is left to be sent
+	}
+}
+
 // Read waits for bytes until the limit of the current state has passed, and then returns
 // only bytes that have arrived already.
 func (c *Serverconn) Read(p []byte) (int, error) {
