--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 
 var (
 	errNoAnswerHead = errors.New("the answer ended without a head")
+	errAnswerCut    = errors.New("the answer has another length than its head states")
 	errOutsideHomes = errors.New("the other host no longer stands in the request's homes")
 )
 
@@ -57,6 +59,7 @@
 	bodyFailed atomic.Bool
 	cancel     context.CancelFunc
 	head       *wire.Answer
+	received   int64 // bytes of the answer's body
 	held       []byte
 	headSent   bool
 	// used is how many of the given attempts were used, or may have been.
@@ -189,6 +192,9 @@
 		}
 		a.keepalive.Received()
 		a.gotFrame = true
+		if err := a.checkFrame(m); err != nil {
+			return a.endLost(ctx, err)
+		}
 		switch v := m.Part.(type) {
 		case *wire.Frame_BodyWanted:
 			if w || a.body.unread == nil {
@@ -210,15 +216,51 @@
 				return outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanUnknown, Message: "the caller left"}
 			}
 		case *wire.Frame_End:
-			if a.head == nil {
-				return a.endLost(ctx, errNoAnswerHead)
-			}
 			a.flush()
 			return outcome.Outcome{Outcome: outcome.Answered, Ran: outcome.RanYes}
 		}
 	}
 }
 
+// checkFrame returns why a frame can't come next in an answer. A writer would take a body without
+// a head, and one after the head of an interim answer, for that of a success.
+func (a *attempt) checkFrame(m *wire.Frame) error {
+	switch v := m.Part.(type) {
+	case *wire.Frame_Answer:
+		if v.Answer.GetStatus() < http.StatusOK {
+			return errNoAnswerHead
+		}
+	case *wire.Frame_Body:
+		if a.head == nil {
+			return errNoAnswerHead
+		}
+		a.received += int64(len(v.Body))
+	case *wire.Frame_End:
+		if a.head == nil {
+			return errNoAnswerHead
+		}
+		if l := a.statedLength(); l != "" && l != strconv.FormatInt(a.received, 10) {
+			return errAnswerCut
+		}
+	}
+	return nil
+}
+
+// statedLength returns the length that the answer's head states, empty if the body need not have
+// it.
+func (a *attempt) statedLength() string {
+	s := a.head.GetStatus()
+	if a.request.Method == http.MethodHead || s == http.StatusNoContent || s == http.StatusNotModified {
+		return ""
+	}
+	for _, v := range a.head.Headers {
+		if v.Name == "Content-Length" && len(v.Values) > 0 {
+			return v.Values[0]
+		}
+	}
+	return ""
+}
+
 // sendLongBody sends a long body. No goroutine waits for sendLongBody, because a caller
 // that sends slowly must not delay an answer that arrives before the body is read.
 // sendLongBody returns when the stream ends or when the server closes the caller's
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -148,8 +148,14 @@
 		}
 		return &wire.Frame{Part: &wire.Frame_Refusal{Refusal: f}}, nil
 	case "head":
-		n, _ := strconv.Atoi(arg)
-		return &wire.Frame{Part: &wire.Frame_Answer{Answer: &wire.Answer{Status: int32(n)}}}, nil
+		// STATUS[,LENGTH]
+		v, l, stated := strings.Cut(arg, ",")
+		n, _ := strconv.Atoi(v)
+		f := &wire.Answer{Status: int32(n)}
+		if stated {
+			f.Headers = []*wire.Header{{Name: "Content-Length", Values: []string{l}}}
+		}
+		return &wire.Frame{Part: &wire.Frame_Answer{Answer: f}}, nil
 	case "body":
 		return &wire.Frame{Part: &wire.Frame_Body{Body: []byte(arg)}}, nil
 	case "large":
