Signals: the end of the log's reader does not end a host (LOST)

Callers lose the requests that a host is finishing when the reader of its log ends, as it does when a service manager stops host and reader together: Go ends a process whose write to standard output or standard error meets a closed pipe (SIGPIPE), and the first such write is the line "host leaves". Nothing is in the log, neither "host stopped" nor "connection closed without a response", and the connections are closed by the kernel.

Cause: the default handling of SIGPIPE, for the class of requests cut around SIGTERM (a host that ends before its answers are out).

Now serve and steer ignore SIGPIPE; a line without a reader is lost.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -48,6 +48,7 @@
 	// Without this, SIGHUP would end the process at once, with the requests in flight.
 	ctx, f := signal.NotifyContext(ctx, syscall.SIGHUP)
 	defer f()
+	ignoreLogReaderEnd()
 	p := &platformclient.Platformclient{URL: s.PlatformURL, Timeout: platformTimeout}
 	h := &host.Host{
 		Settings: s, Store: p.Store(), Clock: clockwork.NewRealClock(), Log: logger(),
--- a/cmd/steer.go
+++ b/cmd/steer.go
@@ -35,6 +35,7 @@
 	// while the host starts or shuts down.
 	h := make(chan os.Signal, 1)
 	signal.Notify(h, syscall.SIGHUP)
+	ignoreLogReaderEnd()
 	k := clockwork.NewRealClock()
 	s := logsink.New(k, os.Stdout)
 	x, f := context.WithCancel(context.WithoutCancel(ctx))
@@ -57,3 +58,10 @@
 	}
 	return p.Run(ctx)
 }
+
+// ignoreLogReaderEnd makes the log lines fail whose reader has ended. Otherwise the first of
+// them would end the process at once, with the requests in flight: a platform may end the
+// reader together with the host.
+func ignoreLogReaderEnd() {
+	signal.Ignore(syscall.SIGPIPE)
+}
--- a/processes/freeze_test.go
+++ b/processes/freeze_test.go
@@ -171,18 +171,25 @@
 // Guards against a host that a second SIGTERM ends at once, with the requests that it was
 // finishing.
 func TestRepeatedTerminationCutsNothing(t *testing.T) {
-	signalDuringDeposits(t, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM)
+	signalDuringDeposits(deploy(t), syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM)
 }
 
 // Guards against a host that SIGHUP ends at once, before or during its shutdown.
 func TestHangupCutsNothing(t *testing.T) {
-	signalDuringDeposits(t, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+	signalDuringDeposits(deploy(t), syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+}
+
+// Guards against a host that ends at its next log line, with the requests that it was
+// finishing, because the reader of its log has ended.
+func TestEndOfLogReaderCutsNothing(t *testing.T) {
+	d := deploy(t)
+	must.NoError(t, d.hosts["l2"].log.Close())
+	signalDuringDeposits(d, syscall.SIGTERM)
 }
 
 // signalDuringDeposits sends signals to a host with deposits in flight, and expects each
 // answer and the exit code 0.
-func signalDuringDeposits(t *testing.T, signals ...syscall.Signal) {
-	d := deploy(t)
+func signalDuringDeposits(d *deployment, signals ...syscall.Signal) {
 	const deposits = 8
 	d.backendSignal(syscall.SIGSTOP)
 	c := make(chan int)
@@ -199,7 +206,7 @@
 	}
 	d.backendSignal(syscall.SIGCONT)
 	for range deposits {
-		must.EqOp(t, http.StatusOK, <-c)
+		must.EqOp(d.t, http.StatusOK, <-c)
 	}
-	must.NoError(t, d.hosts["l2"].command.Wait())
+	must.NoError(d.t, d.hosts["l2"].command.Wait())
 }
--- a/processes/processes_test.go
+++ b/processes/processes_test.go
@@ -52,6 +52,7 @@
 
 type host struct {
 	command         *exec.Cmd
+	log             io.ReadCloser
 	settingsFile    string
 	callerAddress   string
 	operatorAddress string
@@ -116,7 +117,11 @@
 func (d *deployment) startHost(name string) {
 	h := d.hosts[name]
 	h.command = exec.CommandContext(d.ctx, d.binary, "serve", "--settings", h.settingsFile)
+	l, err := h.command.StderrPipe()
+	must.NoError(d.t, err)
+	h.log = l
 	must.NoError(d.t, h.command.Start())
+	go func() { _, _ = io.Copy(io.Discard, l) }()
 	c := h.command
 	d.t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
 }
