Shutdown: a leaving host sends no request once more that outlives it (LOST)

Callers may lose a request that a leaving host forwarded to another host, which refused it, or whose stream or connection ended without an answer: Forward sends it to the next host, or once more to the same one, and net/http sends an idempotent request by itself on another connection. Neither asks how much time the shutdown leaves; only the attempts of dispatch did. What is sent so late is cut at the end of all waits. Concerned are requests that were sent before the signal and whose deadline lies after that end.

Cause: the class of requests cut around SIGTERM (retries in a leaving host), by reading.

Now Forward asks MayStart before it sends a request on another stream, and the hosts of steer and serve ask before net/http repeats one. What was refused is reported as it was, "not run" if that is so.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -39,7 +39,7 @@
 	e.forward = &forward.Forward{
 		Clock: e.Clock, Region: e.Self.Region, Version: e.configVersion, Targets: e.forwardTargets, MaySend: e.mayForward, MayRepeat: e.mayRepeat, Complete: e.completeForward,
 		ReserveLink: func(string, int64) (func(int64), time.Duration, bool) { return func(int64) {}, 0, true },
-		Open:        e.streams.Open, Limit: maxForwards,
+		Open:        e.streams.Open, Limit: maxForwards, MayStart: e.shutdown.Allows,
 	}
 	e.receive = &receive.Receive{Clock: e.Clock, Resolve: e.resolveForwarded, Admit: e.admitForwarded, Serve: e.Gateway.ServeForwarded}
 }
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -102,7 +102,7 @@
 // mayRepeat reports whether a request that a backend server may have received may be sent
 // again, by net/http or by another host, and takes that from the retry budget.
 func (e *Edge) mayRepeat(r *request.Request) bool {
-	return e.retryBudget.TakeRetry(r.Service.Name)
+	return e.shutdown.Allows(r.Deadline) && e.retryBudget.TakeRetry(r.Service.Name)
 }
 
 // newRetryBudget returns the budget of this host's retries. It counts those that it allows and
--- a/forward/attempts_test.go
+++ b/forward/attempts_test.go
@@ -3,11 +3,13 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/shutdown"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -80,10 +82,31 @@
 	must.EqOp(t, 1, used)
 }
 
+// Guards against a host that begins to shut down while another one has its request, and sends
+// the request once more although it ends before the answer is due.
+func TestShutdownBeginsBeforeNextStream(t *testing.T) {
+	for want, scripts := range map[string][]string{
+		"NoCapacity ran=no retry=2s": {"a alive refuse=NoCapacity,no,none", "b alive head=200 end"},
+		"BackendFailed ran=unknown":  {"a reused cut", "a alive head=200 end"},
+	} {
+		r := newHarness()
+		s := &shutdown.Shutdown{Clock: r.clock}
+		s.Begin(time.Second)
+		r.forward.MayStart = s.Allows
+		given, result, _ := r.serveScripts(2, scripts)
+		must.StrHasPrefix(t, "a=", given)
+		must.StrNotContains(t, given, ",")
+		must.EqOp(t, want, result)
+	}
+}
+
 // serveScripts serves a request by scripted streams. It returns what each stream was given, in
 // this order, the result, and how many attempts were used.
 func serveScripts(attempts int, scripts []string) (given, result string, used int) {
-	r := newHarness()
+	return newHarness().serveScripts(attempts, scripts)
+}
+
+func (r *harness) serveScripts(attempts int, scripts []string) (given, result string, used int) {
 	r.attempts = attempts
 	r.forward.Complete = func(m *wire.Request, q *request.Request) {
 		m.Attempts, m.AttemptedBackends = int32(q.Attempts), q.AttemptedBackends.Received()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -49,6 +49,9 @@
 	// MayRepeat reports whether a request that a backend server may have received by an
 	// earlier stream may be sent on another one. Nil permits all.
 	MayRepeat func(r *request.Request) bool
+	// MayStart reports whether a request with this deadline ends before this host does. It is
+	// called before a request is sent on another stream. Nil means always.
+	MayStart func(deadline time.Time) bool
 	// Complete adds to a message what the receiving host can't look up; nil adds nothing.
 	Complete func(m *wire.Request, r *request.Request)
 	// ReserveLink reserves the bytes of a request on the link to a region. The
@@ -100,7 +103,7 @@
 		n++
 		used += v.used
 		h = h || v.lost
-		if !mayTryNext(v.outcome) {
+		if !f.mayTryNext(r, v.outcome) {
 			return combinedOutcome(v.outcome, h), used
 		}
 		if n > 1 {
@@ -182,7 +185,13 @@
 }
 
 func (f *Forward) mayRepeat(r *request.Request) bool {
-	return f.MayRepeat == nil || f.MayRepeat(r)
+	return f.mayStart(r) && (f.MayRepeat == nil || f.MayRepeat(r))
+}
+
+// mayStart reports whether r ends before this host does. The host may have begun to shut down
+// while another one had r.
+func (f *Forward) mayStart(r *request.Request) bool {
+	return f.MayStart == nil || f.MayStart(r.Deadline)
 }
 
 func (f *Forward) acquire() bool {
@@ -201,11 +210,11 @@
 	f.active--
 }
 
-// mayTryNext reports whether another failure domain may run the request. This requires
-// that the request did not run, and that the reason for its refusal is specific to the
+// mayTryNext reports whether another failure domain may run r. This requires that r did not
+// run and ends before this host does, and that the reason for its refusal is specific to the
 // domain that refused it.
-func mayTryNext(o outcome.Outcome) bool {
-	return o.Ran == outcome.RanNo && (o.Outcome == outcome.NoCapacity || o.Outcome == outcome.Leaving)
+func (f *Forward) mayTryNext(r *request.Request, o outcome.Outcome) bool {
+	return f.mayStart(r) && o.Ran == outcome.RanNo && (o.Outcome == outcome.NoCapacity || o.Outcome == outcome.Leaving)
 }
 
 // body is the body of a caller's request, buffered completely if it is short.
--- a/host/domain.go
+++ b/host/domain.go
@@ -109,7 +109,7 @@
 		Clock: h.Clock, Dial: h.dialPeer, Idle: streamIdleTimeout, PerAddress: streamsPerAddress, MaxDials: maxDials,
 	}
 	x.forward = &forward.Forward{
-		Clock: h.Clock, Region: h.Settings.Region, Targets: func(r *request.Request) []member.Member { return x.forwardTargets(r.Service.Name) }, Open: d.streams.Open, Limit: maxForwards,
+		Clock: h.Clock, Region: h.Settings.Region, Targets: func(r *request.Request) []member.Member { return x.forwardTargets(r.Service.Name) }, Open: d.streams.Open, Limit: maxForwards, MayStart: x.requests.shutdown.Allows,
 		Version: func() uint64 { return x.configFollower.Snapshot().Config.Version },
 		ReserveLink: func(region string, n int64) (func(int64), time.Duration, bool) {
 			return d.links.Take(h.Settings.Region, region, n)
--- a/host/requests.go
+++ b/host/requests.go
@@ -79,8 +79,10 @@
 		Clock: h.Clock, Host: h.Settings.Name, Incarnation: h.Incarnation, HostAddress: x.processCallerAddress,
 		Lifetime: ticketLifetime, MaxAnswerBytes: maxTicketBytes, MaxUsed: maxTickets,
 	}
+	u := upstream.New(h.Clock, dialTimeout)
+	u.MayRepeat = func(r *request.Request) bool { return q.shutdown.Allows(r.Deadline) }
 	x.dispatch = &dispatch.Dispatch{
-		Clock: h.Clock, Queue: x.serviceQueues.Queue, IsKeyValid: x.authenticator.Valid, ConfirmToken: x.confirmToken, Upstream: upstream.New(h.Clock, dialTimeout),
+		Clock: h.Clock, Queue: x.serviceQueues.Queue, IsKeyValid: x.authenticator.Valid, ConfirmToken: x.confirmToken, Upstream: u,
 		MayStart:       q.shutdown.Allows,
 		Timeout:        func() time.Duration { return x.configFollower.Snapshot().Preset.MaxWait },
 		Budget:         &retrybudget.Retrybudget{Ratio: func() float64 { return x.configFollower.Snapshot().Preset.RetryBudget }},
