Shutdown: the withdrawal from a silent store ends with all other waits

A host that leaves while the store is silent is killed: the last try to withdraw it from the list of hosts goes on for up to 2 s after the last caller has its answer, so that the host ends up to 7.5 s after the signal and SIGKILL comes at 6 s. No caller loses anything by it, since their connections have ended, but the host's last lines are missing and it looks like one that was killed with requests in flight.

Cause: the class of waits with a length of their own, by reading.

Now the withdrawal gives up when all waits of the shutdown end.

Evidence: TestSilentStoreDoesNotDelayEnd (virtual time) ended 1.1 s after that time without the change, and passes with it.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/metric"
 	"celeryreach.example/celeryreach/routeindex"
@@ -104,7 +105,7 @@
 
 // announce adds this host to the list of hosts in the store and marks it as having left when
 // the host starts to leave. It does not wait for the end of the shutdown, because no time
-// may be left by then if the store does not respond.
+// may be left by then if the store does not respond, and gives up when all waits end.
 func (e *Edge) announce(ctx context.Context) error {
 	for !e.IsLeaving() && !e.tryAnnounce(ctx) {
 		select {
@@ -118,7 +119,10 @@
 	case <-ctx.Done():
 	case <-e.shutdown.Begun():
 	}
-	for !e.tryWithdraw(context.WithoutCancel(ctx)) {
+	d := max(e.Clock.Until(e.StopBy()), announceRetryDelay) // without a grace time too
+	x, f := deadline.With(context.WithoutCancel(ctx), e.Clock, d)
+	defer f()
+	for !e.tryWithdraw(x) {
 		select {
 		case <-ctx.Done():
 			return nil
