Shutdown: each response from the signal on ends its connection

Callers who are refused by a leaving host come back to it: the response to a request that had begun before the signal, a refusal as much as an answer, did not say that the connection ends, since that was decided when the request began. The next request on the connection is refused as well, or crosses its close 2.5 s after the signal.

Now the listener sets it when a response begins, from the signal on, for steer and serve alike, and for look-ups and tickets too.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,9 +50,8 @@
 	Quota *quota.Quota
 	// RunOnce runs a request with an ID at most once, by calling run.
 	RunOnce func(ctx context.Context, r *request.Request, w http.ResponseWriter, run func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome) outcome.Outcome
-	// IsLeaving reports whether the host is shutting down, and RefusesRequests
-	// whether it refuses new requests.
-	IsLeaving, RefusesRequests func() bool
+	// RefusesRequests reports whether the host, which shuts down, refuses new requests.
+	RefusesRequests func() bool
 	// MayStart reports whether a request with this deadline ends before the host does.
 	MayStart func(deadline time.Time) bool
 	// ServeLocally runs a request in the host's own failure domain.
@@ -69,9 +68,6 @@
 // ServeHTTP serves one caller request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	t := e.Clock.Now()
-	if e.IsLeaving() {
-		w.Header().Set("Connection", "close")
-	}
 	b := &body{reader: h.Body, writer: w, empty: h.ContentLength == 0}
 	r, o := e.identify(h, b)
 	if o.Outcome == "" && (e.RefusesRequests() || !e.MayStart(r.Deadline)) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -134,8 +134,8 @@
 		Forward: func(context.Context, *request.Request, http.ResponseWriter) outcome.Outcome {
 			return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo}
 		},
-		EntryHosts: func(string, string) []string { return []string{"10.0.0.2:80"} },
-		IsLeaving:  s.closed.Load, RefusesRequests: s.closed.Load, MayStart: s.shutdown.Allows,
+		EntryHosts:      func(string, string) []string { return []string{"10.0.0.2:80"} },
+		RefusesRequests: s.closed.Load, MayStart: s.shutdown.Allows,
 		OnOutcome: func(_ *request.Request, o outcome.Outcome, _ time.Duration) { s.done <- o.Outcome },
 	}
 }
--- a/host/requests.go
+++ b/host/requests.go
@@ -98,7 +98,7 @@
 	e := &entry.Entry{
 		Clock: x.host.Clock, Log: x.host.Log, Snapshot: x.configFollower.Snapshot, Authenticator: x.authenticator,
 		Quota: x.quota, ServeLocally: x.serveCaller, Forward: x.forwardCaller, EntryHosts: x.entryHosts, OnOutcome: x.recordOutcome,
-		RunOnce: o.Serve, IsLeaving: x.leaving.Load, RefusesRequests: q.closed.Load, MayStart: q.shutdown.Allows,
+		RunOnce: o.Serve, RefusesRequests: q.closed.Load, MayStart: q.shutdown.Allows,
 	}
 	m := http.NewServeMux()
 	m.Handle("GET /lookup", x.lookup)
--- a/host/supervisor.go
+++ b/host/supervisor.go
@@ -55,7 +55,7 @@
 			child.Child{Name: "records", Run: x.requests.idempotency.Run},
 			child.Child{Name: "expiry", Run: x.requests.expiry.Run},
 			child.Child{Name: "callers", Run: (&httplisten.Httplisten{
-				Listener: l.callers, TLS: l.callerTLS, Handler: x.callerHandler(), BeforeShutdown: x.shutDown, DrainTimeout: lastResponseTimeout,
+				Listener: l.callers, TLS: l.callerTLS, Handler: x.callerHandler(), BeforeShutdown: x.shutDown, IsLeaving: x.leaving.Load, DrainTimeout: lastResponseTimeout,
 				Log: h.Log,
 			}).Run},
 		),
--- a/httplisten/drainwriter.go
+++ b/httplisten/drainwriter.go
@@ -3,11 +3,11 @@
 import "net/http"
 
 // drainWriter tells the caller in the response that the connection ends, if the listener is
-// draining when the response begins. Otherwise the caller could send its next request on a
-// connection that is about to be closed.
+// draining, or is about to, when the response begins. Otherwise the caller could send its next
+// request on a connection that is about to be closed.
 type drainWriter struct {
 	http.ResponseWriter
-	connections *connections
+	isEnding func() bool
 }
 
 // WriteHeader writes the header of the response.
@@ -35,7 +35,7 @@
 
 // announceEnd has no effect once the header was written.
 func (w *drainWriter) announceEnd() {
-	if w.connections.isDraining() {
+	if w.isEnding() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -43,6 +43,9 @@
 	// BeforeShutdown, if set, runs after ctx has ended and before the listener is
 	// closed.
 	BeforeShutdown func(ctx context.Context)
+	// IsLeaving, if set, reports whether the listener will end soon: each response that begins
+	// from then on tells the caller that the connection ends.
+	IsLeaving func() bool
 	// Limits, if set, returns two time limits. header is the limit for a header, which
 	// begins with the connection or, on a connection with earlier requests, with the first
 	// byte; zero means 5 s. idle is the limit from one answer to the first byte of the next
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -24,7 +24,7 @@
 // before the response is complete.
 func (l *Httplisten) serve(g *connections, w http.ResponseWriter, q *http.Request) {
 	defer l.handlers.Begin()()
-	c := &drainWriter{ResponseWriter: w, connections: g}
+	c := &drainWriter{ResponseWriter: w, isEnding: func() bool { return l.IsLeaving != nil && l.IsLeaving() || g.isDraining() }}
 	defer func() {
 		v := recover()
 		err, _ := v.(error)
