Forwarding: a forwarded request ends when its last frame is sent, in serve too

Now it counts from its admission until its last frame is sent.

Evidence: TestForwardedRequestCountsUntilItsEnd fails without the change, and passes with it.

--- a/host/domain.go
+++ b/host/domain.go
@@ -175,7 +175,7 @@
 
 // admitForwarded admits a request that was forwarded from another failure
 // domain, within the growth cap and the capacity of the link back to the
-// sender.
+// sender, and counts it until its last frame is sent.
 func (x *components) admitForwarded(r *request.Request, region string) (func(o outcome.Outcome, bytes int64), outcome.Outcome) {
 	t, ok := x.localDomain.growthLimit.Admit()
 	if !ok {
@@ -188,7 +188,9 @@
 			Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the link to the caller's region is full", RetryAfter: t,
 		}
 	}
+	d := x.requests.inflight.Begin()
 	return func(o outcome.Outcome, n int64) {
+		defer d()
 		s(n)
 		if o.Ran == outcome.RanNo {
 			x.localDomain.growthLimit.Cancel()
--- a/host/requests.go
+++ b/host/requests.go
@@ -117,7 +117,6 @@
 
 // serveForwarded runs a request that another failure domain forwarded.
 func (x *components) serveForwarded(ctx context.Context, r *request.Request, w http.ResponseWriter) outcome.Outcome {
-	defer x.requests.inflight.Begin()()
 	if x.requests.closed.Load() {
 		return outcome.Outcome{Outcome: outcome.NoCapacity, Ran: outcome.RanNo, Message: "the host is shutting down"}
 	}
