--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -2,6 +2,7 @@
 package logsink
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -14,8 +15,11 @@
 const (
 	// bufferedLines is how many lines are queued for a slow reader.
 	bufferedLines = 2048
+	// levelPrefixBytes of a line contain its level, after the time.
+	levelPrefixBytes = 64
 	// maxLinesPerSecond bounds the cost of logging: 250 lines at 5 µs each (go test
-	// -bench Line ./logsink) take 0.13% of a core.
+	// -bench Line ./logsink) take 0.13% of a core. Lines at level error have as many for
+	// themselves.
 	maxLinesPerSecond = 250
 )
 
@@ -32,6 +36,7 @@
 	dropped       atomic.Int64
 	currentSecond atomic.Int64
 	written       atomic.Int64
+	writtenErrors atomic.Int64
 }
 
 // New returns a Logsink that writes to out.
@@ -41,7 +46,7 @@
 
 // Write queues one line. It never blocks and never fails.
 func (l *Logsink) Write(b []byte) (int, error) {
-	if !l.admit() {
+	if !l.admit(b) {
 		l.dropped.Add(1)
 		return len(b), nil
 	}
@@ -91,13 +96,23 @@
 	}
 }
 
-// admit counts a line against the rate limit. Two concurrent writers may both reset the
+// admit counts a line against the rate limit of its level. Two concurrent writers may both reset the
 // count at the start of a second; the limit is then exceeded by a few lines, which is
 // harmless.
-func (l *Logsink) admit() bool {
+func (l *Logsink) admit(b []byte) bool {
 	s := l.Clock.Now().Unix()
 	if o := l.currentSecond.Load(); o != s && l.currentSecond.CompareAndSwap(o, s) {
 		l.written.Store(0)
+		l.writtenErrors.Store(0)
+	}
+	if isError(b) {
+		return l.writtenErrors.Add(1) <= maxLinesPerSecond
 	}
 	return l.written.Add(1) <= maxLinesPerSecond
 }
+
+// isError reports whether a line has level error.
+func isError(b []byte) bool {
+	p, _, _ := bytes.Cut(b[:min(len(b), levelPrefixBytes)], []byte(" msg="))
+	return bytes.HasSuffix(p, []byte("level=error"))
+}
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -73,6 +73,26 @@
 	must.StrContains(t, b.String(), "Lines=9750")
 }
 
+// Guards against a host that cuts requests and says so in lines that are dropped, since the
+// log is full of the lines of other requests.
+func TestErrorsAreNotDroppedForOtherLines(t *testing.T) {
+	k := clockwork.NewFakeClock()
+	var b strings.Builder
+	s := logsink.New(k, &b)
+	l := log.NewWithOptions(s, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	for range 1000 {
+		l.Info("request ended", "Error", "level=error")
+	}
+	for range 300 {
+		l.Error("connection closed without a response")
+	}
+	ctx, f := context.WithCancel(context.Background())
+	f()
+	must.NoError(t, s.Run(ctx))
+	must.EqOp(t, 250, strings.Count(b.String(), "request ended"))
+	must.EqOp(t, 250, strings.Count(b.String(), "connection closed"))
+}
+
 // BenchmarkLine measures the cost of one log line of a failed request.
 func BenchmarkLine(b *testing.B) {
 	k := clockwork.NewRealClock()
