--- a/httplisten/drain_test.go
+++ b/httplisten/drain_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
@@ -87,6 +89,23 @@
 	})
 }
 
+// Guards against a host that never accepts a connection again after an error, and that cuts
+// the requests on those that it has as soon as it shuts down.
+func TestAcceptFails(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *piped) {
+		w.send(t, 0, nil, header)
+		w.listener.errs <- &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.ENOMEM)}
+		synctest.Wait()
+		c, err := w.listener.dial(func(c net.Conn) net.Conn { return c })
+		must.NoError(t, err)
+		must.NoError(t, c.Close())
+		w.stop()
+		clock.Sleep(drainLimit / 2)
+		w.send(t, 0, nil, body)
+		w.mustBeAnswered(t)
+	})
+}
+
 // Guards against a host that accepts new connections while it waits for its last
 // requests.
 func TestNoNewConnectionsDuringDrain(t *testing.T) {
--- a/httplisten/pipe_test.go
+++ b/httplisten/pipe_test.go
@@ -35,12 +35,13 @@
 // advance while a goroutine waits on a socket.
 type pipeListener struct {
 	conns  chan net.Conn
+	errs   chan error // each fails an Accept
 	closed chan struct{}
 	once   sync.Once
 }
 
 func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	return &pipeListener{conns: make(chan net.Conn), errs: make(chan error), closed: make(chan struct{})}
 }
 
 // dial opens a connection whose server's end is wrapped by f.
@@ -60,6 +61,8 @@
 	select {
 	case c := <-l.conns:
 		return c, nil
+	case err := <-l.errs:
+		return nil, err
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
