--- a/httplisten/connections.go
+++ b/httplisten/connections.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"celeryreach.example/celeryreach/serverconn"
 )
 
@@ -103,20 +101,7 @@
 func (l *connListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
-		}
-		return nil, temporaryError{err}
+		return nil, err
 	}
 	return l.wrap(c), nil
 }
-
-// temporaryError is an error after which net/http accepts connections again. After any other
-// it would close the listener for good and leave the open connections without a drain.
-type temporaryError struct{ error }
-
-// Timeout reports that the error is no timeout.
-func (temporaryError) Timeout() bool { return false }
-
-// Temporary reports that the next call may succeed.
-func (temporaryError) Temporary() bool { return true }
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/acceptor"
 	"celeryreach.example/celeryreach/inflight"
 	"celeryreach.example/celeryreach/serverconn"
 )
@@ -163,7 +164,7 @@
 
 // listener returns Listener with connections that have the limits, and TLS above them.
 func (l *Httplisten) listener() net.Listener {
-	n := &connListener{Listener: l.Listener, wrap: l.wrap}
+	n := &connListener{Listener: &acceptor.Acceptor{Listener: l.Listener}, wrap: l.wrap}
 	if l.TLS == nil {
 		return n
 	}
--- a/peerserver/peerserver.go
+++ b/peerserver/peerserver.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"celeryreach.example/celeryreach/acceptor"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -39,7 +40,7 @@
 	if err := wire.DRPCRegisterPeer(m, p); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	err := drpcserver.New(m).Serve(ctx, p.Listener)
+	err := drpcserver.New(m).Serve(ctx, &acceptor.Acceptor{Listener: p.Listener})
 	if ctx.Err() != nil {
 		return nil
 	}
