Tests: hosts that stop at drawn moments answer what they send (LOST)

The scripts stopped one host at fixed moments, and their callers sent nothing later than 2.5 s after the signal, so they couldn't find requests that a leaving host sent on and didn't answer.

The command shutdowns stops one host, two, those of a failure domain or all, also overlapping, beside a silent store and lost links, and starts them again. Callers keep using them, open connections as long as these are accepted, and send the first request up to 6 s later, with deadlines up to 12 s and work of 0.2 to 4 s, some 8 s. Some backend servers refuse the first attempt or break it off, and some answers begin in the middle of the work. Each request of a leaving host must have a whole answer, or a backend server failed it, its deadline passed, a host that sent it had lost its links, or it was sent no later than 3 s after the signal and its work went on in the last sixth of the 6 s. Requests that are refused as not run must not run, a leaving host refuses at once, and no process outlives the 6 s.

--- a/edge/backend_test.go
+++ b/edge/backend_test.go
@@ -60,8 +60,10 @@
 	homes    *homes // nil unless the homes of requests are checked
 	endings  *endings
 	repeats  *repeats
-	stop     func(d time.Duration, silent bool) // ends the process for that time
-	random   func() float64
+	// shutdowns has the long requests.
+	shutdowns *shutdowns
+	stop      func(d time.Duration, silent bool) // ends the process for that time
+	random    func() float64
 
 	mu       sync.Mutex
 	work     time.Duration
@@ -122,6 +124,10 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return // the request is not complete, and does not run
 	}
+	if v := s.shutdowns.request(id); v != nil {
+		s.serveLong(w, q, v)
+		return
+	}
 	s.runs.start(id, q)
 	if broken {
 		s.runs.breakOff(id)
@@ -138,11 +144,8 @@
 		s.sendEndless(w, q, id, n)
 		return
 	}
-	if strings.HasPrefix(q.URL.Path, slowPath) {
-		d = slowWork
-	}
 	select {
-	case <-clock.After(d):
+	case <-clock.After(workFor(q.URL.Path, d)):
 	case <-q.Context().Done(): // the host has closed the connection
 		return
 	}
@@ -161,6 +164,14 @@
 	l.answer(w)
 }
 
+// workFor returns the duration of a request; most have that of their backend server.
+func workFor(path string, d time.Duration) time.Duration {
+	if strings.HasPrefix(path, slowPath) {
+		return slowWork
+	}
+	return d
+}
+
 // sendEndless sends a response without end until the host closes the connection.
 func (s *server) sendEndless(w http.ResponseWriter, q *http.Request, id string, began time.Time) {
 	w.Header().Set(upstream.IDHeader, id)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -76,6 +76,7 @@
 	homes            *homes // nil unless the homes of requests are checked
 	endings          endings
 	repeats          repeats
+	shutdowns        shutdowns
 	endingCount      int // requests with endingPart sent by callers
 
 	mu       sync.Mutex
@@ -166,7 +167,7 @@
 //	metric NAME REGEXP                  checks a metric of the process
 //	homes ...                           see runHomesCommand
 //
-// runHostCommand and runShareCommand have those for the processes of hosts.
+// runShutdownCommand, runHostCommand and runShareCommand have those for the processes of hosts.
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -205,7 +206,7 @@
 			return "no host has logged it", nil
 		}
 	default:
-		return w.runHostCommand(command, a)
+		return w.runShutdownCommand(command, a)
 	}
 	return "", nil
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -55,6 +55,12 @@
 }, {
 	Name: "home-enrol", Host: callerHost, Prefix: homeEnrolPath, Timeout: requestTimeout, Objective: 400 * time.Millisecond, NonIdempotent: true, Homes: []string{"lagos"},
 	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Sticky: true,
+}, {
+	Name: "long", Host: callerHost, Prefix: longPath, Timeout: longTimeout, Objective: 8 * slotWait,
+	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Public: true, Sticky: true,
+}, {
+	Name: "long-enrol", Host: callerHost, Prefix: longEnrolPath, Timeout: longTimeout, Objective: 8 * slotWait, NonIdempotent: true,
+	Portions: []weightedservice.Weightedservice{{Service: listings, Weight: 1}}, Attempts: 2, Sticky: true,
 }}
 
 var services = []service.Service{{Name: listings, ColdRate: coldRate, WarmUp: warmUp}}
@@ -175,7 +181,7 @@
 // address.
 func (w *deployment) runServer(b backend.Backend, d time.Duration) *server {
 	s := &server{
-		backend: b, homes: w.homes, attempts: &w.attempts, endings: &w.endings, random: w.random, repeats: &w.repeats,
+		backend: b, homes: w.homes, attempts: &w.attempts, endings: &w.endings, random: w.random, repeats: &w.repeats, shutdowns: &w.shutdowns,
 		runs: &w.runs, links: &w.network.links, work: d, notified: make(map[string]time.Time), done: make(chan error, 1),
 		wanted: make(map[string][]period), recovered: make(map[string]time.Time), running: make(map[string][]time.Time),
 	}
--- a/edge/runs_test.go
+++ b/edge/runs_test.go
@@ -43,6 +43,8 @@
 	"long-body":  {path: enrolPath, key: "key", body: 2 * maxBuffered},
 	"home":       {path: homePath},
 	"home-enrol": {path: homeEnrolPath, key: "key", body: 2 << 10},
+	"long":       {path: longPath},
+	"long-enrol": {path: longEnrolPath, key: "key", body: 2 << 10},
 	"endless":    {path: endlessPath},
 	"leaves":     {path: slowPath, leaves: 200 * time.Millisecond},
 }
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -27,6 +27,8 @@
 	edge  *edge.Edge
 	stop  context.CancelFunc
 	calls inflight.Inflight // requests of its own callers
+	open  context.Context   // ends with the process
+	close context.CancelFunc
 
 	mu      sync.Mutex
 	running bool      // it was assembled and has not ended
@@ -40,6 +42,7 @@
 func (w *deployment) startProcess(host string, delay time.Duration) {
 	ctx, f := context.WithCancel(context.Background())
 	p := &process{edge: w.hosts[host], stop: f}
+	p.open, p.close = context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.processes[host] = p
 	w.mu.Unlock()
@@ -100,18 +103,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ended, p.cut, p.running = clock.Now(), p.calls.Count(), false
+	p.close()
 }
 
 // checkTerminated describes a shutdown that took longer than graceTime or cut a request.
 func (p *process) checkTerminated() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ended.IsZero() || p.ended.Sub(p.told) > graceTime || p.cut > 0 {
+	if p.isLate() || p.cut > 0 {
 		return fmt.Sprintf("ended after %s, %d requests cut", p.ended.Sub(p.told), p.cut)
 	}
 	return ""
 }
 
+// isLate reports whether the shutdown took longer than graceTime. The caller holds the lock.
+func (p *process) isLate() bool {
+	return p.ended.IsZero() || p.ended.Sub(p.told) > graceTime
+}
+
 // runHostCommand runs one command for the shutdown of hosts, and passes others to
 // runShareCommand:
 //
