Tests: each call with a cut response has a connection of its own

The tests were wrong: their servers close the connection after each response without saying so, and the next call could take the connection before the client had seen the close.

Now each call has a client of its own.

--- a/platformclient/cut_test.go
+++ b/platformclient/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"celeryreach.example/celeryreach/platformclient"
+	"celeryreach.example/celeryreach/store"
 )
 
 // servePrefix answers each request with the same bytes and closes the connection.
@@ -31,6 +33,21 @@
 	return l.Addr().String()
 }
 
+// cutCalls are calls to the platform whose response is cut.
+var cutCalls = map[string]func(ctx context.Context, s store.Store) error{
+	"read": func(ctx context.Context, s store.Store) error {
+		_, err := s.Read(ctx, "a")
+		return err
+	},
+	"get": func(ctx context.Context, s store.Store) error {
+		_, err := s.GetObject(ctx, "a")
+		return err
+	},
+	"put": func(ctx context.Context, s store.Store) error {
+		return s.PutObject(ctx, "a", []byte("content"))
+	},
+}
+
 // Guards against a response of the platform that breaks off at any byte, also in its header, and
 // that counts as whole.
 func TestCutResponses(t *testing.T) {
@@ -40,15 +57,13 @@
 		fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(b), b),
 	} {
 		for n := range len(s) + 1 {
-			p := &platformclient.Platformclient{URL: "http://" + servePrefix(t, s[:n]), Timeout: 10 * time.Second}
-			f := p.Store()
-			_, err := f.Read(t.Context(), "a")
-			must.EqOp(t, n == len(s), err == nil, must.Sprintf("%q: %v", s[:n], err))
-			_, err = f.GetObject(t.Context(), "a")
-			must.EqOp(t, n == len(s), err == nil, must.Sprintf("%q: %v", s[:n], err))
-			err = f.PutObject(t.Context(), "a", []byte("content"))
-			must.EqOp(t, n == len(s), err == nil, must.Sprintf("%q: %v", s[:n], err))
-			p.Close()
+			a := servePrefix(t, s[:n])
+			for name, call := range cutCalls {
+				p := &platformclient.Platformclient{URL: "http://" + a, Timeout: 10 * time.Second} // without the connection that the server has closed
+				err := call(t.Context(), p.Store())
+				must.EqOp(t, n == len(s), err == nil, must.Sprintf("%s %q: %v", name, s[:n], err))
+				p.Close()
+			}
 		}
 	}
 }
