Log: how long the store was lost, and how long a missing backend server is kept (DRAIN)

Callers' requests reached a backend server 2.6 s after its entry was removed. Three hypotheses explain that, and the log could not tell a host that kept the entry on purpose from one that had not heard: it had neither the time for which a missing entry is kept, nor whether other hosts had had answers of the store while this one had none. No logic changes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -59,6 +59,7 @@
 type entry struct {
 	backend   backend.Backend
 	coldUntil time.Time
+	keptSince time.Time // since when a missing entry is kept; zero while the entry is listed
 	keptUntil time.Time // when a missing entry expires; zero while the entry is listed
 }
 
@@ -96,8 +97,9 @@
 		case !uncertainUntil.After(d.Clock.Now()), a[k.backend.Address]:
 			d.drop(n, k)
 		case k.keptUntil.IsZero():
-			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n)
-			k.keptUntil = uncertainUntil
+			k.keptSince, k.keptUntil = d.Clock.Now(), uncertainUntil
+			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n,
+				"Service", k.backend.Service, "KeptFor", k.keptUntil.Sub(k.keptSince))
 		}
 	}
 	d.publish()
@@ -146,11 +148,18 @@
 		d.queueLog(log.InfoLevel, "backend server leaves", "Backend", b.Name, "Service", b.Service)
 	}
 	k.backend = b
-	k.keptUntil = time.Time{}
+	if !k.keptSince.IsZero() {
+		d.queueLog(log.InfoLevel, "backend server is listed again", "Backend", b.Name, "Service", b.Service, "MissingFor", n.Sub(k.keptSince))
+	}
+	k.keptSince, k.keptUntil = time.Time{}, time.Time{}
 }
 
 func (d *Discovery) drop(name string, k *entry) {
-	d.queueLog(log.InfoLevel, "backend server is gone", "Backend", name, "Service", k.backend.Service)
+	f := []any{"Backend", name, "Service", k.backend.Service}
+	if !k.keptSince.IsZero() {
+		f = append(f, "MissingFor", d.Clock.Since(k.keptSince))
+	}
+	d.queueLog(log.InfoLevel, "backend server is gone", f...)
 	delete(d.entries, name)
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -90,6 +90,7 @@
 	changeVersion   uint64    // version of the last change in the copy
 	behindSince     time.Time // since when another host is known to have a newer version
 	unreachable     bool
+	lostAt          time.Time     // since when the store is unreachable
 	waitAborted     bool          // the last long poll was aborted
 	needsFullRead   bool          // the feed cannot continue from the copy
 	incompleteUntil time.Time     // until when rows may be missing after an outage
@@ -299,7 +300,9 @@
 // markReachable records that the store answered. The first answer after an outage
 // already counts as possibly incomplete.
 func (m *Mirror) markReachable() {
+	var a time.Duration // since the store answered any host
 	if m.StoreFreshness != nil {
+		a = time.Duration(m.StoreFreshness.Age())
 		m.StoreFreshness.RecordContact()
 	}
 	m.mu.Lock()
@@ -307,7 +310,7 @@
 	if m.unreachable {
 		m.unreachable = false
 		m.incompleteUntil = m.Clock.Now().Add(incompletePeriod)
-		m.Log.Info("store regained", "Table", m.Name)
+		m.Log.Info("store regained", "Table", m.Name, "LostFor", m.Clock.Since(m.lostAt), "StoreAge", a)
 	}
 }
 
@@ -316,7 +319,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.unreachable {
-		m.unreachable = true
+		m.unreachable, m.lostAt = true, m.Clock.Now()
 		m.Log.Warn("store lost", "Table", m.Name, "Error", err)
 	}
 }
