--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -77,6 +77,7 @@
 	endings          endings
 	repeats          repeats
 	shutdowns        shutdowns
+	removals         removals
 	endingCount      int // requests with endingPart sent by callers
 
 	mu       sync.Mutex
@@ -167,7 +168,7 @@
 //	metric NAME REGEXP                  checks a metric of the process
 //	homes ...                           see runHomesCommand
 //
-// runShutdownCommand, runHostCommand and runShareCommand have those for the processes of hosts.
+// runShutdownCommand, runHostCommand, runRemovalCommand and runShareCommand have those for the processes of hosts.
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -11,3 +11,6 @@
 
 // RetryLimit returns how many retries this host may send in a burst.
 func (e *Edge) RetryLimit() float64 { return e.retryLimit() }
+
+// IsListed reports whether this host may use a process of a backend server.
+func (e *Edge) IsListed(name string, started int64) bool { return e.discovery.IsListed(name, started) }
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -122,7 +122,7 @@
 }
 
 // runHostCommand runs one command for the shutdown of hosts, and passes others to
-// runShareCommand:
+// runRemovalCommand:
 //
 //	terminate HOST    the host is told to stop
 //	leaving HOST      checks that it says that it leaves
@@ -138,7 +138,7 @@
 	case "terminated":
 		return w.processes[a[0]].checkTerminated(), nil
 	default:
-		return w.runShareCommand(command, a)
+		return w.runRemovalCommand(command, a)
 	}
 	return "", nil
 }
--- a/feedstandin/feedstandin.go
+++ b/feedstandin/feedstandin.go
@@ -10,10 +10,14 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/row"
 )
 
+// ErrRefused is returned to callers that are turned away.
+var ErrRefused = errors.New("too many requests")
+
 // Feedstandin is a simulated table with a change feed.
 type Feedstandin struct {
 	clock clockwork.Clock
@@ -24,12 +28,13 @@
 	changed     chan struct{}
 	muted       map[string]bool // callers whose calls get no answer
 	muteEpochs  map[string]int  // number of SetMuted calls by caller
+	refused     map[string]bool // callers whose calls fail at once
 	answerDelay time.Duration   // delay of each answer
 }
 
 // New returns an empty table.
 func New(c clockwork.Clock) *Feedstandin {
-	return &Feedstandin{clock: c, changed: make(chan struct{}), muted: make(map[string]bool), muteEpochs: make(map[string]int)}
+	return &Feedstandin{clock: c, changed: make(chan struct{}), muted: make(map[string]bool), muteEpochs: make(map[string]int), refused: make(map[string]bool)}
 }
 
 // SetMuted starts or ends a period in which calls of the callers receive no
@@ -43,6 +48,17 @@
 	}
 }
 
+// SetRefused starts or ends a period in which new calls of the callers fail at once with
+// ErrRefused, and those that are open are never answered.
+func (s *Feedstandin) SetRefused(refuse bool, callers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range callers {
+		s.refused[c] = refuse
+		s.muteEpochs[c]++
+	}
+}
+
 // SetDelay delays each answer by d.
 func (s *Feedstandin) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -66,8 +82,11 @@
 // duration wait.
 func (s *Feedstandin) Feed(ctx context.Context, caller string, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
 	s.mu.Lock()
-	e := s.muteEpochs[caller]
+	e, f := s.muteEpochs[caller], s.refused[caller]
 	s.mu.Unlock()
+	if f {
+		return nil, 0, ErrRefused
+	}
 	t := s.clock.After(wait)
 	for o := false; ; {
 		l, v, c, ok := s.since(caller, e, after)
