Discovery: a missing entry counts as lapsed only after an outage of the store (DRAIN)

Callers' requests still reached a backend server 2.6 and 2.7 s after the store had acknowledged that its entry was removed; 2.5 s are allowed.

Cause: after a host had lost the store, each missing entry stayed in use for two seconds, from the moment at which this host had an answer again. That a host has no answer is no outage of the store: it may be turned away, or a call was slow. And the promise that lapsed entries are back counts from the return of the store, not from a host's first call after it.

Change: Freshness, which already has the answers of all hosts that this one hears, records outages: no host had an answer for so long that entries can expire. Entries may be missing until two seconds after the first answer that any host had. A host that is cut off together with its region counts from the first report after that; reports of other regions tell nothing of backend servers that were cut off too. Hosts that get an answer after such a silence report it at once. A copy from another host no longer carries doubt on.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -34,6 +34,9 @@
 	Log *log.Logger
 	// WarmUp returns how long a backend server of a service may be cold.
 	WarmUp func(service string) time.Duration
+	// UncertainUntil returns until when entries may be missing although their backend
+	// servers live, after an outage of the store. It is zero if there was none.
+	UncertainUntil func() time.Time
 	// OnChange is called with the backend servers that take new requests, and a
 	// function that returns the time until which one of them is cold.
 	OnChange func(l []backend.Backend, cold func(name string) time.Time)
@@ -60,7 +63,6 @@
 	backend   backend.Backend
 	coldUntil time.Time
 	keptSince time.Time // since when a missing entry is kept; zero while the entry is listed
-	keptUntil time.Time // when a missing entry expires; zero while the entry is listed
 }
 
 // Run drops expired entries until ctx ends.
@@ -77,10 +79,10 @@
 
 // SetBackends sets the list of backend servers in the store. During an outage of the
 // store, entries of healthy backend servers expire, so entries that are missing stay in
-// use until uncertainUntil. If that time has passed, missing entries are dropped at
+// use until UncertainUntil. If that time has passed, missing entries are dropped at
 // once, also when the list comes from another host because this one can't reach the
 // store. So are those whose address another entry has: their processes have ended.
-func (d *Discovery) SetBackends(l []backend.Backend, uncertainUntil time.Time) {
+func (d *Discovery) SetBackends(l []backend.Backend) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.entries == nil {
@@ -91,15 +93,15 @@
 		s[b.Name], a[b.Address] = true, b.Address != ""
 		d.put(b)
 	}
+	u := d.Clock.Until(d.UncertainUntil())
 	for n, k := range d.entries {
 		switch {
 		case s[n]:
-		case !uncertainUntil.After(d.Clock.Now()), a[k.backend.Address]:
+		case u <= 0, a[k.backend.Address]:
 			d.drop(n, k)
-		case k.keptUntil.IsZero():
-			k.keptSince, k.keptUntil = d.Clock.Now(), uncertainUntil
-			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n,
-				"Service", k.backend.Service, "KeptFor", k.keptUntil.Sub(k.keptSince))
+		case k.keptSince.IsZero():
+			k.keptSince = d.Clock.Now()
+			d.queueLog(log.WarnLevel, "backend server is missing after an outage of the store", "Backend", n, "Service", k.backend.Service, "KeptFor", u)
 		}
 	}
 	d.publish()
@@ -151,7 +153,7 @@
 	if !k.keptSince.IsZero() {
 		d.queueLog(log.InfoLevel, "backend server is listed again", "Backend", b.Name, "Service", b.Service, "MissingFor", n.Sub(k.keptSince))
 	}
-	k.keptSince, k.keptUntil = time.Time{}, time.Time{}
+	k.keptSince = time.Time{}
 }
 
 func (d *Discovery) drop(name string, k *entry) {
@@ -169,10 +171,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.forgetDepartures()
-	for n, k := range d.entries {
-		if !k.keptUntil.IsZero() && !k.keptUntil.After(d.Clock.Now()) {
-			d.drop(n, k)
-			c = true
+	if d.Clock.Until(d.UncertainUntil()) <= 0 {
+		for n, k := range d.entries {
+			if !k.keptSince.IsZero() {
+				d.drop(n, k)
+				c = true
+			}
 		}
 	}
 	if c {
@@ -191,6 +195,15 @@
 	d.flushLogs()
 }
 
+// IsUsable reports whether a process of a backend server takes new requests. It must not be
+// called by OnChange.
+func (d *Discovery) IsUsable(name string, started int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := process{name: name, started: started}
+	return d.hasEntry(p) && d.isUsable(d.entries[name].backend)
+}
+
 // isUsable reports whether a backend server takes new requests.
 func (d *Discovery) isUsable(b backend.Backend) bool {
 	return !b.Draining && !d.evacuated[b.Domain] && d.departures[process{name: b.Name, started: b.Started}] == nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -116,6 +116,9 @@
 	// RecoveryTime is the time after the end of an outage within which a host must
 	// again have the current configuration and list of backend servers.
 	RecoveryTime time.Duration
+	// ExpiryTime is the shortest outage of the store in which the entry of a backend server
+	// that lives can expire. If it is zero, each outage that hosts notice counts.
+	ExpiryTime time.Duration
 	// EvacuationTime is how long after its evacuation a failure domain may still
 	// receive requests.
 	EvacuationTime time.Duration
@@ -251,14 +254,14 @@
 		ColdRate: &coldrate.Coldrate{Self: e.Self.Name, Hosts: e.knownHostNames, Overage: e.ColdOverage, Slack: e.ColdSlack},
 	}
 	e.discovery = &discovery.Discovery{
-		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, OnChange: e.setBackends, Notify: e.membership.SendSoon,
+		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, UncertainUntil: e.Backends.IncompleteUntil, OnChange: e.setBackends, Notify: e.membership.SendSoon,
 	}
 	e.mirrorSync = mirrorsync.New()
 	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Fetch = e.Clock, e.Log, e.client.Fetch
 	e.mirrorSync.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
 	e.watchStore()
 	e.Config.OnChange = e.applyConfig
-	e.Backends.OnChange = func(m map[string]row.Row, doubt time.Time) { e.discovery.SetBackends(e.DecodeBackends(m), doubt) }
+	e.Backends.OnChange = func(m map[string]row.Row) { e.discovery.SetBackends(e.DecodeBackends(m)) }
 	g := e.Gateway
 	g.Clock, g.Log, g.Index, g.Tokens, g.Placement = e.Clock, e.Log, e.index.Load, e.tokens, e.placement
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,7 +48,7 @@
 
 // applyConfig applies a change of the configuration or of the evacuated failure
 // domains.
-func (e *Edge) applyConfig(m map[string]row.Row, _ time.Time) {
+func (e *Edge) applyConfig(m map[string]row.Row) {
 	c, z := e.Decode(m)
 	b := e.index.Load()
 	if c != nil {
--- a/edge/store.go
+++ b/edge/store.go
@@ -32,11 +32,14 @@
 // open when the store stopped responding may never return. For each table, one host per
 // region (the watcher) calls the store often and reports each response to the other
 // hosts at once. When no host has received a response for too long, all hosts call the
-// store again.
+// store again, and those that receive one report it at once as well, so that hosts learn
+// when an outage ended, and don't take reports that are far apart for an outage.
 func (e *Edge) watchStore() {
 	t := e.RecoveryTime - recheckMargin
 	for _, m := range []*mirror.Mirror{e.Config, e.Backends} {
-		m.StoreFreshness = &freshness.Freshness{Clock: e.Clock}
+		m.StoreFreshness = &freshness.Freshness{
+			Clock: e.Clock, MinOutage: max(t, e.ExpiryTime-urgentHeartbeatDelay), ReportDelay: heartbeatInterval + urgentHeartbeatDelay,
+		}
 		m.StoreTimeout, m.ReplyTimeout = t, e.RecoveryTime/replyTimeoutDivisor
 		e.pollWhileWatcher(m, t-urgentHeartbeatDelay)
 	}
@@ -56,7 +59,7 @@
 	}
 	m.ReadChanges = func(ctx context.Context, after uint64, d time.Duration) ([]row.Row, uint64, error) {
 		r, v, err := f(ctx, after, d)
-		if err == nil && e.isWatcher(m.Name) {
+		if err == nil && (e.isWatcher(m.Name) || m.StoreFreshness.Remaining(m.StoreTimeout) <= 0) {
 			m.StoreFreshness.RecordContact()
 			e.membership.SendSoon()
 		}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/staleness"
 )
 
@@ -18,10 +19,17 @@
 type Freshness struct {
 	// Clock is the host's monotonic clock.
 	Clock clockwork.Clock
+	// MinOutage is the shortest time without contact that counts as an outage. If it is
+	// zero, none counts.
+	MinOutage time.Duration
+	// ReportDelay is how long after a contact of another host its report may arrive.
+	ReportDelay time.Duration
 
 	mu          sync.Mutex
 	lastContact time.Time
 	lastDirect  time.Time // the last contact of this host itself
+	outageEnd   time.Time // the first contact after the last outage
+	lastNews    time.Time // the last news since lastContact, after an outage that the first one ended
 }
 
 // RecordContact records a contact of this host itself.
@@ -44,6 +52,21 @@
 	}
 }
 
+// RecordNews records that another host passed on news that some host got by a contact. When
+// that was is not known. If this host had no report for too long, an outage may have ended.
+func (f *Freshness) RecordNews() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.Clock.Now()
+	if !f.wasCutOff(n) {
+		return
+	}
+	if f.lastNews.IsZero() {
+		f.outageEnd = n
+	}
+	f.lastNews = n
+}
+
 // Age returns the time in nanoseconds since the last contact, plus one, or zero if
 // there was no contact.
 func (f *Freshness) Age() int64 {
@@ -60,6 +83,14 @@
 	return f.ageOf(f.lastDirect)
 }
 
+// OutageEnd returns when the last outage ended, by the first contact after it, zero if there
+// was none. While an outage lasts, it is still that of the one before.
+func (f *Freshness) OutageEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outageEnd
+}
+
 // Remaining returns the time until the last contact is older than limit; zero if it
 // already is or if there was none.
 func (f *Freshness) Remaining(limit time.Duration) time.Duration {
@@ -91,7 +122,28 @@
 func (f *Freshness) update(t time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t.After(f.lastContact) {
-		f.lastContact = t
+	if !t.After(f.lastContact) {
+		return
+	}
+	f.recordOutage(t)
+	f.lastContact, f.lastNews = t, time.Time{}
+}
+
+// recordOutage records the outage that a contact ends, if it ends one. The reports that a host
+// gets after it was cut off with a part of the group tell nothing of that part, so that its
+// outage ends now.
+func (f *Freshness) recordOutage(contact time.Time) {
+	n := f.Clock.Now()
+	switch {
+	case f.MinOutage == 0 || f.lastContact.IsZero():
+	case f.wasCutOff(n) && f.lastNews.IsZero():
+		f.outageEnd = n
+	case contact.Sub(deadline.Later(f.lastContact, f.lastNews)) >= f.MinOutage:
+		f.outageEnd = deadline.Later(f.outageEnd, contact)
 	}
 }
+
+// wasCutOff reports whether an outage may have passed of which this host had no report.
+func (f *Freshness) wasCutOff(now time.Time) bool {
+	return f.MinOutage > 0 && !f.lastContact.IsZero() && now.Sub(f.lastContact) >= f.MinOutage+f.ReportDelay
+}
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -48,7 +48,7 @@
 	}
 	m.markReachable()
 	if a.fullTable {
-		m.replace(a.rows, a.version, m.lastChangeIn(a.rows, a.version), 0)
+		m.replace(a.rows, a.version, m.lastChangeIn(a.rows, a.version))
 	} else {
 		m.apply(a.rows, a.version)
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,8 +31,8 @@
 	// take to arrive directly from the store: the delay after the previous change
 	// plus the latency from the farthest region.
 	directUpdateTimeout = 950 * time.Millisecond
-	// incompletePeriod is how long rows may be missing after the store's recovery:
-	// rows that expired during the outage are written again within two seconds.
+	// incompletePeriod is how long rows may be missing after the store's recovery: rows
+	// that expired during the outage are written again within two seconds.
 	incompletePeriod = 2 * time.Second
 )
 
@@ -70,38 +70,36 @@
 	// StoreTimeout, the long poll is aborted and the store is called again at once.
 	// Answers to calls for other tables do not count: after a short outage such calls
 	// may succeed while all calls for this table are lost. If StoreFreshness is nil,
-	// long polls are never aborted early.
+	// long polls are never aborted early, and no row counts as missing after an outage.
 	StoreFreshness *freshness.Freshness
 	// StoreTimeout is how long the store may answer no host before long polls are
 	// aborted.
 	StoreTimeout time.Duration
-	// OnChange receives all rows by key after each change. Shortly after an outage
-	// of the store, rows may be missing that are written again before
-	// incompleteUntil. OnChange must not keep the map. It may call the mirror.
-	OnChange func(rows map[string]row.Row, incompleteUntil time.Time)
+	// OnChange receives all rows by key after each change. It must not keep the map. It
+	// may call the mirror.
+	OnChange func(rows map[string]row.Row)
 
 	// notifyMu keeps the calls of OnChange in order. It is separate from mu because
 	// OnChange may call methods that lock mu.
 	notifyMu sync.Mutex
 
-	mu              sync.Mutex
-	rows            map[string]row.Row
-	tableVersion    uint64    // version of the table that the copy shows
-	changeVersion   uint64    // version of the last change in the copy
-	behindSince     time.Time // since when another host is known to have a newer version
-	unreachable     bool
-	lostAt          time.Time     // since when the store is unreachable
-	waitAborted     bool          // the last long poll was aborted
-	needsFullRead   bool          // the feed cannot continue from the copy
-	incompleteUntil time.Time     // until when rows may be missing after an outage
-	updateHints     chan struct{} // signals the long poll that another host has a newer version
+	mu            sync.Mutex
+	rows          map[string]row.Row
+	tableVersion  uint64    // version of the table that the copy shows
+	changeVersion uint64    // version of the last change in the copy
+	behindSince   time.Time // since when another host is known to have a newer version
+	unreachable   bool
+	lostAt        time.Time     // since when the store is unreachable
+	waitAborted   bool          // the last long poll was aborted
+	needsFullRead bool          // the feed cannot continue from the copy
+	updateHints   chan struct{} // signals the long poll that another host has a newer version
 }
 
 // content is the encoding of a copy that is sent to another host.
 type content struct {
 	Seen    uint64
 	Changed uint64
-	Doubt   time.Duration // how much longer rows may be missing
+	Doubt   time.Duration // how much longer rows may be missing, for hosts that don't know outages themselves
 	Rows    []row.Row
 }
 
@@ -192,7 +190,7 @@
 func (m *Mirror) Content() (uint64, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := content{Seen: m.tableVersion, Changed: m.changeVersion, Doubt: max(m.incompleteUntil.Sub(m.Clock.Now()), 0)}
+	c := content{Seen: m.tableVersion, Changed: m.changeVersion, Doubt: max(m.Clock.Until(m.IncompleteUntil()), 0)}
 	for _, r := range m.rows {
 		c.Rows = append(c.Rows, r)
 	}
@@ -210,7 +208,10 @@
 		return nil
 	}
 	m.Log.Info("copy taken from another host", "Table", m.Name, "Version", c.Changed)
-	m.replace(c.Rows, c.Seen, c.Changed, c.Doubt)
+	if m.StoreFreshness != nil {
+		m.StoreFreshness.RecordNews()
+	}
+	m.replace(c.Rows, c.Seen, c.Changed)
 	return nil
 }
 
@@ -257,14 +258,12 @@
 		}
 	}
 	m.rows = c
-	d := m.incompleteUntil
 	m.mu.Unlock()
-	m.OnChange(c, d)
+	m.OnChange(c)
 }
 
-// replace replaces the copy by a full table. Rows may be missing from it for the
-// duration incomplete.
-func (m *Mirror) replace(l []row.Row, tableVersion, changeVersion uint64, incomplete time.Duration) {
+// replace replaces the copy by a full table.
+func (m *Mirror) replace(l []row.Row, tableVersion, changeVersion uint64) {
 	m.notifyMu.Lock()
 	defer m.notifyMu.Unlock()
 	m.mu.Lock()
@@ -280,25 +279,26 @@
 		c[r.Key] = r
 	}
 	m.rows = c
-	if incomplete > 0 && m.recentlyUnreachable() {
-		m.incompleteUntil = m.Clock.Now().Add(incomplete)
-	}
-	d := m.incompleteUntil
 	m.mu.Unlock()
-	m.OnChange(c, d)
+	m.OnChange(c)
 }
 
-// recentlyUnreachable reports whether the store is unreachable from this host or
-// rows may still be missing after such an outage. If this host could reach the
-// store without interruption, there was no outage of the store. Rows that another
-// host considers possibly missing after it could not reach the store have then
-// really been removed.
-func (m *Mirror) recentlyUnreachable() bool {
-	return m.unreachable || m.Clock.Now().Before(m.incompleteUntil)
+// IncompleteUntil returns until when rows may be missing that expired in an outage of the
+// store, and are written again. That the store does not answer this host is no outage while
+// it answers another one: rows that are missing then were really removed. The time counts
+// from the first answer that any host had. It is zero if there was no outage.
+func (m *Mirror) IncompleteUntil() time.Time {
+	if m.StoreFreshness == nil {
+		return time.Time{}
+	}
+	t := m.StoreFreshness.OutageEnd()
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(incompletePeriod)
 }
 
-// markReachable records that the store answered. The first answer after an outage
-// already counts as possibly incomplete.
+// markReachable records that the store answered, before the answer is applied.
 func (m *Mirror) markReachable() {
 	var a time.Duration // since the store answered any host
 	if m.StoreFreshness != nil {
@@ -309,7 +309,6 @@
 	defer m.mu.Unlock()
 	if m.unreachable {
 		m.unreachable = false
-		m.incompleteUntil = m.Clock.Now().Add(incompletePeriod)
 		m.Log.Info("store regained", "Table", m.Name, "LostFor", m.Clock.Since(m.lostAt), "StoreAge", a)
 	}
 }
