Dispatch: a request is not sent to a backend server that left since it was chosen (DRAIN)

A request that has its slot may wait for a permit, for a connection or for another try, 1.3 s at most, and was then sent although the backend server had left meanwhile. Found while looking for other places of the same cause: what this host knows by then was not asked. Only requests that are bound to regions were checked at the send.

A request that is held back takes another backend server.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -132,6 +132,8 @@
 // now, nil if it may.
 func (e *Edge) checkSend(r *request.Request, b backend.Backend) error {
 	switch {
+	case !e.discovery.IsUsable(b.Name, b.Started): // since it was chosen
+		return upstream.ErrNotWanted
 	case !e.Gateway.MaySend(r, b):
 		return upstream.ErrNotAllowed
 	case !e.maySendSuspect(r):
