--- a/edge/removals_test.go
+++ b/edge/removals_test.go
@@ -183,28 +183,37 @@
 
 // write does what a backend server does with its entry now, and what the store does.
 func (p *removalPlay) write(v *entryWriter) {
-	n, b := clock.Now(), v.server.backend
+	n := clock.Now()
 	due := !v.next.After(n)
 	if due {
 		v.next = v.next.Add(entryInterval)
 	}
 	switch {
-	case v.leaving != nil && !v.restarted.After(n) && p.reaches(v):
-		v.server.restart()
-		v.leaving.to, v.leaving, v.listed, v.last, v.since = n, nil, true, n, n
-		p.put(v, false)
-	case v.leaving != nil && v.listed && !v.removed.After(n) && p.reaches(v):
-		v.listed = false
-		p.backends.Put(b.Name, nil)
-	case v.leaving == nil && due && p.reaches(v):
+	case v.leaving != nil:
+		p.writeLeaving(v, n)
+	case due && p.reaches(v):
 		v.last = n
 		if !v.listed {
 			v.listed, v.since = true, n
 			p.put(v, false)
 		}
-	case v.leaving == nil && v.listed && n.Sub(v.last) >= entryLapse:
+	case v.listed && n.Sub(v.last) >= entryLapse:
 		v.listed, v.lapsed = false, n
-		p.backends.Put(b.Name, nil)
+		p.backends.Put(v.server.backend.Name, nil)
+	}
+}
+
+// writeLeaving does that for a backend server that leaves.
+func (p *removalPlay) writeLeaving(v *entryWriter, n time.Time) {
+	switch {
+	case !p.reaches(v):
+	case !v.restarted.After(n):
+		v.server.restart()
+		v.leaving.to, v.leaving, v.listed, v.last, v.since = n, nil, true, n, n
+		p.put(v, false)
+	case v.listed && !v.removed.After(n):
+		v.listed = false
+		p.backends.Put(v.server.backend.Name, nil)
 	}
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -93,19 +93,19 @@
 	d := make(chan error, 1)
 	h.RecordRemoteAge(1)
 	go func() { d <- m.Run(ctx) }()
-	time.Sleep(minOutage / 2)
+	clock.Sleep(minOutage / 2)
 	if !outage {
 		h.RecordRemoteAge(1)
 	}
-	time.Sleep(minOutage / 2)
+	clock.Sleep(minOutage / 2)
 	h.RecordRemoteAge(1)
 	want := time.Time{}
 	if outage {
-		want = time.Now().Add(2 * time.Second)
+		want = clock.Now().Add(2 * time.Second)
 	}
 	must.NoError(t, m.ApplyPeerCopy(b))
 	must.True(t, want.Equal((<-until).Round(time.Microsecond)))
-	time.Sleep(100 * time.Millisecond)
+	clock.Sleep(100 * time.Millisecond)
 	reachable.Store(true)
 	must.True(t, want.Equal((<-until).Round(time.Microsecond)))
 	f()
