--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -300,16 +300,14 @@
 
 // markReachable records that the store answered, before the answer is applied.
 func (m *Mirror) markReachable() {
-	var a time.Duration // since the store answered any host
 	if m.StoreFreshness != nil {
-		a = time.Duration(m.StoreFreshness.Age())
 		m.StoreFreshness.RecordContact()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unreachable {
 		m.unreachable = false
-		m.Log.Info("store regained", "Table", m.Name, "LostFor", m.Clock.Since(m.lostAt), "StoreAge", a)
+		m.Log.Info("store regained", "Table", m.Name, "LostFor", m.Clock.Since(m.lostAt), "IncompleteFor", max(m.Clock.Until(m.IncompleteUntil()), 0))
 	}
 }
 
