--- a/feedstandin/feedstandin.go
+++ b/feedstandin/feedstandin.go
@@ -27,35 +27,30 @@
 	version     uint64
 	changed     chan struct{}
 	muted       map[string]bool // callers whose calls get no answer
-	muteEpochs  map[string]int  // number of SetMuted calls by caller
+	epochs      map[string]int  // number of SetMuted and SetRefused calls by caller
 	refused     map[string]bool // callers whose calls fail at once
 	answerDelay time.Duration   // delay of each answer
 }
 
 // New returns an empty table.
 func New(c clockwork.Clock) *Feedstandin {
-	return &Feedstandin{clock: c, changed: make(chan struct{}), muted: make(map[string]bool), muteEpochs: make(map[string]int), refused: make(map[string]bool)}
+	return &Feedstandin{clock: c, changed: make(chan struct{}), muted: make(map[string]bool), epochs: make(map[string]int), refused: make(map[string]bool)}
 }
 
 // SetMuted starts or ends a period in which calls of the callers receive no
 // answer.
-func (s *Feedstandin) SetMuted(mute bool, callers ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range callers {
-		s.muted[c] = mute
-		s.muteEpochs[c]++
-	}
-}
+func (s *Feedstandin) SetMuted(mute bool, callers ...string) { s.set(s.muted, mute, callers) }
 
 // SetRefused starts or ends a period in which new calls of the callers fail at once with
 // ErrRefused, and those that are open are never answered.
-func (s *Feedstandin) SetRefused(refuse bool, callers ...string) {
+func (s *Feedstandin) SetRefused(refuse bool, callers ...string) { s.set(s.refused, refuse, callers) }
+
+func (s *Feedstandin) set(m map[string]bool, v bool, callers []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range callers {
-		s.refused[c] = refuse
-		s.muteEpochs[c]++
+		m[c] = v
+		s.epochs[c]++
 	}
 }
 
@@ -82,7 +77,7 @@
 // duration wait.
 func (s *Feedstandin) Feed(ctx context.Context, caller string, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
 	s.mu.Lock()
-	e, f := s.muteEpochs[caller], s.refused[caller]
+	e, f := s.epochs[caller], s.refused[caller]
 	s.mu.Unlock()
 	if f {
 		return nil, 0, ErrRefused
@@ -121,8 +116,8 @@
 
 // since returns the changes after a version, the table's version, a channel
 // that is closed at the next change, and whether the call can be answered. A call
-// that started in epoch cannot be answered if its caller is muted or if SetMuted
-// has been called for its caller since then.
+// that started in epoch cannot be answered if its caller is muted or if SetMuted or
+// SetRefused has been called for its caller since then.
 func (s *Feedstandin) since(caller string, epoch int, after uint64) (l []row.Row, v uint64, c <-chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,5 +126,5 @@
 			l = append(l, r)
 		}
 	}
-	return l, s.version, s.changed, !s.muted[caller] && s.muteEpochs[caller] == epoch
+	return l, s.version, s.changed, !s.muted[caller] && s.epochs[caller] == epoch
 }
