Heartbeats: an answer of the store that ends a silence is reported at once (DRAIN)

Cause: heartbeats carry the age of the last answer and are 1 s apart. The only host that the store admitted was no watcher; answers at 45.24, 47.35 and 47.97 s were reported as 45.24 and 47.97, which other hosts took for an outage of the store of 2.73 s, so that the missing entry stayed in use.

Change: a host whose own answer is the last that it knows of reports the next one at once if it comes so late that, reported by a heartbeat, it could look like an outage. While watchers answer they are the last, so that others rarely send more.

--- a/edge/store.go
+++ b/edge/store.go
@@ -32,8 +32,7 @@
 // open when the store stopped responding may never return. For each table, one host per
 // region (the watcher) calls the store often and reports each response to the other
 // hosts at once. When no host has received a response for too long, all hosts call the
-// store again, and those that receive one report it at once as well, so that hosts learn
-// when an outage ended, and don't take reports that are far apart for an outage.
+// store again, and report a response at once as well.
 func (e *Edge) watchStore() {
 	t := e.RecoveryTime - recheckMargin
 	for _, m := range []*mirror.Mirror{e.Config, e.Backends} {
@@ -59,7 +58,7 @@
 	}
 	m.ReadChanges = func(ctx context.Context, after uint64, d time.Duration) ([]row.Row, uint64, error) {
 		r, v, err := f(ctx, after, d)
-		if err == nil && (e.isWatcher(m.Name) || m.StoreFreshness.Remaining(m.StoreTimeout) <= 0) {
+		if err == nil && (e.isWatcher(m.Name) || isNews(m)) {
 			m.StoreFreshness.RecordContact()
 			e.membership.SendSoon()
 		}
@@ -67,6 +66,14 @@
 	}
 }
 
+// isNews reports whether an answer of the store ends a silence, or would end one that other
+// hosts could take for an outage if it was reported by the next heartbeat only, since no host
+// had a later answer than this one before it.
+func isNews(m *mirror.Mirror) bool {
+	f := m.StoreFreshness
+	return f.Remaining(m.StoreTimeout) <= 0 || f.OwnIsLast() && f.Remaining(f.MinOutage-f.ReportDelay) <= 0
+}
+
 // isWatcher reports whether this host is the watcher of a table in its region. While
 // hosts disagree on which hosts are alive there may be two watchers or none; without
 // one, each host relies on its own calls.
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -91,6 +91,13 @@
 	return f.outageEnd
 }
 
+// OwnIsLast reports whether no other host is known to have had a later contact than this one.
+func (f *Freshness) OwnIsLast() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lastDirect.Before(f.lastContact)
+}
+
 // Remaining returns the time until the last contact is older than limit; zero if it
 // already is or if there was none.
 func (f *Freshness) Remaining(limit time.Duration) time.Duration {
