Log: a change that arrives later than another host told (CONFIG)

The log did not tell how long a host knew of a newer version before it came, from where it came, and whether the news met a waiting call. 'change arrived late' has all three.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -44,6 +44,7 @@
 	"store regained":                   "",
 	"store asked again":                "",
 	"copy taken from another host":     "",
+	"change arrived late":              "",
 	"host started":                     "",
 	"host leaves":                      "",
 	"peer silent":                      "",
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -48,7 +48,7 @@
 	}
 	m.markReachable()
 	if a.fullTable {
-		m.replace(a.rows, a.version, m.lastChangeIn(a.rows, a.version))
+		m.replace("store", a.rows, a.version, m.lastChangeIn(a.rows, a.version))
 	} else {
 		m.apply(a.rows, a.version)
 	}
@@ -91,10 +91,12 @@
 	go m.watchLongPoll(x, f, h, d)
 	r, v, err := m.ReadChanges(x, after, wait)
 	f()
-	if <-d && err != nil {
-		m.mu.Lock()
+	aborted := <-d && err != nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.updateHints = nil
+	if aborted {
 		m.waitAborted = true
-		m.mu.Unlock()
 		return nil, 0, errWaitAborted
 	}
 	return r, v, err
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -45,7 +45,8 @@
 	// Clock measures timeouts.
 	Clock clockwork.Clock
 	// Log receives one line whenever the store becomes unreachable or reachable
-	// again, and when a long poll is aborted or another host's copy is taken.
+	// again, when a long poll is aborted or another host's copy is taken, and when a
+	// change that another host had before arrives late.
 	Log *log.Logger
 	// Name identifies the copy among hosts and in logs.
 	Name string
@@ -88,6 +89,7 @@
 	tableVersion  uint64    // version of the table that the copy shows
 	changeVersion uint64    // version of the last change in the copy
 	behindSince   time.Time // since when another host is known to have a newer version
+	hintMissed    bool      // no long poll was running at behindSince
 	unreachable   bool
 	lostAt        time.Time     // since when the store is unreachable
 	waitAborted   bool          // the last long poll was aborted
@@ -176,10 +178,11 @@
 	}
 	n := m.Clock.Now()
 	if m.behindSince.IsZero() {
-		m.behindSince = n
+		m.behindSince, m.hintMissed = n, false
 		select {
 		case m.updateHints <- struct{}{}:
 		default: // no long poll is running, or it is already signaled
+			m.hintMissed = true
 		}
 	}
 	return m.unreachable || m.tableVersion == 0 || n.Sub(m.behindSince) >= directUpdateTimeout
@@ -211,7 +214,7 @@
 	if m.StoreFreshness != nil {
 		m.StoreFreshness.RecordNews()
 	}
-	m.replace(c.Rows, c.Seen, c.Changed)
+	m.replace("another host", c.Rows, c.Seen, c.Changed)
 	return nil
 }
 
@@ -243,7 +246,7 @@
 		return // a peer's copy that was applied in the meantime includes them
 	}
 	m.tableVersion = version
-	m.behindSince = time.Time{}
+	m.endBehind("store")
 	if len(l) == 0 {
 		m.mu.Unlock()
 		return
@@ -262,8 +265,8 @@
 	m.OnChange(c)
 }
 
-// replace replaces the copy by a full table.
-func (m *Mirror) replace(l []row.Row, tableVersion, changeVersion uint64) {
+// replace replaces the copy by a full table from a source.
+func (m *Mirror) replace(source string, l []row.Row, tableVersion, changeVersion uint64) {
 	m.notifyMu.Lock()
 	defer m.notifyMu.Unlock()
 	m.mu.Lock()
@@ -273,7 +276,7 @@
 	}
 	m.tableVersion, m.changeVersion = tableVersion, changeVersion
 	m.needsFullRead = false
-	m.behindSince = time.Time{}
+	m.endBehind(source)
 	c := make(map[string]row.Row, len(l))
 	for _, r := range l {
 		c[r.Key] = r
@@ -283,6 +286,15 @@
 	m.OnChange(c)
 }
 
+// endBehind records that the copy has a newer version, which came from a source. It logs one that
+// arrived later than this host expects a change of which another host told. The caller holds mu.
+func (m *Mirror) endBehind(source string) {
+	if d := m.Clock.Since(m.behindSince); !m.behindSince.IsZero() && d >= updateHintDelay {
+		m.Log.Info("change arrived late", "Table", m.Name, "Version", m.tableVersion, "Source", source, "BehindFor", d, "HintMissed", m.hintMissed)
+	}
+	m.behindSince = time.Time{}
+}
+
 // IncompleteUntil returns until when rows may be missing that expired in an outage of the
 // store, and are written again. That the store does not answer this host is no outage while
 // it answers another one: rows that are missing then were really removed. The time counts
