Tests: changes that the store tells to some hosts only (CONFIG)

A script and drawn plays in virtual time: the store answers some hosts and not others, loses answers, is slow or forgets; hosts lose power, regions are cut off. From its ack on, each host that for the whole recovery time ran and had a way, over hosts that ran, to one that the store answered must have a change within the bound.

Cut-off hosts and hosts without power now hang in the memory network of these plays instead of being refused, and the store's stand-in can forget its history.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -78,6 +78,7 @@
 	repeats          repeats
 	shutdowns        shutdowns
 	removals         removals
+	changes          changes
 	endingCount      int // requests with endingPart sent by callers
 
 	mu       sync.Mutex
@@ -133,6 +134,9 @@
 		clock.Sleep(d)
 		r, v, err := s.Feed(ctx, m.Name, after, wait)
 		clock.Sleep(d)
+		if errors.Is(err, feedstandin.ErrHistoryLost) {
+			err = mirror.ErrHistoryLost
+		}
 		return r, v, err
 	}
 	return &mirror.Mirror{
@@ -168,7 +172,7 @@
 //	metric NAME REGEXP                  checks a metric of the process
 //	homes ...                           see runHomesCommand
 //
-// runShutdownCommand, runHostCommand, runRemovalCommand and runShareCommand have those for the processes of hosts.
+// runShutdownCommand, runHostCommand, runRemovalCommand, runChangeCommand and runShareCommand have those for the processes of hosts.
 func (w *deployment) runCommand(command string, a []string) (string, error) {
 	h := a
 	if len(h) == 0 {
@@ -286,6 +290,7 @@
 //	contact DURATION            the RecoveryTime of the hosts; see edge.Edge
 //	way DURATION                one-way latency between regions
 //	near DURATION               one-way latency within a region
+//	hang                        what hosts send to others that are cut off gets no answer
 //	host NAME DOMAIN REGION     a host; the store is located in the first one's region
 func (w *deployment) setUp(t *testing.T, l []line) []line {
 	for l[0].at == 0 {
@@ -299,6 +304,8 @@
 			w.network.near, err = time.ParseDuration(a[1])
 		case "way":
 			w.network.latency, err = time.ParseDuration(a[1])
+		case "hang":
+			w.network.hangs = true
 		case "host": // NAME DOMAIN REGION [START], after the others
 			w.addHost(a[1], a[2], a[3])
 			if len(a) > 4 {
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -22,6 +22,8 @@
 	listeners map[string]*listener
 	conns     []pipe
 	side      map[string]string // hosts reach those of the same side
+	hangs     bool              // what is sent between sides, or to and from dark hosts, gets no answer
+	dark      map[string]bool   // hosts without power
 	links     links
 }
 
@@ -29,6 +31,7 @@
 type pipe struct {
 	from, to string
 	ends     [2]net.Conn
+	gate     *gate
 }
 
 type listener struct {
@@ -49,14 +52,54 @@
 // dial opens a connection from a host to another host.
 func (n *memoryNetwork) dial(ctx context.Context, from, region, address string) (net.Conn, error) {
 	n.mu.Lock()
-	c := n.side[from] != n.side[address]
+	c, h := n.isCut(from, address), n.hangs
 	n.mu.Unlock()
-	if c {
+	switch {
+	case c && h:
+		select {
+		case <-ctx.Done():
+		case <-clock.After(dialTimeout):
+		}
+		return nil, errors.Errorf("no answer from %s", address)
+	case c:
 		return nil, errors.Errorf("no route from %s to %s", from, address)
+	case h:
+		return n.open(ctx, from, region, address, new(gate))
 	}
 	return n.open(ctx, from, region, address, nil)
 }
 
+// isCut reports whether nothing passes between two hosts. The caller holds mu.
+func (n *memoryNetwork) isCut(a, b string) bool {
+	return n.side[a] != n.side[b] || n.dark[a] || n.dark[b]
+}
+
+// setDark takes the power of a host away, or gives it back. Other hosts do not notice; connections
+// from before are reset when it is back.
+func (n *memoryNetwork) setDark(host string, dark bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dark == nil {
+		n.dark = make(map[string]bool)
+	}
+	n.dark[host] = dark
+	n.setGates()
+	for _, p := range n.conns {
+		if !dark && (p.from == host || p.to == host) {
+			p.close()
+		}
+	}
+}
+
+// setGates holds up what is sent over connections between hosts that are cut off from each other.
+func (n *memoryNetwork) setGates() {
+	for _, p := range n.conns {
+		if p.gate != nil && !strings.Contains(p.to, ":") {
+			p.gate.set(!n.isCut(p.from, p.to))
+		}
+	}
+}
+
 // open opens a connection whose bytes pass a gate, if there is one.
 func (n *memoryNetwork) open(ctx context.Context, from, region, address string, g *gate) (net.Conn, error) {
 	n.mu.Lock()
@@ -75,7 +118,7 @@
 		v.other, _ = x.(*delayed)
 	}
 	n.mu.Lock()
-	n.conns = append(n.conns, pipe{from: from, to: address, ends: [2]net.Conn{x, y}})
+	n.conns = append(n.conns, pipe{from: from, to: address, ends: [2]net.Conn{x, y}, gate: g})
 	n.mu.Unlock()
 	select {
 	case l.conns <- y:
@@ -94,6 +137,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, p := range n.conns {
+		if p.gate != nil {
+			p.gate.set(true)
+		}
 		p.close()
 	}
 	clock.Sleep(2*n.latency + closeTimeout) // until all have delivered
@@ -119,6 +165,10 @@
 	for _, h := range hosts {
 		n.side[h] = side
 	}
+	if n.hangs {
+		n.setGates()
+		return
+	}
 	for _, p := range n.conns {
 		if !strings.Contains(p.to, ":") && n.side[p.from] != n.side[p.to] {
 			p.close()
@@ -169,6 +219,9 @@
 
 func (l *listener) Addr() net.Addr { return nil }
 
+// dialTimeout is how long a host waits for a connection to another one.
+const dialTimeout = time.Second
+
 // closeTimeout is how long after its closing a connection may take to deliver what was
 // written before.
 const closeTimeout = time.Second
@@ -230,6 +283,13 @@
 func (d *delayed) write(s segment) bool {
 	clock.Sleep(s.due.Sub(clock.Now()))
 	d.gate.pass()
+	select {
+	case <-d.end: // maybe closed while the gate was
+		if err := d.SetWriteDeadline(clock.Now().Add(closeTimeout)); err != nil {
+			return false
+		}
+	default:
+	}
 	d.written.Store(s.due.Add(-d.latency).UnixNano())
 	_, err := d.Conn.Write(s.bytes)
 	return err == nil
@@ -266,3 +326,10 @@
 	})
 	return err
 }
+
+// isJoined reports whether two hosts reach each other.
+func (n *memoryNetwork) isJoined(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.isCut(a, b)
+}
--- a/edge/removals_test.go
+++ b/edge/removals_test.go
@@ -42,7 +42,7 @@
 }
 
 // runRemovalCommand runs one command for entries that are removed from the store, and passes
-// others to runProcessCommand:
+// others to runChangeCommand:
 //
 //	turn-away HOST...  the store refuses the calls of these hosts
 //	admit HOST...      the store answers them again
@@ -68,7 +68,7 @@
 		}
 		return w.playRemovals(d), nil
 	default:
-		return w.runShareCommand(command, a)
+		return w.runChangeCommand(command, a)
 	}
 	return "", nil
 }
--- a/feedstandin/feedstandin.go
+++ b/feedstandin/feedstandin.go
@@ -18,6 +18,9 @@
 // ErrRefused is returned to callers that are turned away.
 var ErrRefused = errors.New("too many requests")
 
+// ErrHistoryLost is returned for a version before the last call of DropHistory.
+var ErrHistoryLost = errors.New("history lost")
+
 // Feedstandin is a simulated table with a change feed.
 type Feedstandin struct {
 	clock clockwork.Clock
@@ -30,6 +33,7 @@
 	epochs      map[string]int  // number of SetMuted and SetRefused calls by caller
 	refused     map[string]bool // callers whose calls fail at once
 	answerDelay time.Duration   // delay of each answer
+	oldest      uint64          // calls can continue from this version
 }
 
 // New returns an empty table.
@@ -54,6 +58,14 @@
 	}
 }
 
+// DropHistory forgets all changes so far: only a call from version zero or from the table's
+// version can be answered.
+func (s *Feedstandin) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+}
+
 // SetDelay delays each answer by d.
 func (s *Feedstandin) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -77,10 +89,13 @@
 // duration wait.
 func (s *Feedstandin) Feed(ctx context.Context, caller string, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
 	s.mu.Lock()
-	e, f := s.epochs[caller], s.refused[caller]
+	e, f, h := s.epochs[caller], s.refused[caller], after > 0 && after < s.oldest && !s.muted[caller]
 	s.mu.Unlock()
-	if f {
+	switch {
+	case f:
 		return nil, 0, ErrRefused
+	case h:
+		return nil, 0, ErrHistoryLost
 	}
 	t := s.clock.After(wait)
 	for o := false; ; {
