Tables: a change is told, asked for and fetched without waiting for heartbeats (CONFIG)

Callers saw a route that a later version had dropped, 3 s after the store had acknowledged that. What the code did when the store tells some hosts and not others: each stage from the acknowledgement to the last host waited by a clock of its own. Up to 0.5 s pause after a change, up to 1 s until the next heartbeat (at each hop; a watcher reported its answer at once, but with the version before it, as it did so before the answer was applied), 0.25 s until the store was asked again, up to 1.95 s until a copy was asked for (0.95 s, looked at by the next heartbeat only), 1 s for a host that does not answer, and a copy shared its connection with heartbeats, which end it when they time out. That is over 4 s; 2.5 s are promised.

Now a host tells its peers when a version has been applied: the watcher and hosts that have it from another host at once, others 0.3 s later unless a host before them in the watcher's order has it. A host that lacks a version asks the store again and a host that has it side by side, 0.25 s after a call could have brought it, by its own timer, the next host 0.25 s later, three at most, on connections of their own. A copy has only the rows that changed, if the asker names its version.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,6 +157,7 @@
 	forwardedInFlight inflight.Inflight
 	borrower          *borrower.Borrower
 	mirrorSync        *mirrorsync.Mirrorsync
+	gossip            []child.Child // tell of the versions of tables
 	retryBudget       *retrybudget.Retrybudget
 	quarantine        *quarantine.Quarantine
 }
@@ -184,13 +185,13 @@
 			child.Child{Name: "streams", Run: e.streams.Run},
 			child.Child{Name: "quarantine", Run: e.quarantine.Run},
 		),
-		e.branch("store",
+		e.branch("store", append(e.gossip,
 			child.Child{Name: "announce", Run: e.announce},
 			child.Child{Name: "config", Run: e.Config.Run},
 			child.Child{Name: "backends", Run: e.Backends.Run},
 			child.Child{Name: "discovery", Run: e.discovery.Run},
 			child.Child{Name: "silence", Run: e.storeSilence.Run},
-		),
+		)...),
 		// Callers of other hosts are served until this host's own callers are.
 		e.branch("serving", append([]child.Child{{Name: "forwarded", Run: e.drainForwarded}}, serving...)...),
 	).Run(ctx)
@@ -257,7 +258,7 @@
 		Clock: e.Clock, Log: e.Log, WarmUp: e.warmUp, UncertainUntil: e.Backends.IncompleteUntil, OnChange: e.setBackends, Notify: e.membership.SendSoon,
 	}
 	e.mirrorSync = mirrorsync.New()
-	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Fetch = e.Clock, e.Log, e.client.Fetch
+	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Random, e.mirrorSync.Fetch = e.Clock, e.Log, e.Random, e.fetchCopy
 	e.mirrorSync.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
 	e.watchStore()
 	e.Config.OnChange = e.applyConfig
--- a/edge/store.go
+++ b/edge/store.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
+	"celeryreach.example/celeryreach/child"
 	"celeryreach.example/celeryreach/freshness"
+	"celeryreach.example/celeryreach/gossip"
 	"celeryreach.example/celeryreach/mirror"
+	"celeryreach.example/celeryreach/peerclient"
 	"celeryreach.example/celeryreach/rendezvous"
 	"celeryreach.example/celeryreach/row"
+	"celeryreach.example/celeryreach/wire"
 )
 
 const (
@@ -40,15 +46,19 @@
 			Clock: e.Clock, MinOutage: max(t, e.ExpiryTime-urgentHeartbeatDelay), ReportDelay: heartbeatInterval + urgentHeartbeatDelay,
 		}
 		m.StoreTimeout, m.ReplyTimeout = t, e.RecoveryTime/replyTimeoutDivisor
-		e.pollWhileWatcher(m, t-urgentHeartbeatDelay)
+		g := gossip.New()
+		g.Clock, g.Tell, g.IsTold = e.Clock, e.membership.SendSoon, func() bool { return e.isTold(m) }
+		e.gossip = append(e.gossip, child.Child{Name: "gossip " + m.Name, Run: g.Run})
+		e.pollWhileWatcher(m, g, t-urgentHeartbeatDelay)
 	}
 }
 
 // pollWhileWatcher shortens the calls for a table while this host is its watcher, so
 // that responses are at most interval apart. The age of the last response is
 // subtracted, because a call may start later than the response before it: the copy
-// pauses after a change.
-func (e *Edge) pollWhileWatcher(m *mirror.Mirror, interval time.Duration) {
+// pauses after a change. A response is reported when it has been applied, since a
+// heartbeat before that would carry the version before.
+func (e *Edge) pollWhileWatcher(m *mirror.Mirror, g *gossip.Gossip, interval time.Duration) {
 	w, f := m.LongPollTimeout, m.ReadChanges
 	m.LongPollTimeout = func() time.Duration {
 		if !e.isWatcher(m.Name) {
@@ -56,14 +66,23 @@
 		}
 		return min(max(interval-time.Duration(m.StoreFreshness.OwnAge()), minWatchInterval), w())
 	}
+	var report atomic.Bool // the response that is being applied
 	m.ReadChanges = func(ctx context.Context, after uint64, d time.Duration) ([]row.Row, uint64, error) {
 		r, v, err := f(ctx, after, d)
 		if err == nil && (e.isWatcher(m.Name) || isNews(m)) {
 			m.StoreFreshness.RecordContact()
-			e.membership.SendSoon()
+			report.Store(true)
 		}
 		return r, v, err
 	}
+	m.OnVersion = func(fromHost bool) {
+		g.Announce(report.Swap(false) || fromHost || e.isWatcher(m.Name))
+	}
+	m.OnAnswer = func() {
+		if report.Swap(false) {
+			e.membership.SendSoon()
+		}
+	}
 }
 
 // isNews reports whether an answer of the store ends a silence, or would end one that other
@@ -78,11 +97,38 @@
 // hosts disagree on which hosts are alive there may be two watchers or none; without
 // one, each host relies on its own calls.
 func (e *Edge) isWatcher(table string) bool {
-	l := []string{e.Self.Name}
+	return len(e.preceding(table)) == 0
+}
+
+// preceding returns the hosts of the region that would be the watcher of a table before this one.
+func (e *Edge) preceding(table string) []string {
+	var l []string
+	s := rendezvous.Uniform(table, e.Self.Name)
 	for _, m := range e.membership.Alive() {
-		if m.Region == e.Self.Region && !m.Leaving {
+		if m.Region == e.Self.Region && !m.Leaving && rendezvous.Uniform(table, m.Name) > s {
 			l = append(l, m.Name)
 		}
 	}
-	return rendezvous.Rank(table, e.Self.Name, l) == 0
+	return l
+}
+
+// isTold reports whether a host that precedes this one has this host's version of a table. The
+// first of these has told all hosts of the region.
+func (e *Edge) isTold(m *mirror.Mirror) bool {
+	v := m.Version()
+	for _, n := range e.preceding(m.Name) {
+		h, ok := e.membership.LastHeartbeat(n)
+		if ok && slices.ContainsFunc(h.GetVersions(), func(w *wire.Version) bool { return w.GetKind() == m.Name && w.GetVersion() >= v }) {
+			return true
+		}
+	}
+	return false
+}
+
+// fetchCopy requests a copy of a table from a host, on a connection of its own: a copy can be large,
+// and must not delay heartbeats, or end with the connection of one that gets no reply.
+func (e *Edge) fetchCopy(ctx context.Context, address string, f *wire.FetchRequest) (*wire.FetchResponse, error) {
+	c := &peerclient.Peerclient{Dial: e.client.Dial}
+	defer c.Close()
+	return c.Fetch(ctx, address, f)
 }
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -15,8 +15,9 @@
 	// before it times out. The timeout detects connections that no longer respond.
 	feedTimeoutMargin = 1500 * time.Millisecond
 	// updateHintDelay is how long a long poll may still take to return a change
-	// that a peer already has. The store sends a change to all hosts at the same
-	// time, and a slow store answers within half of this delay.
+	// that a peer already has, before the store is called again and the copy of a peer
+	// is fetched. The store sends a change to all hosts at the same time, and a slow
+	// store answers within half of this delay.
 	updateHintDelay = 250 * time.Millisecond
 )
 
@@ -48,10 +49,13 @@
 	}
 	m.markReachable()
 	if a.fullTable {
-		m.replace("store", a.rows, a.version, m.lastChangeIn(a.rows, a.version))
+		m.replace(sourceStore, a.rows, a.version, m.lastChangeIn(a.rows, a.version))
 	} else {
 		m.apply(a.rows, a.version)
 	}
+	if m.OnAnswer != nil {
+		m.OnAnswer()
+	}
 	return nil
 }
 
@@ -85,17 +89,20 @@
 	h := make(chan struct{}, 1)
 	m.mu.Lock()
 	m.updateHints = h
+	if !m.behindSince.IsZero() {
+		h <- struct{}{}
+	}
 	m.mu.Unlock()
 	x, f := context.WithCancel(ctx)
 	d := make(chan bool, 1)
 	go m.watchLongPoll(x, f, h, d)
 	r, v, err := m.ReadChanges(x, after, wait)
 	f()
-	aborted := <-d && err != nil
+	b := <-d && err != nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.updateHints = nil
-	if aborted {
+	if b {
 		m.waitAborted = true
 		return nil, 0, errWaitAborted
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,7 +13,6 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
-	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/freshness"
 	"celeryreach.example/celeryreach/row"
 )
@@ -27,10 +26,6 @@
 	// time within which a change must be in force. Changes arrive in bursts, and
 	// one call then returns several.
 	batchDelay = 500 * time.Millisecond
-	// directUpdateTimeout is how long a change that another host already has may
-	// take to arrive directly from the store: the delay after the previous change
-	// plus the latency from the farthest region.
-	directUpdateTimeout = 950 * time.Millisecond
 	// incompletePeriod is how long rows may be missing after the store's recovery: rows
 	// that expired during the outage are written again within two seconds.
 	incompletePeriod = 2 * time.Second
@@ -79,6 +74,12 @@
 	// OnChange receives all rows by key after each change. It must not keep the map. It
 	// may call the mirror.
 	OnChange func(rows map[string]row.Row)
+	// OnVersion is called when the copy has a newer version, before OnChange, which may
+	// take long. fromHost reports that it came from another host. Nil is not called.
+	OnVersion func(fromHost bool)
+	// OnAnswer is called after each answer of the store has been applied, with a newer
+	// version or without. Nil is not called.
+	OnAnswer func()
 
 	// notifyMu keeps the calls of OnChange in order. It is separate from mu because
 	// OnChange may call methods that lock mu.
@@ -88,8 +89,11 @@
 	rows          map[string]row.Row
 	tableVersion  uint64    // version of the table that the copy shows
 	changeVersion uint64    // version of the last change in the copy
-	behindSince   time.Time // since when another host is known to have a newer version
+	hostsVersion  uint64    // the newest version that another host is known to have
+	behindSince   time.Time // since when that is newer than this copy
 	hintMissed    bool      // no long poll was running at behindSince
+	nextCallAt    time.Time // when the pause after the last change ends
+	fullCopyDue   bool      // changes that another host sent did not fit this copy
 	unreachable   bool
 	lostAt        time.Time     // since when the store is unreachable
 	waitAborted   bool          // the last long poll was aborted
@@ -97,14 +101,6 @@
 	updateHints   chan struct{} // signals the long poll that another host has a newer version
 }
 
-// content is the encoding of a copy that is sent to another host.
-type content struct {
-	Seen    uint64
-	Changed uint64
-	Doubt   time.Duration // how much longer rows may be missing, for hosts that don't know outages themselves
-	Rows    []row.Row
-}
-
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	p := minRetryDelay
@@ -124,6 +120,9 @@
 		default:
 			p = minRetryDelay
 		}
+		m.mu.Lock()
+		m.nextCallAt = m.Clock.Now().Add(d)
+		m.mu.Unlock()
 		select {
 		case <-ctx.Done():
 		case <-m.Clock.After(d):
@@ -156,68 +155,6 @@
 	return m.changeVersion
 }
 
-// IsBehind reports whether another host's copy with the given version has a change
-// that this one may lack.
-func (m *Mirror) IsBehind(version uint64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return version > m.tableVersion
-}
-
-// NeedsPeerCopy reports whether to fetch another host's copy, which has the given
-// version. While the store seems reachable, the change is expected directly from it,
-// and transferring the full table would only cost bandwidth. If the change does not
-// arrive within directUpdateTimeout, the store has probably stopped responding without
-// an error.
-func (m *Mirror) NeedsPeerCopy(version uint64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if version <= m.tableVersion {
-		m.behindSince = time.Time{}
-		return false
-	}
-	n := m.Clock.Now()
-	if m.behindSince.IsZero() {
-		m.behindSince, m.hintMissed = n, false
-		select {
-		case m.updateHints <- struct{}{}:
-		default: // no long poll is running, or it is already signaled
-			m.hintMissed = true
-		}
-	}
-	return m.unreachable || m.tableVersion == 0 || n.Sub(m.behindSince) >= directUpdateTimeout
-}
-
-// Content returns the version of the last change in the copy, and the encoded copy
-// for another host.
-func (m *Mirror) Content() (uint64, []byte, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c := content{Seen: m.tableVersion, Changed: m.changeVersion, Doubt: max(m.Clock.Until(m.IncompleteUntil()), 0)}
-	for _, r := range m.rows {
-		c.Rows = append(c.Rows, r)
-	}
-	b, err := codec.Marshal(c)
-	return m.changeVersion, b, errors.Wrap(err, "copy of a table")
-}
-
-// ApplyPeerCopy replaces the copy by another host's encoded copy if that is newer.
-func (m *Mirror) ApplyPeerCopy(b []byte) error {
-	var c content
-	if err := codec.Unmarshal(b, &c); err != nil {
-		return errors.Wrap(err, "another host's copy of a table")
-	}
-	if !m.IsBehind(c.Changed) {
-		return nil
-	}
-	m.Log.Info("copy taken from another host", "Table", m.Name, "Version", c.Changed)
-	if m.StoreFreshness != nil {
-		m.StoreFreshness.RecordNews()
-	}
-	m.replace("another host", c.Rows, c.Seen, c.Changed)
-	return nil
-}
-
 // lastChangeIn returns the version of the last change that a read of the full table
 // shows. A row that is missing now was removed at an unknown version up to that of
 // the read, so the version of the read is returned. Without a previous copy only
@@ -246,7 +183,7 @@
 		return // a peer's copy that was applied in the meantime includes them
 	}
 	m.tableVersion = version
-	m.endBehind("store")
+	m.endBehind(sourceStore)
 	if len(l) == 0 {
 		m.mu.Unlock()
 		return
@@ -262,9 +199,17 @@
 	}
 	m.rows = c
 	m.mu.Unlock()
+	m.announce(false)
 	m.OnChange(c)
 }
 
+// announce reports a newer version.
+func (m *Mirror) announce(fromHost bool) {
+	if m.OnVersion != nil {
+		m.OnVersion(fromHost)
+	}
+}
+
 // replace replaces the copy by a full table from a source.
 func (m *Mirror) replace(source string, l []row.Row, tableVersion, changeVersion uint64) {
 	m.notifyMu.Lock()
@@ -283,18 +228,10 @@
 	}
 	m.rows = c
 	m.mu.Unlock()
+	m.announce(source != sourceStore)
 	m.OnChange(c)
 }
 
-// endBehind records that the copy has a newer version, which came from a source. It logs one that
-// arrived later than this host expects a change of which another host told. The caller holds mu.
-func (m *Mirror) endBehind(source string) {
-	if d := m.Clock.Since(m.behindSince); !m.behindSince.IsZero() && d >= updateHintDelay {
-		m.Log.Info("change arrived late", "Table", m.Name, "Version", m.tableVersion, "Source", source, "BehindFor", d, "HintMissed", m.hintMissed)
-	}
-	m.behindSince = time.Time{}
-}
-
 // IncompleteUntil returns until when rows may be missing that expired in an outage of the
 // store, and are written again. That the store does not answer this host is no outage while
 // it answers another one: rows that are missing then were really removed. The time counts
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -125,7 +125,12 @@
 		Clock: k, Log: log.New(io.Discard), Name: "Config", LongPollTimeout: hour, ReplyTimeout: time.Minute, OnChange: func(map[string]row.Row) {},
 		Read: func(context.Context) ([]row.Row, uint64, error) { return []row.Row{{Key: "a", Version: 3}}, 9, nil },
 	}
-	must.True(t, m.NeedsPeerCopy(1)) // the mirror is still empty
+	isDue := func(version uint64) bool {
+		m.SetHostsVersion(version)
+		d, behind := m.PeerCopyDelay()
+		return behind && d == 0
+	}
+	must.True(t, isDue(1)) // the mirror is still empty
 	feeds := make(chan struct{}, 1)
 	m.ReadChanges = func(ctx context.Context, _ uint64, _ time.Duration) ([]row.Row, uint64, error) {
 		feeds <- struct{}{}
@@ -139,10 +144,10 @@
 	k.Advance(time.Second)
 	<-feeds
 	must.EqOp(t, 3, m.Version())
-	must.False(t, m.NeedsPeerCopy(9))
-	must.False(t, m.NeedsPeerCopy(10))
+	must.False(t, isDue(9))
+	must.False(t, isDue(10))
 	k.Advance(time.Second)
-	must.True(t, m.NeedsPeerCopy(10))
+	must.True(t, isDue(10))
 	f()
 	must.NoError(t, <-d)
 }
--- a/mirror/silence_test.go
+++ b/mirror/silence_test.go
@@ -105,8 +105,9 @@
 				continue
 			}
 			f.fresh[j].RecordRemoteAge(f.fresh[i].OwnAge())
-			if m.NeedsPeerCopy(f.mirrors[i].Version()) {
-				_, b, err := f.mirrors[i].Content()
+			m.SetHostsVersion(f.mirrors[i].Version())
+			if d, behind := m.PeerCopyDelay(); behind && d == 0 {
+				_, b, err := f.mirrors[i].Content(m.ContentVersion())
 				if err == nil {
 					err = m.ApplyPeerCopy(b)
 				}
