Copies: fewer messages and calls while the store is slow or turns hosts away

A host that has a version from another one told all its peers at once, as did each of its region. Now it does so only if no host before it in the watcher's order has it. A call that began after another host had the change is given 0.5 s instead of 0.25 s before the store is asked again; the copy is still asked for after 0.25 s.

A test of copies that have only what changed.

--- a/edge/store.go
+++ b/edge/store.go
@@ -76,7 +76,7 @@
 		return r, v, err
 	}
 	m.OnVersion = func(fromHost bool) {
-		g.Announce(report.Swap(false) || fromHost || e.isWatcher(m.Name))
+		g.Announce(report.Swap(false) || e.isWatcher(m.Name) || fromHost && !e.isTold(m))
 	}
 	m.OnAnswer = func() {
 		if report.Swap(false) {
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -19,6 +19,9 @@
 	// is fetched. The store sends a change to all hosts at the same time, and a slow
 	// store answers within half of this delay.
 	updateHintDelay = 250 * time.Millisecond
+	// firstAnswerDelay is the same for a long poll that started after a peer had the
+	// change. A slow store has not had the call for as long.
+	firstAnswerDelay = 500 * time.Millisecond
 )
 
 // errWaitAborted is returned for a long poll that was aborted because the store may
@@ -86,11 +89,11 @@
 // longPoll makes a ReadChanges call that waits for changes, and aborts it when it is
 // suspected of being lost.
 func (m *Mirror) longPoll(ctx context.Context, after uint64, wait time.Duration) ([]row.Row, uint64, error) {
-	h := make(chan struct{}, 1)
+	h := make(chan time.Duration, 1)
 	m.mu.Lock()
 	m.updateHints = h
 	if !m.behindSince.IsZero() {
-		h <- struct{}{}
+		h <- firstAnswerDelay
 	}
 	m.mu.Unlock()
 	x, f := context.WithCancel(ctx)
@@ -111,7 +114,7 @@
 
 // watchLongPoll cancels a long poll once awaitAbortCause returns a cause. Then it
 // sends true on done, or false if ctx ended first.
-func (m *Mirror) watchLongPoll(ctx context.Context, cancel context.CancelFunc, hints <-chan struct{}, done chan<- bool) {
+func (m *Mirror) watchLongPoll(ctx context.Context, cancel context.CancelFunc, hints <-chan time.Duration, done chan<- bool) {
 	c, ok := m.awaitAbortCause(ctx, hints)
 	if ok {
 		m.Log.Info("store asked again", "Table", m.Name, "Cause", c, "StoreAge", time.Duration(m.StoreFreshness.Age()))
@@ -123,13 +126,13 @@
 // awaitAbortCause blocks until a long poll must be aborted and returns the cause: the
 // store has answered no host for StoreTimeout, or another host has a change that the
 // long poll has not returned. It returns false if ctx ends first.
-func (m *Mirror) awaitAbortCause(ctx context.Context, hints <-chan struct{}) (cause string, ok bool) {
+func (m *Mirror) awaitAbortCause(ctx context.Context, hints <-chan time.Duration) (cause string, ok bool) {
 	for {
 		select {
 		case <-ctx.Done():
 			return "", false
-		case <-hints:
-			return "another host has a change", m.sleep(ctx, updateHintDelay)
+		case d := <-hints:
+			return "another host has a change", m.sleep(ctx, d)
 		case <-m.Clock.After(m.StoreFreshness.Remaining(m.StoreTimeout)):
 			if m.StoreFreshness.Remaining(m.StoreTimeout) <= 0 {
 				return "the store has answered no host", true
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -95,10 +95,10 @@
 	nextCallAt    time.Time // when the pause after the last change ends
 	fullCopyDue   bool      // changes that another host sent did not fit this copy
 	unreachable   bool
-	lostAt        time.Time     // since when the store is unreachable
-	waitAborted   bool          // the last long poll was aborted
-	needsFullRead bool          // the feed cannot continue from the copy
-	updateHints   chan struct{} // signals the long poll that another host has a newer version
+	lostAt        time.Time          // since when the store is unreachable
+	waitAborted   bool               // the last long poll was aborted
+	needsFullRead bool               // the feed cannot continue from the copy
+	updateHints   chan time.Duration // tells the long poll how long it may take, as another host has a newer version
 }
 
 // Run follows the store until ctx ends.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -177,3 +178,45 @@
 	f()
 	must.NoError(t, <-d)
 }
+
+// copyOf returns a copy of a table with the given rows, which shows a version.
+func copyOf(t *testing.T, version uint64, rows ...row.Row) *mirror.Mirror {
+	t.Helper()
+	b, err := codec.Marshal(struct {
+		Seen, Changed uint64
+		Rows          []row.Row
+	}{Seen: version, Changed: version, Rows: rows})
+	must.NoError(t, err)
+	m := &mirror.Mirror{Clock: clock, Log: log.New(io.Discard), Name: "Backends"}
+	m.OnChange = func(map[string]row.Row) {}
+	must.NoError(t, m.ApplyPeerCopy(b))
+	return m
+}
+
+// Guards against a host that takes only what changed since its version, and keeps rows that were
+// removed or loses those that were not changed.
+func TestChangesOfAnotherHostsCopy(t *testing.T) {
+	x := []byte("x")
+	a, b, c, d := row.Row{Key: "a", Value: x, Version: 1}, row.Row{Key: "b", Value: x, Version: 2}, row.Row{Key: "c", Value: x, Version: 3}, row.Row{Key: "d", Value: x, Version: 6}
+	b2 := row.Row{Key: "b", Value: []byte("y"), Version: 5}
+	m := copyOf(t, 3, a, b, c)
+	var got map[string]row.Row
+	m.OnChange = func(r map[string]row.Row) { got = maps.Clone(r) }
+	_, w, err := copyOf(t, 6, a, b2, d).Content(m.ContentVersion())
+	must.NoError(t, err)
+	must.StrNotContains(t, string(w), `"Version":1}`) // the row that did not change
+	must.NoError(t, m.ApplyPeerCopy(w))
+	must.Eq(t, map[string]row.Row{"a": a, "b": b2, "d": d}, got)
+	must.EqOp(t, 6, m.Version())
+
+	// A row that neither changed nor is here: the next request asks for all rows.
+	_, w, err = copyOf(t, 9, a, b2, c, d).Content(m.ContentVersion())
+	must.NoError(t, err)
+	must.ErrorContains(t, m.ApplyPeerCopy(w), `lack row "c"`)
+	must.EqOp(t, 6, m.Version())
+	must.EqOp(t, 0, m.ContentVersion())
+	_, w, err = copyOf(t, 9, a, b2, c, d).Content(m.ContentVersion())
+	must.NoError(t, err)
+	must.NoError(t, m.ApplyPeerCopy(w))
+	must.MapLen(t, 4, got)
+}
--- a/mirror/peercopy.go
+++ b/mirror/peercopy.go
@@ -54,7 +54,7 @@
 	}
 	m.behindSince, m.hintMissed = m.Clock.Now(), false
 	select {
-	case m.updateHints <- struct{}{}:
+	case m.updateHints <- updateHintDelay:
 	default: // no long poll is running, or it is already signaled
 		m.hintMissed = true
 	}
