--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,7 +157,7 @@
 	forwardedInFlight inflight.Inflight
 	borrower          *borrower.Borrower
 	mirrorSync        *mirrorsync.Mirrorsync
-	gossip            []child.Child // tell of the versions of tables
+	gossip            []child.Child // tell other hosts of new versions, by table
 	retryBudget       *retrybudget.Retrybudget
 	quarantine        *quarantine.Quarantine
 }
--- a/edge/store.go
+++ b/edge/store.go
@@ -113,7 +113,7 @@
 }
 
 // isTold reports whether a host that precedes this one has this host's version of a table. The
-// first of these has told all hosts of the region.
+// first host of the region that has a version is preceded by none that has it, and tells the others.
 func (e *Edge) isTold(m *mirror.Mirror) bool {
 	v := m.Version()
 	for _, n := range e.preceding(m.Name) {
