Copies: a host that knows of a version and of no host to ask for it asks its peers

A host that had told of a version lost power before it gave the copy. Now they ask all peers for their versions at once, then after 0.25, 0.5 and each further second.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -259,7 +259,7 @@
 	}
 	e.mirrorSync = mirrorsync.New()
 	e.mirrorSync.Clock, e.mirrorSync.Log, e.mirrorSync.Random, e.mirrorSync.Fetch = e.Clock, e.Log, e.Random, e.fetchCopy
-	e.mirrorSync.Mirrors = []*mirror.Mirror{e.Config, e.Backends}
+	e.mirrorSync.AskPeers, e.mirrorSync.Mirrors = e.membership.SendSoon, []*mirror.Mirror{e.Config, e.Backends}
 	e.watchStore()
 	e.Config.OnChange = e.applyConfig
 	e.Backends.OnChange = func(m map[string]row.Row) { e.discovery.SetBackends(e.DecodeBackends(m)) }
--- a/mirrorsync/mirrorsync.go
+++ b/mirrorsync/mirrorsync.go
@@ -25,6 +25,9 @@
 	nextFetchDelay = 250 * time.Millisecond
 	// maxFetches is the maximum number of hosts asked for one table at the same time.
 	maxFetches = 3
+	// maxAskDelay bounds the exponential backoff of AskPeers, which starts with
+	// nextFetchDelay.
+	maxAskDelay = time.Second
 	// maxHolders is the number of hosts that are remembered to have a newer version
 	// of a table.
 	maxHolders = 8
@@ -39,6 +42,9 @@
 	Log *log.Logger
 	// Mirrors are the copies of the tables.
 	Mirrors []*mirror.Mirror
+	// AskPeers asks all peers for the versions that they have, without waiting. It is
+	// called while this host knows of a newer version, and of no host to ask for it.
+	AskPeers func()
 	// Random returns a random number in [0, 1), to choose a host.
 	Random func() float64
 	// Fetch requests a copy from a host.
@@ -179,7 +185,8 @@
 }
 
 // catchUp asks hosts that have a newer version of a table, the next one if those asked before take
-// long, until the copy is no longer behind or all have been asked.
+// long, until the copy is no longer behind. A host that told of a version may have ended since, and
+// others may have it.
 func (c *Mirrorsync) catchUp(ctx context.Context, m *mirror.Mirror, wake <-chan struct{}) {
 	x, f := context.WithCancel(ctx)
 	d := make(chan struct{})
@@ -190,30 +197,34 @@
 			<-d
 		}
 	}()
-	n := true // the next host may be asked
-	var t <-chan time.Time
+	n, a := true, nextFetchDelay // whether the next host may be asked, and the pause after AskPeers
+	var t, q <-chan time.Time
 	for {
 		if _, b := m.PeerCopyDelay(); !b {
 			return
 		}
 		if n && o < maxFetches {
 			h, ok := c.takeHolder(m.Name, m.ContentVersion())
-			if !ok && o == 0 {
-				return
-			}
-			if ok {
+			switch {
+			case ok:
 				o++
 				go func() {
 					c.fetch(x, m, h)
 					d <- struct{}{}
 				}()
 				n, t = false, c.Clock.After(nextFetchDelay)
+			case q == nil:
+				c.AskPeers()
+				q = c.Clock.After(a)
+				a = min(2*a, maxAskDelay)
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-wake: // another host has it
+		case <-q:
+			q = nil
 		case <-t:
 			n = true
 		case <-d:
