--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -74,16 +74,44 @@
 	return d, nil
 }
 
-// beat writes the entries of the backend servers, as these do.
+// beat writes the status reports of the backend servers, as these do.
 func (d *deployment) beat() {
-	for n := 1; ; n++ {
+	for {
 		for _, s := range d.servers {
-			d.store.put("servers", s.id, s.entry(n))
+			if !s.silent.Load() { // its case writes its reports
+				d.store.put("servers", s.id, s.report())
+			}
 		}
 		time.Sleep(beat)
 	}
 }
 
+// awaitFeeds notes the calls of the feed that go on from a version or a later one: these callers have
+// that version of a server's entry. It returns when there are as many callers as hosts.
+func (d *deployment) awaitFeeds(id string, version uint64) {
+	done := make(chan struct{})
+	seen := make(map[string]bool)
+	d.store.mu.Lock()
+	d.store.onFeed = func(caller, table string, after uint64) {
+		if table != "servers" || after < version || seen[caller] {
+			return
+		}
+		seen[caller] = true
+		d.note("store: %s goes on after version %d, so it has the entry of %s as draining", caller, after, id)
+		if len(seen) == len(d.hosts) {
+			close(done)
+		}
+	}
+	d.store.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(beat):
+	}
+	d.store.mu.Lock()
+	d.store.onFeed = nil
+	d.store.mu.Unlock()
+}
+
 // stop ends all processes and removes the folder.
 func (d *deployment) stop() {
 	for _, h := range d.hosts {
--- a/review/lab2/extra.go
+++ b/review/lab2/extra.go
@@ -19,8 +19,6 @@
 	extraShare = 0.03
 	workTime   = 40 * time.Millisecond
 	callTime   = 45 * time.Second
-	callers    = 8
-	callPause  = 60 * time.Millisecond
 )
 
 // extra is the case of backend servers that send a second answer after a whole one.
@@ -33,6 +31,12 @@
 	statuses map[string]int
 }
 
+func (e *extra) answered(id string, status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.statuses[id] = status
+}
+
 // serve is how the backend servers treat a connection. A second answer arrives late, where the next
 // answer is expected. It is that of a full server, without an id: it belongs to no request.
 func (e *extra) serve(s *server, c net.Conn, r *bufio.Reader) {
@@ -74,34 +78,6 @@
 	}
 }
 
-// call sends requests that may run once on kept connections, until end.
-func (e *extra) call(d *deployment, n int, end time.Time) {
-	t := &http.Transport{MaxIdleConnsPerHost: 2}
-	for i := 0; time.Now().Before(end); i++ {
-		id := fmt.Sprintf("%016x", rand.Uint64())
-		q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/pay/%d-%d", d.hosts[n%len(d.hosts)].front, n, i), strings.NewReader("deposit "+id))
-		if err != nil {
-			panic(err) // the address is valid
-		}
-		q.Host = hostName
-		q.Header.Set("Request-Id", id)
-		q.Header.Set("Deadline-Ms", "4000")
-		q.Header.Set("Key", key)
-		p, err := t.RoundTrip(q)
-		s := 0 // no answer
-		if err == nil {
-			s = p.StatusCode
-			_, _ = io.Copy(io.Discard, p.Body)
-			p.Body.Close()
-		}
-		d.note("client: request %s: status %d, error %v", id, s, err)
-		e.mu.Lock()
-		e.statuses[id] = s
-		e.mu.Unlock()
-		time.Sleep(callPause)
-	}
-}
-
 func runExtra(record string, trouble bool) int {
 	e := &extra{trouble: trouble, runs: make(map[string]int), statuses: make(map[string]int)}
 	d, err := startDeployment(record, e.serve)
@@ -113,7 +89,7 @@
 	}
 	var wg sync.WaitGroup
 	for n := range callers {
-		wg.Go(func() { e.call(d, n, time.Now().Add(callTime)) })
+		wg.Go(func() { call(d, n, time.Now().Add(callTime), e.answered) })
 	}
 	wg.Wait()
 	time.Sleep(time.Second)
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,8 +19,9 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	cases := map[string]func(record string, trouble bool) int{
-		"early": runEarly,
-		"extra": runExtra,
+		"early":      runEarly,
+		"extra":      runExtra,
+		"old-report": runOldReport,
 	}
 	f := cases[os.Args[1]]
 	if f == nil {
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -18,6 +18,8 @@
 	id, zone, address string
 	deployment        *deployment
 	running           atomic.Int64
+	sequence          atomic.Int64 // of its status reports
+	draining, silent  atomic.Bool
 }
 
 func startServer(id, zone string, d *deployment, serve serveFunc) (*server, error) {
@@ -41,11 +43,15 @@
 	return s, nil
 }
 
-// entry is what the backend server says of itself in the store.
-func (s *server) entry(sequence int) any {
+// report is the backend server's next status report.
+func (s *server) report() any {
+	v := "ready"
+	if s.draining.Load() {
+		v = "draining"
+	}
 	return map[string]any{
-		"service": "ledger", "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
-		"cold_remaining_s": 0, "seq": sequence, "born": startedAt,
+		"service": "ledger", "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": v,
+		"cold_remaining_s": 0, "seq": s.sequence.Add(1), "born": startedAt,
 	}
 }
 
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -29,6 +29,9 @@
 	rows    map[string]storedRow // by table and key
 	changed chan struct{}        // closed by the next change
 	started time.Time
+
+	// onFeed, if set, is called with each call of the feed.
+	onFeed func(caller, table string, after uint64)
 }
 
 func startStore() (*store, error) {
@@ -46,7 +49,7 @@
 }
 
 // put writes a row as the operator or a backend server does.
-func (s *store) put(table, key string, value any) {
+func (s *store) put(table, key string, value any) uint64 {
 	b, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // rows are plain data
@@ -55,6 +58,15 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.write(storedRow{Table: table, Key: key, Value: b})
+	return s.version
+}
+
+// remove drops a row.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(storedRow{Table: table, Key: key, Removed: true})
 }
 
 func (s *store) write(r storedRow) {
@@ -90,7 +102,7 @@
 	defer s.mu.Unlock()
 	l := []storedRow{}
 	for _, r := range s.after(v.Get("table"), 0) {
-		if r.Key >= v.Get("from") && (v.Get("target") == "" || r.Key < v.Get("target")) {
+		if !r.Removed && r.Key >= v.Get("from") && (v.Get("target") == "" || r.Key < v.Get("target")) {
 			l = append(l, r)
 		}
 	}
@@ -103,6 +115,11 @@
 	n, _ := strconv.ParseUint(v.Get("after"), 10, 64)
 	d, _ := strconv.Atoi(v.Get("wait_ms"))
 	end := time.After(time.Duration(d) * time.Millisecond)
+	s.mu.Lock()
+	if s.onFeed != nil {
+		s.onFeed(q.RemoteAddr, v.Get("table"), n)
+	}
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		l, c := s.after(v.Get("table"), n), s.changed
