--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -22,6 +22,7 @@
 		"early":      runEarly,
 		"extra":      runExtra,
 		"old-report": runOldReport,
+		"forged":     runForged,
 	}
 	f := cases[os.Args[1]]
 	if f == nil {
