--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -14,6 +15,10 @@
 	startUp    = 20 * time.Second
 	settleTime = 2 * time.Second
 	beat       = 1500 * time.Millisecond
+	// Faulty backend servers are so for troubleTime at a time, with as long a pause between.
+	// The second half of the servers is sound.
+	troubleTime  = 5 * time.Second
+	troubleShare = 0.03 // of their answers
 )
 
 // deployment is a small installation: two hosts and four backend servers in two zones.
@@ -23,10 +28,17 @@
 	servers []*server
 	folder  string
 	record  *os.File
+	ready   time.Time // when all hosts were ready
 
 	mu sync.Mutex
 }
 
+// isFaulty draws whether the next answer of a backend server is a faulty one.
+func (s *server) isFaulty() bool {
+	t := time.Since(s.deployment.ready)
+	return (s.id == "i-1" || s.id == "i-2") && t/troubleTime%2 == 0 && rand.Float64() < troubleShare
+}
+
 // note writes a line to the record.
 func (d *deployment) note(format string, a ...any) {
 	d.mu.Lock()
@@ -70,6 +82,7 @@
 		}
 	}
 	time.Sleep(settleTime)
+	d.ready = time.Now()
 	d.note("hosts ready: %s %s", d.hosts[0].front, d.hosts[1].front)
 	return d, nil
 }
--- a/review/lab2/early.go
+++ b/review/lab2/early.go
@@ -25,9 +25,9 @@
 	laterDelay = 100 * time.Millisecond
 	// answerBytes is the length of an answer.
 	answerBytes = 1536 << 10
-	// uploads run at uploadWorkers at a time.
-	uploads       = 60
-	uploadWorkers = 3
+	// uploadWorkers send one body after the other for uploadTime.
+	uploadTime    = 45 * time.Second
+	uploadWorkers = 8
 )
 
 // longBody returns a body in which each word tells its place.
@@ -48,6 +48,8 @@
 	whole   atomic.Int64
 	cut     atomic.Int64
 	answers atomic.Int64
+	early   atomic.Int64 // answers before the whole body was read
+	sent    atomic.Int64
 }
 
 func (e *early) serve(s *server, c net.Conn, r *bufio.Reader) {
@@ -82,12 +84,13 @@
 func (e *early) run(s *server, c net.Conn, q *http.Request, id string, due []byte) bool {
 	got := make([]byte, 0, len(due))
 	b := make([]byte, 4<<10)
-	answered := false
+	answered, early := false, e.trouble && s.isFaulty()
 	for {
 		n, err := q.Body.Read(b)
 		got = append(got, b[:n]...)
-		if e.trouble && !answered && len(got) >= earlyBytes {
+		if early && !answered && len(got) >= earlyBytes {
 			answered = true
+			e.early.Add(1)
 			if _, err := io.WriteString(c, s.result(id, string(make([]byte, answerBytes)))); err != nil {
 				return false
 			}
@@ -183,7 +186,6 @@
 		_, _ = io.WriteString(c, "\r\n")
 	}
 	<-done
-	time.Sleep(2 * laterDelay)
 }
 
 func runEarly(record string, trouble bool) int {
@@ -196,18 +198,19 @@
 		return cannotRun(err)
 	}
 	var wg sync.WaitGroup
-	var next atomic.Int64
+	end := time.Now().Add(uploadTime)
 	for range uploadWorkers {
 		wg.Go(func() {
-			for n := next.Add(1); n <= uploads; n = next.Add(1) {
-				e.upload(d, int(n))
+			for time.Now().Before(end) {
+				e.upload(d, int(e.sent.Add(1)))
 			}
 		})
 	}
 	wg.Wait()
-	d.note("requests %d, answered %d, bodies whole %d, cut %d, BROKEN %d", uploads, e.answers.Load(), e.whole.Load(), e.cut.Load(), e.broken.Load())
-	if n := e.whole.Load() + e.cut.Load() + e.broken.Load(); n < uploads/2 {
-		return cannotRun(fmt.Errorf("only %d of %d bodies reached a backend server", n, uploads))
+	d.note("requests %d, answered %d, early answers %d, bodies whole %d, cut %d, BROKEN %d",
+		e.sent.Load(), e.answers.Load(), e.early.Load(), e.whole.Load(), e.cut.Load(), e.broken.Load())
+	if e.answers.Load() < e.sent.Load()/2 || trouble && e.early.Load() == 0 {
+		return cannotRun(fmt.Errorf("%d of %d requests were answered, %d of them early", e.answers.Load(), e.sent.Load(), e.early.Load()))
 	}
 	return verdict(e.broken.Load())
 }
--- a/review/lab2/extra.go
+++ b/review/lab2/extra.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -14,11 +13,8 @@
 )
 
 const (
-	// Half of the backend servers add a second answer to extraShare of their answers. These are
-	// the site's share and dose of such servers, or less.
-	extraShare = 0.03
-	workTime   = 40 * time.Millisecond
-	callTime   = 45 * time.Second
+	workTime = 40 * time.Millisecond
+	callTime = 45 * time.Second
 )
 
 // extra is the case of backend servers that send a second answer after a whole one.
@@ -41,7 +37,6 @@
 // answer is expected. It is that of a full server, without an id: it belongs to no request.
 func (e *extra) serve(s *server, c net.Conn, r *bufio.Reader) {
 	due := false // a second answer
-	faulty := e.trouble && (s.id == "i-1" || s.id == "i-2")
 	for {
 		q, err := http.ReadRequest(r)
 		if err != nil {
@@ -56,7 +51,7 @@
 			s.deployment.note("server %s: second answer of an earlier request arrives where that of %s is expected", s.id, id)
 			_, _ = io.WriteString(c, answer(http.StatusServiceUnavailable, map[string]string{"Not-Executed": "1"}, ""))
 		}
-		due = faulty && rand.Float64() < extraShare
+		due = e.trouble && s.isFaulty()
 		if s.wrongInstance(q) {
 			_, _ = io.WriteString(c, answer(http.StatusMisdirectedRequest, map[string]string{"Request-Id": id, "Instance-Id": s.id}, ""))
 			continue
