--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,7 @@
 // servers treat their connections.
 func startDeployment(record string, serve serveFunc) (*deployment, error) {
 	d := &deployment{}
+	go d.stopOnSignal()
 	var err error
 	if d.record, err = os.Create(record); err != nil {
 		return nil, err
@@ -125,10 +128,21 @@
 	d.store.mu.Unlock()
 }
 
+// stopOnSignal ends all processes when the script is told to stop.
+func (d *deployment) stopOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-c
+	d.stop()
+	fail("stopped by a signal")
+}
+
 // stop ends all processes and removes the folder.
 func (d *deployment) stop() {
 	for _, h := range d.hosts {
-		h.kill()
+		if h.kill() {
+			d.note("a host ended by itself")
+		}
 	}
 	if d.folder != "" {
 		_ = os.RemoveAll(d.folder)
--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -95,21 +95,17 @@
 	return false
 }
 
-// hasEnded reports whether the process has ended by itself.
-func (h *host) hasEnded() bool {
+// kill ends the process, and reports whether it had ended by itself.
+func (h *host) kill() bool {
+	if h.ended == nil {
+		return false // it was not started
+	}
 	select {
 	case <-h.ended:
 		return true
 	default:
-		return false
-	}
-}
-
-// kill ends the process.
-func (h *host) kill() {
-	if h.process == nil || h.process.Process == nil {
-		return
 	}
 	_ = h.process.Process.Signal(syscall.SIGKILL)
 	<-h.ended
+	return false
 }
