A reset that a write has taken is no end of a response

Callers got the part of a response as the whole: a backend server answered a long upload at once with a 200 without a length, sent 3,000 bytes of its body and reset the connection while the upload was still being written (MIXED).

Cause: the kernel reports a reset once, to whichever of read and write comes first. The write of the upload takes it; the reads after it return the bytes that had arrived and then an orderly end, and a response without a length ends with its connection. The read's result may be known before the write's.

Sealableconn sees both. At the end of a connection Read waits for a running write, for 1 s at most, and returns ErrReset if a write has failed for the other end's sake. Writes that failed since this end closed the connection, sealed it or let a deadline pass count as nothing. The store's client uses it, too. Hosts end an answer by a frame of its own, and the other clients here send bodies that are whole before an answer begins.

TestReadAwaitsRunningWrite has the order of the results.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -271,7 +271,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &sealableconn.Sealableconn{Conn: c}, nil
+	return &sealableconn.Sealableconn{Conn: c, Clock: u.Clock}, nil
 }
 
 // open opens a connection and passes the result to OnDial.
