A response whose head HTTP does not allow is none

Cause: net/http takes any status of three digits, and keeps a field whose name has a blank under that name, so that it delimits nothing; when the response is passed on, the line is left out.

responsehead.Check wants a status from 200 to 599 and names that are tokens (RFC 9110). It is asked wherever responses are read: from backend servers, from the store and the platform, in health checks (where 000 was healthy), by the operator's client, look-ups, load tools, and for the heads that other hosts send. A backend server that answers so may have run the request, as before.

--- a/callersim/callersim.go
+++ b/callersim/callersim.go
@@ -18,6 +18,7 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/lookupanswer"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsehead"
 )
 
 const (
@@ -111,6 +112,9 @@
 	if err != nil {
 		return transportFailure(ctx)
 	}
+	if responsehead.Check(p.StatusCode, p.Header) != nil {
+		return "Unreadable"
+	}
 	if p.StatusCode == http.StatusOK {
 		return outcome.Answered
 	}
--- a/cmd/lookup.go
+++ b/cmd/lookup.go
@@ -13,6 +13,7 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/lookupanswer"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsehead"
 )
 
 func (m *Cmd) lookupCommand() *cli.Command {
@@ -75,6 +76,9 @@
 		return a, errors.Wrap(err, "look-up")
 	}
 	defer p.Body.Close()
+	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
+		return a, errors.Wrap(err, "look-up")
+	}
 	b, err := io.ReadAll(p.Body)
 	if err != nil {
 		return a, errors.Wrap(err, "look-up")
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -15,6 +15,7 @@
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
+	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/wire"
 )
 
@@ -227,9 +228,7 @@
 func (a *attempt) checkFrame(m *wire.Frame) error {
 	switch v := m.Part.(type) {
 	case *wire.Frame_Answer:
-		if v.Answer.GetStatus() < http.StatusOK {
-			return errNoAnswerHead
-		}
+		return checkHead(v.Answer)
 	case *wire.Frame_Body:
 		if a.head == nil {
 			return errNoAnswerHead
@@ -246,6 +245,15 @@
 	return nil
 }
 
+// checkHead returns why a response can't have this head.
+func checkHead(v *wire.Answer) error {
+	h := make(http.Header, len(v.GetHeaders()))
+	for _, x := range v.GetHeaders() {
+		h[x.GetName()] = x.GetValues()
+	}
+	return responsehead.Check(int(v.GetStatus()), h)
+}
+
 // statedLength returns the length that the answer's head states, empty if the body need not have
 // it.
 func (a *attempt) statedLength() string {
--- a/healthcheck/healthcheck.go
+++ b/healthcheck/healthcheck.go
@@ -12,6 +12,7 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/health"
 	"celeryreach.example/celeryreach/loadreport"
+	"celeryreach.example/celeryreach/responsehead"
 )
 
 // maxConcurrent bounds the number of concurrent probes. A probe costs a backend server
@@ -99,5 +100,8 @@
 		return health.Health{Reached: true}
 	}
 	r.Body.Close()
+	if responsehead.Check(r.StatusCode, r.Header) != nil {
+		return health.Health{Reached: true}
+	}
 	return health.Health{Reached: true, Healthy: r.StatusCode < http.StatusBadRequest, Report: loadreport.Extract(r.Header)}
 }
--- a/operatorclient/operatorclient.go
+++ b/operatorclient/operatorclient.go
@@ -15,6 +15,7 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/problem"
+	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/status"
 )
 
@@ -84,6 +85,9 @@
 		return errors.Wrap(err, "host")
 	}
 	defer p.Body.Close()
+	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
+		return errors.Wrap(err, "host")
+	}
 	b, err := io.ReadAll(p.Body)
 	if err != nil {
 		return errors.Wrap(err, "answer")
--- a/platformclient/platformclient.go
+++ b/platformclient/platformclient.go
@@ -16,6 +16,7 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/commit"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/store"
 )
@@ -120,6 +121,9 @@
 		return nil, errors.Wrap(err, "platform")
 	}
 	defer r.Body.Close()
+	if err := responsehead.Check(r.StatusCode, r.Header); err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
 	a, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, errors.Wrap(err, "platform answer")
--- a/stress/caller.go
+++ b/stress/caller.go
@@ -14,6 +14,7 @@
 	"celeryreach.example/celeryreach/backendstandin"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/tickets"
 )
 
@@ -114,6 +115,9 @@
 	if err != nil {
 		return s.transportFailure(x, "BrokenAnswer"), attemptResult{}
 	}
+	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
+		return "Unreadable", attemptResult{responseError: err.Error()}
+	}
 	if p.StatusCode == http.StatusOK {
 		return outcome.Answered, attemptResult{reportedRan: outcome.RanYes, responseError: checkResponse(string(b), o.method, o.target, o.digest)}
 	}
--- a/upstream/answers_test.go
+++ b/upstream/answers_test.go
@@ -5,12 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
+	"github.com/tailscale/hujson"
 
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/upstream"
@@ -83,3 +86,29 @@
 		must.Zero(t, n, must.Sprintf("of %d responses that were reset", resetTries))
 	}
 }
+
+// Guards against responses whose status or header fields HTTP does not allow, and whose body may be
+// another one than it seems.
+func TestOddHeadsAreNoResponses(t *testing.T) {
+	v, err := os.ReadFile("testdata/heads.hujson")
+	must.NoError(t, err)
+	v, err = hujson.Standardize(v)
+	must.NoError(t, err)
+	var l []struct {
+		Head  string
+		Taken bool
+	}
+	must.NoError(t, json.Unmarshal(v, &l))
+	for _, h := range l {
+		b := serveConn(t, func(c *net.TCPConn) {
+			defer func() { _ = c.Close() }() // the end that the test is about
+			q, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, q.Body) // what follows tells
+			_, _ = io.WriteString(c, h.Head+"\r\n"+strings.Repeat("a", answerBytes))
+		})
+		must.EqOp(t, h.Taken, isTaken(t, b, "body"), must.Sprintf("%q", h.Head))
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"celeryreach.example/celeryreach/backend"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/responsecopier"
+	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/sealableconn"
 )
 
@@ -221,12 +222,11 @@
 	return q, nil
 }
 
-// checkAnswer applies CheckResponse, or the rules of this package if it is nil. A status that
-// isn't final can't be passed on: writers of responses take it for an interim one, and the body
-// for that of a success.
+// checkAnswer checks the head, and then applies CheckResponse, or the rules of this package if it is
+// nil.
 func (u *Upstream) checkAnswer(p *http.Response, r *request.Request, b backend.Backend) (ran bool, err error) {
-	if p.StatusCode < http.StatusOK {
-		return true, errors.Errorf("status %d is not a final one", p.StatusCode)
+	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
+		return true, err
 	}
 	if u.CheckResponse != nil {
 		return u.CheckResponse(p, r, b)
