Connections to a host's peer address end that carry no calls

400 clients that sent an HTTP request to the address for other hosts left 300 descriptors open, also after all had closed; 1,500 that sent nothing could use up all descriptors, for callers too.

Cause: drpc waits for the first call without a limit, and reads no further after some bytes that are none, so it doesn't see the end either. Nothing bounded the number of connections, the wait for a call's message or a write to a client that doesn't read.

A connection now ends without a call in 5 s, or a call without a message in 5 s, after a call that has none, and 5 min after its last call; a write fails after 10 s. Its end cancels the context of drpc, so that nothing of it stays. A quarter of the descriptors is for these connections: when all are taken, one without a call for 0.5 s makes room, or else one whose last call was 30 s ago, which no host that sends heartbeats has. A message may have 1 MiB, and what is above 64 KiB comes from a budget of a quarter of the memory, from which whoever stands still longest makes room (packages memorybudget, stalled). A host replaces a connection that its peer has closed before it calls.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"celeryreach.example/celeryreach/latency"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/membership"
+	"celeryreach.example/celeryreach/memorybudget"
 	"celeryreach.example/celeryreach/mirror"
 	"celeryreach.example/celeryreach/mirrorsync"
 	"celeryreach.example/celeryreach/peerclient"
@@ -80,8 +81,12 @@
 	Clock clockwork.Clock
 	// Log receives one line for each event.
 	Log *log.Logger
-	// Peers accepts the connections of other hosts.
-	Peers net.Listener
+	// Peers accepts the connections of other hosts, at most MaxPeerConnections at a time; zero means
+	// no limit.
+	Peers              net.Listener
+	MaxPeerConnections int
+	// Memory bounds what clients and other hosts occupy of the host's memory; nil has no limit.
+	Memory *memorybudget.Memorybudget
 	// Dial opens a connection to another host; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Config and Backends are the local copies of the store's tables. Edge sets their
@@ -168,7 +173,7 @@
 	e.assemble()
 	defer context.AfterFunc(ctx, e.startLeaving)()
 	s := &peerserver.Peerserver{
-		Listener: e.Peers, OnHeartbeat: e.membership.Receive, OnFetch: e.mirrorSync.Answer, OnBorrow: e.lendTokens, OnLend: e.receiveTokens,
+		Listener: e.Peers, Clock: e.Clock, MaxConnections: e.MaxPeerConnections, Memory: e.Memory, OnHeartbeat: e.membership.Receive, OnFetch: e.mirrorSync.Answer, OnBorrow: e.lendTokens, OnLend: e.receiveTokens,
 		OnNotify: e.answerNotice, OnForward: e.receive.Stream, OnPermit: e.permits.HandleRequest,
 	}
 	defer e.client.Close()
--- a/host/components.go
+++ b/host/components.go
@@ -63,6 +63,7 @@
 	x.newBurnCounter()
 	x.lookup = x.newLookup()
 	x.peerserver = &peerserver.Peerserver{
+		Clock:       h.Clock,
 		OnHeartbeat: x.membership.Receive,
 		OnFetch:     x.handleFetch,
 		OnBorrow:    x.handleBorrow,
--- a/peerclient/peerclient.go
+++ b/peerclient/peerclient.go
@@ -116,17 +116,14 @@
 }
 
 func (p *Peerclient) conn(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	p.mu.Lock()
-	c := p.conns[address]
-	p.mu.Unlock()
-	if c != nil {
+	if c := p.openConn(address); c != nil {
 		return c, nil
 	}
 	n, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
-	c = drpcconn.New(n)
+	c := drpcconn.New(n)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if o := p.conns[address]; o != nil {
@@ -140,6 +137,24 @@
 	return c, nil
 }
 
+// openConn returns the connection to an address that is kept, nil if there is none. The peer may
+// have closed it.
+func (p *Peerclient) openConn(address string) *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[address]
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c.Closed():
+		delete(p.conns, address)
+		return nil
+	default:
+		return c
+	}
+}
+
 // dropOnError closes a connection whose call failed and removes it from conns.
 func (p *Peerclient) dropOnError(address string, c *drpcconn.Conn, err error) {
 	if err == nil {
--- a/peerserver/peerserver.go
+++ b/peerserver/peerserver.go
@@ -4,19 +4,41 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"celeryreach.example/celeryreach/acceptor"
+	"celeryreach.example/celeryreach/memorybudget"
 	"celeryreach.example/celeryreach/wire"
 )
 
+const (
+	// maxMessageBytes is far above the longest message that a host sends: the header of a forwarded
+	// request.
+	maxMessageBytes = 1 << 20
+	// acceptPause is the time after an error of Accept, such as too many open descriptors.
+	acceptPause = 500 * time.Millisecond
+)
+
 // Peerserver serves the calls of other hosts.
 type Peerserver struct {
 	// Listener accepts connections of other hosts. Run closes it.
 	Listener net.Listener
+	// Clock measures how long connections take for a call and how long they are idle; nil means the
+	// real clock.
+	Clock clockwork.Clock
+	// MaxConnections is the largest number of open connections; zero means no limit. Before it is
+	// reached, idle connections and those without a call end in favor of new ones.
+	MaxConnections int
+	// Memory is where the memory for messages that are not complete comes from; nil has no limit.
+	Memory *memorybudget.Memorybudget
 	// OnHeartbeat handles heartbeats.
 	OnHeartbeat func(h *wire.Heartbeat) *wire.Heartbeat
 	// OnFetch handles requests for newer content.
@@ -40,11 +62,56 @@
 	if err := wire.DRPCRegisterPeer(m, p); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	err := drpcserver.New(m).Serve(ctx, &acceptor.Acceptor{Listener: p.Listener})
-	if ctx.Err() != nil {
-		return nil
+	o := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	v := drpcserver.NewWithOptions(&guardedHandler{Handler: m}, o)
+	l := &guardedListener{
+		Listener: &acceptor.Acceptor{Listener: p.Listener}, clock: p.clock(), memory: p.Memory, limit: p.MaxConnections,
+		open: make(map[*guardedConn]struct{}),
+	}
+	return p.serve(ctx, l, v)
+}
+
+// serve serves each connection until ctx ends. It returns when all have ended.
+func (p *Peerserver) serve(ctx context.Context, l *guardedListener, v *drpcserver.Server) error {
+	var g sync.WaitGroup
+	defer g.Wait()
+	ctx, f := context.WithCancel(ctx)
+	defer f()
+	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	for {
+		c, err := l.accept(ctx)
+		if err == nil {
+			g.Go(func() {
+				_ = v.ServeOne(c.ctx, c) // the end of the connection, for whatever reason
+				_ = c.Close()            // as above
+			})
+			continue
+		}
+		var t interface{ Temporary() bool }
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.As(err, &t) && t.Temporary():
+			p.pause(ctx)
+		default:
+			return errors.Wrap(err, "serve peers")
+		}
+	}
+}
+
+func (p *Peerserver) clock() clockwork.Clock {
+	if p.Clock == nil {
+		return clockwork.NewRealClock()
+	}
+	return p.Clock
+}
+
+// pause waits after an error of Accept.
+func (p *Peerserver) pause(ctx context.Context) {
+	select {
+	case <-p.clock().After(acceptPause):
+	case <-ctx.Done():
 	}
-	return errors.Wrap(err, "serve peers")
 }
 
 // Beat handles a heartbeat.
