Connections and headers of clients have bounds over the whole process

1,500 clients that send nothing, a header without its end, or a body to the directory, readiness or metrics took all descriptors of a host (1,521 of 900), and headers of 15,000 bytes 89 of 96 MB.

Cause: each connection and header had a limit in time, but nothing bounded their number. A response to a client that doesn't read, and the discarding of a body that nobody reads, by which net/http delays a refusal, had none at all.

From seven eighths on, connections that wait for a request end, those that have served one first, others after 0.5 s; what has arrived is served. What a header has above 4 KiB comes, three times, from the budget. After that error, Read fails for good, as bytes are missing. A client has to read 32 KiB, or the rest, in each 10 s. The rest of a body that was not read is discarded for 0.5 s; with full duplex, after the response, which says that the connection ends.

--- a/entry/body.go
+++ b/entry/body.go
@@ -46,10 +46,13 @@
 		return outcome.Outcome{}
 	}
 	r.Body = b
+	c := http.NewResponseController(b.writer)
 	if r.Length < 0 || r.Length > maxBufferedBytes {
+		// The response may begin before the body was read. Without full duplex, net/http would then
+		// discard parts of what is being sent on.
+		_ = c.EnableFullDuplex() // writers without full duplex need none
 		return outcome.Outcome{}
 	}
-	c := http.NewResponseController(b.writer)
 	_ = c.SetReadDeadline(r.Deadline) // writers that support no deadlines need none
 	p, err := io.ReadAll(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/httplisten/connections.go
+++ b/httplisten/connections.go
@@ -4,12 +4,29 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"celeryreach.example/celeryreach/serverconn"
 )
 
+const (
+	// roomDivisor is the part of MaxConnections that is kept free by ending connections that wait:
+	// they end a little later.
+	roomDivisor = 8
+	// minWait is how long a connection waits for its first request before it can be ended for
+	// another one.
+	minWait = 500 * time.Millisecond
+)
+
 // connections holds the open connections of a listener.
 type connections struct {
+	// limit is the largest number of open connections; zero means no limit.
+	limit int
+	// now returns the time.
+	now func() time.Time
+	// endStalled ends the request that has waited for its client for longest, and reports whether
+	// one has waited for at least minWait.
+	endStalled func(least time.Duration) bool
 	// onHeaderLate is called when a connection ends because a header was not complete in
 	// time.
 	onHeaderLate func()
@@ -25,6 +42,52 @@
 	return &connections{onHeaderLate: onHeaderLate, open: make(map[*serverconn.Serverconn]struct{}), none: make(chan struct{})}
 }
 
+// makeRoom reports whether one more connection may be open. If most of them are, it ends the one
+// that a client needs least: that waits longest for another request, for a first one, or for the
+// rest of one.
+func (g *connections) makeRoom() bool {
+	g.mu.Lock()
+	n := len(g.open)
+	f := g.limit == 0 || n < g.limit-g.limit/roomDivisor
+	var v *serverconn.Serverconn
+	if !f {
+		v = g.leastNeeded()
+	}
+	g.mu.Unlock()
+	switch {
+	case f:
+		return true
+	case v != nil:
+		v.EndWait()
+	default:
+		g.endStalled(minWait)
+	}
+	return n < g.limit
+}
+
+// leastNeeded returns the connection that waits longest, nil if none does. Those that have served
+// a request go first.
+func (g *connections) leastNeeded() *serverconn.Serverconn {
+	var idle, first *serverconn.Serverconn
+	var idleSince, firstSince time.Time
+	for c := range g.open {
+		s, k, ok := c.WaitsSince()
+		switch {
+		case ok && k && (idle == nil || s.Before(idleSince)):
+			idle, idleSince = c, s
+		case ok && !k && (first == nil || s.Before(firstSince)):
+			first, firstSince = c, s
+		}
+	}
+	if idle != nil {
+		return idle
+	}
+	if first == nil || g.now().Sub(firstSince) < minWait {
+		return nil
+	}
+	return first
+}
+
 // setState follows the state that net/http reports for a connection.
 func (g *connections) setState(c *serverconn.Serverconn, v http.ConnState) {
 	if v == http.StateClosed && c.IsHeaderLate() {
@@ -94,14 +157,22 @@
 // connListener wraps the connections of a listener.
 type connListener struct {
 	net.Listener
-	wrap func(c net.Conn) net.Conn
+	connections *connections
+	wrap        func(c net.Conn) net.Conn
+	onRefused   func()
 }
 
-// Accept returns the next connection, wrapped.
+// Accept returns the next connection for which there is room, wrapped.
 func (l *connListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.connections.makeRoom() {
+			return l.wrap(c), nil
+		}
+		_ = c.Close() // nothing was read
+		l.onRefused()
 	}
-	return l.wrap(c), nil
 }
--- a/httplisten/drainwriter.go
+++ b/httplisten/drainwriter.go
@@ -1,6 +1,10 @@
 package httplisten
 
-import "net/http"
+import (
+	"net/http"
+
+	"celeryreach.example/celeryreach/serverconn"
+)
 
 // drainWriter tells the caller in the response that the connection ends, if the listener is
 // draining, or is about to, when the response begins. Otherwise the caller could send its next
@@ -8,6 +12,10 @@
 type drainWriter struct {
 	http.ResponseWriter
 	isEnding func() bool
+	conn     *serverconn.Serverconn
+	body     *trackedBody // nil if the request has none
+
+	fullDuplex bool
 }
 
 // WriteHeader writes the header of the response.
@@ -33,9 +41,32 @@
 	return w.ResponseWriter
 }
 
+// EnableFullDuplex lets the handler read the body beside the response; net/http doesn't discard it.
+func (w *drainWriter) EnableFullDuplex() error {
+	w.fullDuplex = true
+	return http.NewResponseController(w.ResponseWriter).EnableFullDuplex()
+}
+
+// hasUnread reports whether a part of the body was not read.
+func (w *drainWriter) hasUnread() bool {
+	return w.body != nil && !w.body.ended.Load()
+}
+
+// endBody limits the time for which net/http waits for a body that the handler has not read, before
+// it sends the response or, with full duplex, after it.
+func (w *drainWriter) endBody() {
+	if w.hasUnread() {
+		w.conn.LimitBody(discardTimeout)
+	}
+}
+
 // announceEnd has no effect once the header was written.
 func (w *drainWriter) announceEnd() {
-	if w.isEnding() {
+	if !w.fullDuplex {
+		w.endBody()
+	}
+	// With full duplex, net/http would take what follows a body that failed for the next request.
+	if w.isEnding() || w.fullDuplex && w.hasUnread() {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -16,6 +16,7 @@
 
 	"celeryreach.example/celeryreach/acceptor"
 	"celeryreach.example/celeryreach/inflight"
+	"celeryreach.example/celeryreach/memorybudget"
 	"celeryreach.example/celeryreach/serverconn"
 )
 
@@ -29,6 +30,9 @@
 	idleTimeout = 2 * time.Minute
 	// handlerEndTimeout bounds the wait for handlers whose connections were closed.
 	handlerEndTimeout = 100 * time.Millisecond
+	// discardTimeout bounds the wait for the rest of a body that the handler has not read:
+	// net/http discards it before it sends the response.
+	discardTimeout = 500 * time.Millisecond
 )
 
 // Httplisten serves one handler on one listener. When it ends, requests in flight can
@@ -55,6 +59,11 @@
 	Limits func() (header, idle time.Duration)
 	// Clock measures the waits that Limits bounds; nil means the real clock.
 	Clock clockwork.Clock
+	// MaxConnections is the largest number of open connections; zero means no limit. Before it is
+	// reached, connections that wait for a request end in favor of new ones.
+	MaxConnections int
+	// Memory is where the memory for long headers comes from; nil has no limit.
+	Memory *memorybudget.Memorybudget
 	// DrainTimeout limits the wait for requests in flight.
 	DrainTimeout time.Duration
 	// StopBy, if set, returns the time by which this wait ends even if DrainTimeout is
@@ -77,9 +86,10 @@
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
 	g := newConnections(func() { l.countUnanswered(reasonHeader) })
+	g.limit, g.now, g.endStalled = l.MaxConnections, l.clock().Now, l.endStalled
 	s := l.server(g)
 	e := make(chan error, 1)
-	go func() { e <- s.Serve(l.listener()) }()
+	go func() { e <- s.Serve(l.listener(g)) }()
 	select {
 	case err := <-e:
 		return errors.Wrap(err, "serve")
@@ -163,8 +173,11 @@
 }
 
 // listener returns Listener with connections that have the limits, and TLS above them.
-func (l *Httplisten) listener() net.Listener {
-	n := &connListener{Listener: &acceptor.Acceptor{Listener: l.Listener}, wrap: l.wrap}
+func (l *Httplisten) listener(g *connections) net.Listener {
+	n := &connListener{
+		Listener: &acceptor.Acceptor{Listener: l.Listener}, connections: g, wrap: l.wrap,
+		onRefused: func() { l.countUnanswered(reasonConnections) },
+	}
 	if l.TLS == nil {
 		return n
 	}
@@ -181,7 +194,12 @@
 
 // wrap returns c with the limits of this listener.
 func (l *Httplisten) wrap(c net.Conn) net.Conn {
-	return &serverconn.Serverconn{Conn: c, Clock: l.clock(), Limits: l.limits, BeginsWithHandshake: l.TLS != nil}
+	return &serverconn.Serverconn{Conn: c, Clock: l.clock(), Limits: l.limits, BeginsWithHandshake: l.TLS != nil, Memory: l.Memory}
+}
+
+// endStalled ends the request that has waited for its client for longest.
+func (l *Httplisten) endStalled(least time.Duration) bool {
+	return l.Memory != nil && l.Memory.Stalled.EndOldest(least)
 }
 
 func (l *Httplisten) limits() (header, idle time.Duration) {
--- a/httplisten/unanswered.go
+++ b/httplisten/unanswered.go
@@ -6,12 +6,16 @@
 	"runtime/debug"
 
 	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/serverconn"
 )
 
 // Reasons why this host closed a connection before its request had a complete response.
 const (
 	// reasonHeader is a header that was not complete in time.
 	reasonHeader = "Header"
+	// reasonConnections is a connection that was closed at once because MaxConnections were open.
+	reasonConnections = "Connections"
 	// reasonShutdown is the end of DrainTimeout.
 	reasonShutdown = "Shutdown"
 	// reasonAborted is a response that was truncated after its header.
@@ -24,7 +28,11 @@
 // before the response is complete.
 func (l *Httplisten) serve(g *connections, w http.ResponseWriter, q *http.Request) {
 	defer l.handlers.Begin()()
-	c := &drainWriter{ResponseWriter: w, isEnding: func() bool { return l.IsLeaving != nil && l.IsLeaving() || g.isDraining() }}
+	q, b := trackBody(q)
+	c := &drainWriter{
+		ResponseWriter: w, isEnding: func() bool { return l.IsLeaving != nil && l.IsLeaving() || g.isDraining() },
+		conn: q.Context().Value(connKey{}).(*serverconn.Serverconn), body: b,
+	}
 	defer func() {
 		v := recover()
 		err, _ := v.(error)
@@ -47,6 +55,7 @@
 	}()
 	l.Handler.ServeHTTP(c, q)
 	c.announceEnd()
+	c.endBody()
 }
 
 // reportUnanswered logs and counts a request without a complete response.
--- a/serverconn/serverconn.go
+++ b/serverconn/serverconn.go
@@ -7,10 +7,14 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"celeryreach.example/celeryreach/memorybudget"
+	"celeryreach.example/celeryreach/memoryhold"
 )
 
 // arrivedTimeout is how long Read still returns bytes after the limit. With a deadline in
@@ -18,6 +22,22 @@
 // its processor time late.
 const arrivedTimeout = 10 * time.Millisecond
 
+const (
+	// freeHeaderBytes of a header are part of what any connection occupies.
+	freeHeaderBytes = 4 << 10
+	// headerCost is how many bytes a byte of a longer header occupies: net/http holds a line
+	// in the buffer that grew with it, and the header fields in strings.
+	headerCost = 3
+	// A client reads at least writePieceBytes, or the rest of a response, in each writeTime.
+	writePieceBytes = 32 << 10
+	writeTime       = 10 * time.Second
+	// maxSmallWriteBytes are written from net/http's own buffer, which is not given back sooner
+	// when the client is no longer waited for.
+	maxSmallWriteBytes = 4 << 10
+)
+
+var errNoMemory = errors.New("there is no memory for the request header")
+
 // longAgo is a deadline that has passed, whatever the clock shows.
 var longAgo = time.Unix(1, 0)
 
@@ -47,6 +67,10 @@
 	// BeginsWithHandshake is set if a TLS handshake comes before the first request. It
 	// has the limit of the first header.
 	BeginsWithHandshake bool
+	// Memory is where the memory for headers comes from; nil has no limit. Clients that keep it
+	// waiting for the rest of a header, or for a response to be read, can lose their connection to
+	// others.
+	Memory *memorybudget.Memorybudget
 
 	mu       sync.Mutex
 	state    state
@@ -58,6 +82,14 @@
 	readEnd  time.Time // the end of arrivedTimeout, zero until Read was called after the limit
 	late     bool      // a header was incomplete when its limit had passed
 	timer    clockwork.Timer
+	ending   bool // ends with its wait for a request or header
+
+	headerBytes int                   // received since the connection waited
+	header      memoryhold.Memoryhold // what the header occupies
+	headerDone  func()                // ends the wait for the rest of a header; nil if none is registered
+	evicted     atomic.Bool           // the wait for the rest of the header was ended
+	overflowed  atomic.Bool           // bytes of the header were lost for lack of memory
+	bodyTimer   clockwork.Timer       // limits the wait for the rest of a body; nil without a limit
 }
 
 // SetState follows the state that net/http reports for the connection.
@@ -86,6 +118,24 @@
 	c.checkLimit()
 }
 
+// EndWait ends the connection if it waits for a request or for the rest of a header, or as soon as
+// it does so again. What has arrived is still served.
+func (c *Serverconn) EndWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.checkLimit()
+}
+
+// WaitsSince returns since when the connection waits for a request or for the rest of a header,
+// and whether it has served one before. Ok is false if it doesn't wait, or is about to end.
+func (c *Serverconn) WaitsSince() (since time.Time, kept, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.state == waiting || c.state == receiving
+	return c.since, c.kept && c.state == waiting, w && !c.ending && !c.overdue
+}
+
 // HasRequest reports whether a request is being received or served.
 func (c *Serverconn) HasRequest() bool {
 	c.mu.Lock()
@@ -147,13 +197,15 @@
 // Read waits for bytes until the limit of the current state has passed, and then returns
 // only bytes that have arrived already.
 func (c *Serverconn) Read(p []byte) (int, error) {
+	if c.overflowed.Load() {
+		return 0, overflowError() // also to a reader that has dropped the error before
+	}
 	if c.isOverdue() {
 		return c.readArrived(p)
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received()
-		return n, err
+		return c.received(n, err)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isOverdue() {
 		return c.readArrived(p)
@@ -175,8 +227,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.received()
-		return n, err
+		return c.received(n, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -197,8 +248,23 @@
 	return c.readEnd
 }
 
-// received records that a part of a request was read.
-func (c *Serverconn) received() {
+// received records that n bytes were read, and returns the result of Read. There may be no memory
+// for them.
+func (c *Serverconn) received(n int, err error) (int, error) {
+	if !c.header.Take(c.receive(n)) {
+		c.overflowed.Store(true)
+		return 0, overflowError()
+	}
+	return n, err
+}
+
+// overflowError returns an error after which net/http closes the connection and writes nothing.
+func overflowError() error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: errNoMemory}
+}
+
+// receive follows the state, and returns how much more memory the header occupies.
+func (c *Serverconn) receive(n int) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -207,10 +273,94 @@
 	case c.state == waiting:
 		c.state = receiving // the limit for the first header began with the connection
 	}
+	if c.state != receiving || c.Memory == nil {
+		return 0
+	}
+	o := max(0, c.headerBytes-freeHeaderBytes)
+	c.headerBytes += n
+	m := max(0, c.headerBytes-freeHeaderBytes) - o
+	if m > 0 && c.headerDone == nil {
+		c.header.Budget = c.Memory
+		c.headerDone = c.Memory.Stalled.Add(c.since, func() {
+			c.evicted.Store(true)
+			_ = c.SetReadDeadline(longAgo) // fails only on a closed connection
+		})
+	}
+	return int64(m) * headerCost
+}
+
+// endHeader ends the wait for the rest of a header.
+func (c *Serverconn) endHeader() {
+	if c.headerDone == nil {
+		return
+	}
+	c.headerDone()
+	c.headerDone = nil
+	if c.evicted.Swap(false) {
+		_ = c.SetReadDeadline(time.Time{}) // as above
+	}
+}
+
+// LimitBody limits the wait for the rest of the request's body.
+func (c *Serverconn) LimitBody(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != serving || c.bodyTimer != nil {
+		return
+	}
+	var t clockwork.Timer
+	t = c.Clock.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.bodyTimer == t {
+			_ = c.SetReadDeadline(longAgo) // fails only on a closed connection
+		}
+	})
+	c.bodyTimer = t
+}
+
+// endBody removes the limit of LimitBody.
+func (c *Serverconn) endBody() {
+	if c.bodyTimer == nil {
+		return
+	}
+	if !c.bodyTimer.Stop() {
+		_ = c.SetReadDeadline(time.Time{}) // as above
+	}
+	c.bodyTimer = nil
+}
+
+// Write writes p for as long as the client makes progress in reading it.
+func (c *Serverconn) Write(p []byte) (int, error) {
+	n := 0
+	for {
+		m, err := c.writePiece(p[n:min(len(p), n+writePieceBytes)])
+		n += m
+		if err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
+func (c *Serverconn) writePiece(p []byte) (int, error) {
+	end := func() { _ = c.SetWriteDeadline(longAgo) } // fails only on a closed connection
+	defer c.Clock.AfterFunc(writeTime, end).Stop()
+	if c.Memory != nil && len(p) > maxSmallWriteBytes {
+		defer c.Memory.Stalled.Add(c.Clock.Now(), end)()
+	}
+	return c.Conn.Write(p)
 }
 
 func (c *Serverconn) enter(s state) {
 	c.state, c.since = s, c.Clock.Now()
+	if s != receiving {
+		c.endHeader()
+	}
+	c.endBody()
+	if s == waiting || s == ended {
+		c.headerBytes = 0
+		c.header.Release()
+	}
 	if c.overdue {
 		c.overdue, c.readEnd = false, time.Time{}
 		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
@@ -245,7 +395,7 @@
 func (c *Serverconn) limit() (d time.Duration, ok bool) {
 	h, i := c.Limits()
 	switch {
-	case c.state == waiting && c.kept && c.draining:
+	case c.state == waiting && c.kept && c.draining, c.ending && (c.state == waiting || c.state == receiving):
 		return 0, true
 	case c.state == waiting && c.kept:
 		return i, true
