Bodies and responses occupy a bounded part of a host's memory and slots

A process ended for lack of memory: 1,000 clients that sent a body of 250,000 bytes but its last one, with or without a key, in chunks or not, took it to 411 of 284 MB. 300 with bodies too long to be buffered kept all 24 slots of a service: every ordinary caller was refused for as long as they stayed.

Cause: a resource is taken on a client's word and given back on a client's act. The body was read before the route, key, rate and deadline were looked at, for as long as the client liked; each bound was for one request, and none for their sum; a long body took a slot before its end had come.

A request is admitted first, and its body read then, in chunks that are charged to the budget (chunkbuffer, memoryhold); if that takes over 0.25 s, it is admitted again, by the configuration then in force and with a token of then. A body has to make progress and to arrive by its deadline (clientbody). When the budget is empty, the client that has stood still longest, for 0.5 s at least, loses its part; a request that finds nothing is refused at once as not run. A request without a slot takes that of a long body that has stood still for 1 s; at other hosts it comes back after 5 s. Responses for which the budget is empty are passed on before they are whole.

A body that can't be read to its end counts against no backend server and no retry budget, and is answered with 400 if the caller is still there.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -243,6 +243,9 @@
 	case ctx.Err() != nil:
 		d.releaseCanceled(s, ran)
 		return contextOutcome(ctx, ran)
+	case errors.Is(err, upstream.ErrCallerBody):
+		d.releaseCanceled(s, ran)
+		return callerBodyOutcome(ran)
 	case errors.Is(err, upstream.ErrWrongBackend), !ran && isDialError(err):
 		s.Release(result.Refused)
 		return refuseUnlessRan(r, ran, msgNoConnection, err)
@@ -347,6 +350,16 @@
 	d.Clock.AfterFunc(d.CancelReleaseDelay, func() { s.Release(result.Canceled) })
 }
 
+// callerBodyOutcome returns the outcome of a request whose body can't be read to its end, though
+// its caller has not left.
+func callerBodyOutcome(ran bool) outcome.Outcome {
+	o := refuse(outcome.BadRequest, upstream.ErrCallerBody.Error())
+	if ran {
+		o.Ran = outcome.RanUnknown
+	}
+	return o
+}
+
 // contextOutcome returns the outcome of a request whose context has ended.
 func contextOutcome(ctx context.Context, ran bool) outcome.Outcome {
 	o := outcome.Outcome{Outcome: outcome.Left, Ran: outcome.RanNo, Message: "the caller left"}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -44,6 +44,7 @@
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/row"
 	"celeryreach.example/celeryreach/shutdown"
+	"celeryreach.example/celeryreach/stalled"
 	"celeryreach.example/celeryreach/storesilence"
 	"celeryreach.example/celeryreach/streampool"
 	"celeryreach.example/celeryreach/supervisor"
@@ -273,6 +274,7 @@
 	g.StoreAge = func() (time.Duration, bool) { return storeAge(e.Config) }
 	g.RequestPermit, g.Random, g.IsLeaving = e.permit, e.Random, e.IsLeaving
 	g.MayStart = e.shutdown.Allows
+	g.Memory, g.Uploads = e.Memory, &stalled.Stalled{Clock: e.Clock}
 	g.Dispatch = e.dispatch().Serve
 	g.Latency = &latency.Latency{Name: "Latency"}
 	g.Latency.Publish()
@@ -283,7 +285,7 @@
 func (e *Edge) dispatch() *dispatch.Dispatch {
 	return &dispatch.Dispatch{
 		Clock: e.Clock, AcquireSlot: e.Gateway.AcquireSlot, ReuseForNonIdempotent: true, IsKeyValid: e.Gateway.IsKeyValid, ConfirmToken: tokenAlwaysValid,
-		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock),
+		Upstream: e.Upstream, Forward: e.forwardRequest, Hedge: newHedge(), ResponseCopier: newResponseCopier(e.Clock, e.Memory),
 		Budget: e.retryBudget, Quarantine: e.quarantine, MayStart: e.shutdown.Allows,
 	}
 }
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -14,6 +14,7 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/hedge"
 	"celeryreach.example/celeryreach/member"
+	"celeryreach.example/celeryreach/memorybudget"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/responsecopier"
 	"celeryreach.example/celeryreach/retrybudget"
@@ -192,6 +193,6 @@
 	return &hedge.Hedge{Initial: hedgeInitial, Min: hedgeMin, Max: hedgeMax}
 }
 
-func newResponseCopier(c clockwork.Clock) *responsecopier.Responsecopier {
-	return &responsecopier.Responsecopier{Clock: c, BufferLimit: responseBufferBytes, WriteTimeout: callerReadTimeout, AllowUndelimited: true}
+func newResponseCopier(c clockwork.Clock, m *memorybudget.Memorybudget) *responsecopier.Responsecopier {
+	return &responsecopier.Responsecopier{Clock: c, BufferLimit: responseBufferBytes, Memory: m, WriteTimeout: callerReadTimeout, AllowUndelimited: true}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -4,7 +4,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/chunkbuffer"
 	"celeryreach.example/celeryreach/member"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
@@ -219,8 +219,7 @@
 
 // body is the body of a caller's request, buffered completely if it is short.
 type body struct {
-	rewind   func() io.Reader // nil if the body is not buffered by the caller of Serve
-	buffered []byte
+	rewind   func() io.Reader // nil if the body is not buffered
 	unread   io.Reader
 	length   int64
 	consumed bool
@@ -236,14 +235,15 @@
 	if r.Length > maxBufferedBodyBytes {
 		return &body{unread: r.Body, length: r.Length}, nil
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBodyBytes+1))
+	b := &chunkbuffer.Chunkbuffer{Take: r.Memory.Take}
+	whole, err := b.Fill(r.Body, maxBufferedBodyBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "body")
 	}
-	if len(b) <= maxBufferedBodyBytes {
-		return &body{buffered: b, length: int64(len(b))}, nil
+	if whole {
+		return &body{rewind: b.Reader, length: b.Len()}, nil
 	}
-	return &body{unread: io.MultiReader(bytes.NewReader(b), r.Body), length: int64(len(b))}, nil
+	return &body{unread: io.MultiReader(b.Reader(), r.Body), length: b.Len()}, nil
 }
 
 // isConsumed reports whether reading of an unbuffered body has begun, so that the body
@@ -258,7 +258,7 @@
 		return b.rewind()
 	}
 	if b.unread == nil {
-		return bytes.NewReader(b.buffered)
+		return http.NoBody
 	}
 	b.consumed = true
 	return b.unread
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,20 +10,25 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/account"
 	"celeryreach.example/celeryreach/attempted"
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/clientbody"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/decisionlog"
 	"celeryreach.example/celeryreach/ingress"
 	"celeryreach.example/celeryreach/latency"
+	"celeryreach.example/celeryreach/memorybudget"
+	"celeryreach.example/celeryreach/memoryhold"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/placement"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/routeindex"
 	"celeryreach.example/celeryreach/split"
+	"celeryreach.example/celeryreach/stalled"
 	"celeryreach.example/celeryreach/tokens"
 )
 
@@ -39,9 +44,23 @@
 	// requested. It applies even if no waiting time is left, as on a second attempt or
 	// after a permit request to another region.
 	minPermitRequests = 2
-	// maxBufferedBytes of the body of a forwarded request are buffered, so that it can be
-	// sent again.
+	// maxBufferedBytes of the body of a request are buffered before it is sent, so that it can be
+	// sent again. A longer body is read while it is sent.
 	maxBufferedBytes = 256 << 10
+	// maxBodyWait is how long a request that was admitted waits for its body. After a longer time
+	// it is admitted again: a token of its account that was kept would exceed the rate later.
+	maxBodyWait = 250 * time.Millisecond
+	// uploadStall is how long the client of a long body has made no progress before the slot of its
+	// request is taken back for another one.
+	uploadStall = time.Second
+	// uploadProgressTime is how long such a client may make no progress at all: requests at other hosts
+	// can't take the slot back.
+	uploadProgressTime = 5 * time.Second
+	// uploadEndTimeout is how long a request waits at least for such a slot.
+	uploadEndTimeout = 100 * time.Millisecond
+	// noMemoryRetryAfter is the delay after which a request for which there was no memory may be
+	// sent again: clients that stand still have lost theirs by then.
+	noMemoryRetryAfter = time.Second
 	// retryAfter is the delay after which a refused request may be sent again, about
 	// the time in which a backend server finishes its running requests.
 	retryAfter = 250 * time.Millisecond
@@ -87,6 +106,10 @@
 	// MayStart reports whether a request with this deadline ends before the host does; nil
 	// means always.
 	MayStart func(deadline time.Time) bool
+	// Memory is where the memory for request bodies comes from; nil has no limit.
+	Memory *memorybudget.Memorybudget
+	// Uploads holds the waits for clients whose long bodies occupy slots; nil holds none.
+	Uploads *stalled.Stalled
 	// IsLeaving reports whether the host is shutting down. The log then has the end of each
 	// request; nil means never.
 	IsLeaving func() bool
@@ -105,7 +128,13 @@
 	if b == nil {
 		return refuse(outcome.Leaving, "no configuration is known yet", retryAfter)
 	}
+	d := r.Deadline
 	i, o := g.admit(ctx, b, r, path, key)
+	if o.Outcome == "" && r.Body != nil {
+		r.Memory = &memoryhold.Memoryhold{Budget: g.Memory}
+		defer r.Memory.Release()
+		b, i, o = g.readBody(ctx, b, i, r, d, key)
+	}
 	// If the response is truncated after its header, Dispatch panics to close the
 	// caller's connection. The request is recorded in that case too.
 	defer func() {
@@ -134,14 +163,53 @@
 		o = refuse(outcome.NoCapacity, "no region may serve the request", retryAfter)
 		return o
 	}
-	if err := r.BufferBody(maxBufferedBytes); err != nil {
-		o = refuse(outcome.Left, "the request body ended early", 0)
+	r.Memory = &memoryhold.Memoryhold{Budget: g.Memory}
+	defer r.Memory.Release()
+	if o = bufferBody(r); o.Outcome != "" {
 		return o
 	}
 	o = g.run(ctx, r, w)
 	return o
 }
 
+// readBody buffers the body of a request that was admitted. If that took long, the request is
+// admitted again, by the configuration that is then in force. Deadline is that of the caller.
+func (g *Gateway) readBody(ctx context.Context, b *routeindex.Routeindex, i *ingress.Ingress, r *request.Request, deadline time.Time, key string) (*routeindex.Routeindex, *ingress.Ingress, outcome.Outcome) {
+	n := g.Clock.Now()
+	o := bufferBody(r)
+	late := g.Clock.Since(n) > maxBodyWait
+	if (late || o.Outcome != "") && r.Account != "" {
+		g.Tokens.Refund(r.Account)
+	}
+	switch {
+	case o.Outcome != "":
+		return b, i, o
+	case late:
+		b, r.Deadline = g.Index(), deadline
+		i, o = g.admit(ctx, b, r, r.Path, key)
+	default:
+		r.Admitted = g.Clock.Now()
+	}
+	if r.ClientBody != nil && r.Rewind == nil {
+		r.ClientBody.Stalled, r.ClientBody.ProgressTime = g.Uploads, uploadProgressTime
+	}
+	return b, i, o
+}
+
+// bufferBody buffers the body of r unless it is too long.
+func bufferBody(r *request.Request) outcome.Outcome {
+	switch err := r.BufferBody(maxBufferedBytes); {
+	case err == nil:
+		return outcome.Outcome{}
+	case errors.Is(err, request.ErrNoMemory):
+		return refuse(outcome.NoCapacity, err.Error(), noMemoryRetryAfter)
+	case errors.Is(err, clientbody.ErrLate), errors.Is(err, clientbody.ErrStalled):
+		return refuse(outcome.DeadlineExceeded, err.Error(), 0)
+	default:
+		return refuse(outcome.Left, "the request body ended early", 0)
+	}
+}
+
 // admit finds the route and the client account of r and takes a token from the
 // account's rate.
 func (g *Gateway) admit(ctx context.Context, b *routeindex.Routeindex, r *request.Request, path, key string) (*ingress.Ingress, outcome.Outcome) {
--- a/gateway/slot.go
+++ b/gateway/slot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryreach.example/celeryreach/backend"
+	"celeryreach.example/celeryreach/deadline"
 	"celeryreach.example/celeryreach/outcome"
 	"celeryreach.example/celeryreach/request"
 	"celeryreach.example/celeryreach/result"
@@ -18,34 +19,48 @@
 // servers, the slot says so.
 func (g *Gateway) AcquireSlot(ctx context.Context, r *request.Request) (slot.Slot, outcome.Outcome) {
 	u := r.Admitted.Add(r.MaxWait)
-	n := 0 // permits denied or not used
+	n := 0     // permits denied or not used
+	e := false // whether a stalled upload was ended
 	for {
 		c := g.Placement.Freed()
 		g.HoldToHomes(r)
 		b, ok, m, f := g.Placement.AcquireOrForward(r)
-		if ok && g.requestPermit(ctx, r, b) {
+		switch {
+		case ok && g.requestPermit(ctx, r, b):
 			return g.newSlot(r, b), outcome.Outcome{}
-		}
-		if ok {
+		case ok:
 			n++
-		} else if f {
+		case f:
 			return g.forwardSlot(r), outcome.Outcome{}
+		case !e && g.Uploads.EndOldest(uploadStall):
+			// Its slot is about to be free.
+			e, m, u = true, true, deadline.Later(u, g.Clock.Now().Add(uploadEndTimeout))
 		}
 		d := u.Sub(g.Clock.Now())
-		switch {
-		case ok && ctx.Err() != nil:
-			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
-		case ok && (d > 0 || n < minPermitRequests):
+		if ok && ctx.Err() == nil && (d > 0 || n < minPermitRequests) {
 			continue // there may be a permit for another backend server
-		case !m || d <= 0:
-			return slot.Slot{}, g.refuseUnplaced(r, m)
 		}
-		if !g.waitForRoom(ctx, c, d) {
-			return slot.Slot{}, refuse(outcome.Left, "the caller left", 0)
+		if o := g.awaitRoom(ctx, r, c, d, m, ok); o.Outcome != "" {
+			return slot.Slot{}, o
 		}
 	}
 }
 
+// awaitRoom waits until a backend server may have room for r, at most for d. It returns the outcome
+// of a request that can't wait any longer; usable reports whether one may have room soon, denied
+// whether there was no permit for one that has.
+func (g *Gateway) awaitRoom(ctx context.Context, r *request.Request, freed <-chan struct{}, d time.Duration, usable, denied bool) outcome.Outcome {
+	switch {
+	case denied && ctx.Err() != nil:
+		return left()
+	case !usable || d <= 0:
+		return g.refuseUnplaced(r, usable)
+	case !g.waitForRoom(ctx, freed, d):
+		return left()
+	}
+	return outcome.Outcome{}
+}
+
 // waitForRoom waits until a backend server may have room again or d has passed. It returns
 // false if ctx has ended.
 func (g *Gateway) waitForRoom(ctx context.Context, freed <-chan struct{}, d time.Duration) bool {
@@ -132,3 +147,8 @@
 	var o sync.Once
 	return func(r result.Result) { o.Do(func() { f(r) }) }
 }
+
+// left returns the outcome of a request whose caller left before it was sent.
+func left() outcome.Outcome {
+	return refuse(outcome.Left, "the caller left", 0)
+}
--- a/peerserver/guarded_test.go
+++ b/peerserver/guarded_test.go
@@ -43,7 +43,7 @@
 	return c
 }
 
-func mustEnd(t *testing.T, c net.Conn) {
+func awaitEnd(c net.Conn) {
 	_, err := io.ReadAll(c)
 	_ = err // a reset if bytes were not read
 }
@@ -55,7 +55,7 @@
 	must.NoError(t, k.BlockUntilContext(t.Context(), len(l)))
 	k.Advance(5 * time.Second)
 	for _, c := range l {
-		mustEnd(t, c)
+		awaitEnd(c)
 	}
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -3,7 +3,6 @@
 package request
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"io"
 	"net/http"
@@ -13,9 +12,12 @@
 	"github.com/pkg/errors"
 
 	"celeryreach.example/celeryreach/attempted"
+	"celeryreach.example/celeryreach/chunkbuffer"
+	"celeryreach.example/celeryreach/clientbody"
 	"celeryreach.example/celeryreach/credential"
 	"celeryreach.example/celeryreach/decisionlog"
 	"celeryreach.example/celeryreach/homes"
+	"celeryreach.example/celeryreach/memoryhold"
 	"celeryreach.example/celeryreach/sendgate"
 	"celeryreach.example/celeryreach/service"
 )
@@ -24,6 +26,9 @@
 // of a given one.
 const fingerprintBytes = 16
 
+// ErrNoMemory is returned if a host has no memory for the body of a request.
+var ErrNoMemory = errors.New("there is no memory for the request body")
+
 // Request is an identified request without its API key.
 type Request struct {
 	// Fingerprint names all requests that are the same for a backend server, whoever sends them
@@ -77,6 +82,11 @@
 	// BodyReadStarted is set before the first byte of the body is read: after that, a
 	// body that cannot be rewound cannot be sent again. It may be nil.
 	BodyReadStarted *atomic.Bool
+	// ClientBody is Body as it comes from the caller of this host; nil if there is none, or if
+	// another host forwarded the request.
+	ClientBody *clientbody.Clientbody
+	// Memory is what the request occupies of the host's memory; nil has no limit.
+	Memory *memoryhold.Memoryhold
 	// Length is the length of the body, -1 if it is not known.
 	Length int64
 	// Deadline is when the caller stops waiting.
@@ -116,23 +126,26 @@
 }
 
 // BufferBody reads a body of up to limit bytes, so that Rewind can return it again. A
-// longer one stays to be read once.
+// longer one stays to be read once. The error is ErrNoMemory if Memory has no room for it.
 func (r *Request) BufferBody(limit int64) error {
 	if r.Body == nil || r.Length == 0 || r.Length > limit {
 		return nil
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	b := &chunkbuffer.Chunkbuffer{Take: r.Memory.Take}
+	whole, err := b.Fill(r.Body, limit)
+	switch {
+	case errors.Is(err, chunkbuffer.ErrFull):
+		return ErrNoMemory
+	case err != nil:
 		return errors.Wrap(err, "request body")
-	}
-	if int64(len(b)) > limit {
-		r.Body = io.MultiReader(bytes.NewReader(b), r.Body)
+	case !whole:
+		r.Body = io.MultiReader(b.Reader(), &releaser{r.Memory}, r.Body)
 		return nil
 	}
 	if r.Length > 0 {
-		r.Length = int64(len(b))
+		r.Length = b.Len()
 	}
-	r.Rewind = func() io.Reader { return bytes.NewReader(b) }
+	r.Rewind = b.Reader
 	r.Body = r.Rewind()
 	return nil
 }
--- a/responsecopier/responsecopier.go
+++ b/responsecopier/responsecopier.go
@@ -11,7 +11,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"celeryreach.example/celeryreach/chunkbuffer"
 	"celeryreach.example/celeryreach/hopheader"
+	"celeryreach.example/celeryreach/memorybudget"
+	"celeryreach.example/celeryreach/memoryhold"
 )
 
 // streamBufferBytes is the size of the buffer through which a long response is copied.
@@ -40,6 +43,9 @@
 	Clock clockwork.Clock
 	// BufferLimit is how many bytes of a response are buffered until it is complete.
 	BufferLimit int
+	// Memory is where the memory for buffered responses comes from; nil has no limit. A response
+	// for which there is none is passed on before it is complete.
+	Memory *memorybudget.Memorybudget
 	// WriteTimeout is how long a caller may take to read one buffer: a caller that has
 	// stopped reading must not occupy a slot.
 	WriteTimeout time.Duration
@@ -57,56 +63,73 @@
 		free(ErrTruncated)
 		return errors.Wrap(ErrTruncated, "the answer has neither Content-Length nor chunked encoding, so truncation cannot be detected")
 	}
-	b, err := io.ReadAll(io.LimitReader(p.Body, int64(o.BufferLimit)+1))
-	if err != nil {
+	h := &memoryhold.Memoryhold{Budget: o.Memory}
+	defer h.Release()
+	b := &chunkbuffer.Chunkbuffer{Take: h.Take, Expected: p.ContentLength}
+	whole, err := b.Fill(p.Body, int64(o.BufferLimit))
+	if err != nil && !errors.Is(err, chunkbuffer.ErrFull) {
 		free(ErrTruncated)
 		return errors.Wrap(ErrTruncated, err.Error())
 	}
-	if len(b) <= o.BufferLimit {
+	if whole {
 		free(nil)
-		if p.Request != nil && p.Request.Method == http.MethodHead {
-			writeHeader(w, p.StatusCode, p.Header, p.ContentLength)
-			return nil
-		}
-		Write(w, p.StatusCode, p.Header, b)
+		o.writeWhole(w, p, b)
 		return nil
 	}
-	err = o.stream(w, p, b)
+	err = o.stream(w, p, b, h)
 	free(err)
 	return err
 }
 
-// Write writes a complete response from memory.
-func Write(w http.ResponseWriter, status int, h http.Header, b []byte) {
-	n := int64(len(b))
+// writeWhole writes a complete response whose body is b.
+func (o *Responsecopier) writeWhole(w http.ResponseWriter, p *http.Response, b *chunkbuffer.Chunkbuffer) {
+	if p.Request != nil && p.Request.Method == http.MethodHead {
+		writeHeader(w, p.StatusCode, p.Header, p.ContentLength)
+		return
+	}
+	writeHeader(w, p.StatusCode, p.Header, bodyLength(p.StatusCode, b.Len()))
+	// A failed write means that the caller has gone away, so there is nobody to
+	// inform.
+	_, _ = b.WriteTo(w)
+}
+
+// bodyLength returns the length n that a response states, -1 if it may state none.
+func bodyLength(status int, n int64) int64 {
 	if status == http.StatusNoContent || status == http.StatusNotModified {
-		n = -1
+		return -1
 	}
-	writeHeader(w, status, h, n)
+	return n
+}
+
+// Write writes a complete response from memory.
+func Write(w http.ResponseWriter, status int, h http.Header, b []byte) {
+	writeHeader(w, status, h, bodyLength(status, int64(len(b))))
 	// A failed write means that the caller has gone away, so there is nobody to
 	// inform.
 	_, _ = w.Write(b)
 }
 
-// stream writes the first part b of response p, then copies the rest buffer by buffer.
-func (o *Responsecopier) stream(w http.ResponseWriter, p *http.Response, b []byte) error {
-	c := http.NewResponseController(w)
+// stream writes the header of response p and what was buffered of its body, which h holds, and
+// copies the rest buffer by buffer.
+func (o *Responsecopier) stream(w http.ResponseWriter, p *http.Response, b *chunkbuffer.Chunkbuffer, h *memoryhold.Memoryhold) error {
+	c := &timedWriter{writer: w, controller: http.NewResponseController(w), timeout: o.WriteTimeout, now: o.Clock.Now}
 	writeHeader(w, p.StatusCode, p.Header, p.ContentLength)
+	if _, err := b.WriteTo(c); err != nil {
+		return errors.Wrap(ErrCaller, err.Error())
+	}
+	*b = chunkbuffer.Chunkbuffer{}
+	h.Release()
 	r := make([]byte, streamBufferBytes)
 	for {
-		// Not every writer supports deadlines; the writer for a stream between hosts
-		// does not.
-		_ = c.SetWriteDeadline(o.Clock.Now().Add(o.WriteTimeout))
-		if _, err := w.Write(b); err != nil {
-			return errors.Wrap(ErrCaller, err.Error())
-		}
 		n, err := p.Body.Read(r)
-		b = r[:n]
 		if n > 0 {
+			if _, err := c.Write(r[:n]); err != nil {
+				return errors.Wrap(ErrCaller, err.Error())
+			}
 			continue
 		}
 		if err == io.EOF {
-			_ = c.SetWriteDeadline(time.Time{})
+			c.end()
 			return nil
 		}
 		if err != nil {
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -16,6 +16,7 @@
 
 	mu     sync.Mutex
 	sealed bool
+	failed bool // reading the caller's body failed
 }
 
 // Read reads the caller's body until seal is called.
@@ -26,7 +27,20 @@
 	if !b.claim() {
 		return 0, errors.New("the request has ended")
 	}
-	return b.reader.Read(p)
+	n, err := b.reader.Read(p)
+	if err != nil && err != io.EOF {
+		b.mu.Lock()
+		b.failed = true
+		b.mu.Unlock()
+	}
+	return n, err
+}
+
+// hasFailed reports whether reading the caller's body has failed.
+func (b *body) hasFailed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
 }
 
 // Close does nothing: the server side of net/http owns the caller's body.
@@ -55,3 +69,15 @@
 	defer b.mu.Unlock()
 	b.sealed = true
 }
+
+// responseBody is the body of a response. The caller's body isn't read after it was closed.
+type responseBody struct {
+	io.ReadCloser
+	seal func()
+}
+
+// Close ends the request.
+func (b *responseBody) Close() error {
+	b.seal()
+	return b.ReadCloser.Close()
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -61,6 +61,10 @@
 // errNotRepeated ends a request that net/http would send again.
 var errNotRepeated = errors.New("the connection broke off, and the request is not sent again on another one")
 
+// ErrCallerBody is returned if the request could not be sent whole because reading the caller's body
+// failed.
+var ErrCallerBody = errors.New("the caller's request body ended early")
+
 var errOutOfReach = errors.New("the last connection could not be opened")
 
 // Upstream sends requests through the transports of net/http.
@@ -155,8 +159,11 @@
 	if err != nil {
 		y.seal()
 		ran := c.sealWritten()
-		if c.abandoned != nil && !ran {
+		switch {
+		case c.abandoned != nil && !ran:
 			err = c.abandoned
+		case y.hasFailed():
+			err = ErrCallerBody
 		}
 		return nil, ran, errors.Wrap(err, "upstream")
 	}
@@ -169,6 +176,9 @@
 		// It proves nothing on what an earlier connection delivered.
 		return nil, ran || c.written, err
 	}
+	// The server side of net/http discards what is left of the caller's body when the request ends.
+	// The backend server must not get a later part of it in place of that.
+	p.Body = &responseBody{ReadCloser: p.Body, seal: y.seal}
 	return p, true, nil
 }
 
