Requests that were given up don't arrive after a partition

Cause: the transport closes the connection of a request that is given up, and the kernel goes on sending what it still holds. Sealableconn now closes with a reset if a request was written and no byte of its response has come.

TestCloseDropsRequestWithoutResponse is new.

--- a/sealableconn/sealableconn.go
+++ b/sealableconn/sealableconn.go
@@ -35,6 +35,7 @@
 
 	mu      sync.Mutex
 	wrote   bool
+	read    bool // since StartRequest
 	sealed  bool
 	closed  bool          // by this end
 	reset   bool          // by the other end, as a write has shown
@@ -46,7 +47,7 @@
 func (s *Sealableconn) StartRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wrote = false
+	s.wrote, s.read = false, false
 }
 
 // Write writes to the connection unless it is sealed.
@@ -83,6 +84,11 @@
 // Read reads from the connection.
 func (s *Sealableconn) Read(b []byte) (int, error) {
 	n, err := s.Conn.Read(b)
+	if n > 0 {
+		s.mu.Lock()
+		s.read = true
+		s.mu.Unlock()
+	}
 	if errors.Is(err, io.EOF) && s.wasReset() {
 		return n, ErrReset
 	}
@@ -111,12 +117,18 @@
 	return s.reset
 }
 
-// Close closes the connection. A write that fails because of that is no reset.
+// Close closes the connection. A write that fails because of that is no reset. If a request has no
+// response, what of it has not arrived is lost: otherwise the kernel would still deliver it after a
+// partition, long after the request was given up.
 func (s *Sealableconn) Close() error {
 	s.mu.Lock()
 	s.closed = true
 	s.settle()
+	f := s.wrote && !s.read
 	s.mu.Unlock()
+	if l, ok := s.Conn.(interface{ SetLinger(seconds int) error }); ok && f {
+		_ = l.SetLinger(0) // fails only on a closed connection
+	}
 	return s.Conn.Close()
 }
 
--- a/sealableconn/sealableconn_test.go
+++ b/sealableconn/sealableconn_test.go
@@ -57,3 +57,38 @@
 		})
 	}
 }
+
+// lingerConn records how it is closed.
+type lingerConn struct {
+	net.Conn
+	linger int
+}
+
+func (c *lingerConn) Write(b []byte) (int, error) { return len(b), nil }
+func (c *lingerConn) Read(b []byte) (int, error)  { return len(b), nil }
+func (c *lingerConn) Close() error                { return nil }
+
+func (c *lingerConn) SetLinger(s int) error {
+	c.linger = s
+	return nil
+}
+
+// Guards against a request that arrives long after it was given up, and against a reset of a
+// connection whose requests have their responses.
+func TestCloseDropsRequestWithoutResponse(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		c := &lingerConn{linger: -1}
+		s := &sealableconn.Sealableconn{Conn: c}
+		for i := range 2 {
+			s.StartRequest()
+			_, err := s.Write([]byte("b"))
+			must.NoError(t, err)
+			if i == 0 || answered {
+				_, err = s.Read(make([]byte, 1))
+				must.NoError(t, err)
+			}
+		}
+		must.NoError(t, s.Close())
+		must.EqOp(t, answered, c.linger == -1)
+	}
+}
