A report that the store performs late does not replace a newer one

Cause: the store had performed an earlier report of the same process, ready, after the one that said draining. seq was required and never compared.

Discovery passes over a report with a lower number of the same process within 10 s of the newer one; later it may correct an entry of another writer. A process that has reported draining does not take that back.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -20,6 +20,8 @@
 	// sweepInterval is how often missing entries, and backend servers that left, are
 	// checked for expiry.
 	sweepInterval = 200 * time.Millisecond
+	// lateWriteTime is longer than the store takes to perform a write that it has not answered.
+	lateWriteTime = 10 * time.Second
 )
 
 // Discovery derives the usable backend servers from the list in the store, outages of the
@@ -63,6 +65,7 @@
 	backend   backend.Backend
 	coldUntil time.Time
 	keptSince time.Time // since when a missing entry is kept; zero while the entry is listed
+	readAt    time.Time // when backend was read
 }
 
 // Run drops expired entries until ctx ends.
@@ -142,6 +145,7 @@
 		k = &entry{}
 		d.entries[b.Name] = k
 	}
+	b = k.latest(b, n)
 	if k.backend.Revision != b.Revision && b.ColdFor > 0 {
 		d.queueLog(log.InfoLevel, "backend server is cold", "Backend", b.Name, "For", b.ColdFor)
 		k.coldUntil = deadline.Later(k.coldUntil, n.Add(b.ColdFor+coldMargin))
@@ -156,6 +160,24 @@
 	k.keptSince = time.Time{}
 }
 
+// latest returns what holds of a process after b has been read. The store may perform a write
+// seconds after the next one, so an entry with a lower number is outdated, though not for long: it
+// may also correct one of another writer. A process that leaves doesn't take that back.
+func (k *entry) latest(b backend.Backend, now time.Time) backend.Backend {
+	if b.Started == 0 || b.Started != k.backend.Started {
+		k.readAt = now
+		return b
+	}
+	if b.Sequence < k.backend.Sequence && now.Sub(k.readAt) < lateWriteTime {
+		return k.backend
+	}
+	if b.Revision != k.backend.Revision {
+		k.readAt = now
+	}
+	b.Draining = b.Draining || k.backend.Draining
+	return b
+}
+
 func (d *Discovery) drop(name string, k *entry) {
 	f := []any{"Backend", name, "Service", k.backend.Service}
 	if !k.keptSince.IsZero() {
