New connections at one listener don't end the clients of another

Found by reading: a listener with as many connections as it may have ended the client that stood still longest anywhere, so a crowd at the directory could end slow uploads of callers. Only the listener for callers now ends its own.

--- a/clientbody/clientbody.go
+++ b/clientbody/clientbody.go
@@ -59,9 +59,9 @@
 		l = b.Deadline
 	}
 	_ = b.SetReadDeadline(l) // fails only on a closed connection, of which Read tells
-	done := b.Stalled.Add(s.Add(-b.waited), b.evict)
+	d := b.Stalled.Add(s.Add(-b.waited), b.evict)
 	n, err := b.read(p)
-	done()
+	d()
 	b.waited += b.Clock.Since(s)
 	b.received += n
 	if b.received >= minBytes {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -236,11 +236,11 @@
 		return &body{unread: r.Body, length: r.Length}, nil
 	}
 	b := &chunkbuffer.Chunkbuffer{Take: r.Memory.Take}
-	whole, err := b.Fill(r.Body, maxBufferedBodyBytes)
+	a, err := b.Fill(r.Body, maxBufferedBodyBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "body")
 	}
-	if whole {
+	if a {
 		return &body{rewind: b.Reader, length: b.Len()}, nil
 	}
 	return &body{unread: io.MultiReader(b.Reader(), r.Body), length: b.Len()}, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -177,14 +177,14 @@
 func (g *Gateway) readBody(ctx context.Context, b *routeindex.Routeindex, i *ingress.Ingress, r *request.Request, deadline time.Time, key string) (*routeindex.Routeindex, *ingress.Ingress, outcome.Outcome) {
 	n := g.Clock.Now()
 	o := bufferBody(r)
-	late := g.Clock.Since(n) > maxBodyWait
-	if (late || o.Outcome != "") && r.Account != "" {
+	l := g.Clock.Since(n) > maxBodyWait
+	if (l || o.Outcome != "") && r.Account != "" {
 		g.Tokens.Refund(r.Account)
 	}
 	switch {
 	case o.Outcome != "":
 		return b, i, o
-	case late:
+	case l:
 		b, r.Deadline = g.Index(), deadline
 		i, o = g.admit(ctx, b, r, r.Path, key)
 	default:
--- a/httplisten/connections.go
+++ b/httplisten/connections.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"celeryreach.example/celeryreach/serverconn"
+	"celeryreach.example/celeryreach/stalled"
 )
 
 const (
@@ -24,9 +25,8 @@
 	limit int
 	// now returns the time.
 	now func() time.Time
-	// endStalled ends the request that has waited for its client for longest, and reports whether
-	// one has waited for at least minWait.
-	endStalled func(least time.Duration) bool
+	// stalled holds the waits for clients with requests; nil holds none.
+	stalled *stalled.Stalled
 	// onHeaderLate is called when a connection ends because a header was not complete in
 	// time.
 	onHeaderLate func()
@@ -60,7 +60,7 @@
 	case v != nil:
 		v.EndWait()
 	default:
-		g.endStalled(minWait)
+		g.stalled.EndOldest(minWait)
 	}
 	return n < g.limit
 }
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -18,6 +18,7 @@
 	"celeryreach.example/celeryreach/inflight"
 	"celeryreach.example/celeryreach/memorybudget"
 	"celeryreach.example/celeryreach/serverconn"
+	"celeryreach.example/celeryreach/stalled"
 )
 
 const (
@@ -62,6 +63,9 @@
 	// MaxConnections is the largest number of open connections; zero means no limit. Before it is
 	// reached, connections that wait for a request end in favor of new ones.
 	MaxConnections int
+	// Stalled holds the waits for clients of this listener that end, too, in favor of new
+	// connections; nil holds none.
+	Stalled *stalled.Stalled
 	// Memory is where the memory for long headers comes from; nil has no limit.
 	Memory *memorybudget.Memorybudget
 	// DrainTimeout limits the wait for requests in flight.
@@ -86,7 +90,7 @@
 // Run serves until ctx ends and the last request has finished.
 func (l *Httplisten) Run(ctx context.Context) error {
 	g := newConnections(func() { l.countUnanswered(reasonHeader) })
-	g.limit, g.now, g.endStalled = l.MaxConnections, l.clock().Now, l.endStalled
+	g.limit, g.now, g.stalled = l.MaxConnections, l.clock().Now, l.Stalled
 	s := l.server(g)
 	e := make(chan error, 1)
 	go func() { e <- s.Serve(l.listener(g)) }()
@@ -197,11 +201,6 @@
 	return &serverconn.Serverconn{Conn: c, Clock: l.clock(), Limits: l.limits, BeginsWithHandshake: l.TLS != nil, Memory: l.Memory}
 }
 
-// endStalled ends the request that has waited for its client for longest.
-func (l *Httplisten) endStalled(least time.Duration) bool {
-	return l.Memory != nil && l.Memory.Stalled.EndOldest(least)
-}
-
 func (l *Httplisten) limits() (header, idle time.Duration) {
 	if l.Limits != nil {
 		header, idle = l.Limits()
--- a/request/request.go
+++ b/request/request.go
@@ -132,13 +132,13 @@
 		return nil
 	}
 	b := &chunkbuffer.Chunkbuffer{Take: r.Memory.Take}
-	whole, err := b.Fill(r.Body, limit)
+	a, err := b.Fill(r.Body, limit)
 	switch {
 	case errors.Is(err, chunkbuffer.ErrFull):
 		return ErrNoMemory
 	case err != nil:
 		return errors.Wrap(err, "request body")
-	case !whole:
+	case !a:
 		r.Body = io.MultiReader(b.Reader(), &releaser{r.Memory}, r.Body)
 		return nil
 	}
--- a/responsecopier/responsecopier.go
+++ b/responsecopier/responsecopier.go
@@ -66,12 +66,12 @@
 	h := &memoryhold.Memoryhold{Budget: o.Memory}
 	defer h.Release()
 	b := &chunkbuffer.Chunkbuffer{Take: h.Take, Expected: p.ContentLength}
-	whole, err := b.Fill(p.Body, int64(o.BufferLimit))
+	a, err := b.Fill(p.Body, int64(o.BufferLimit))
 	if err != nil && !errors.Is(err, chunkbuffer.ErrFull) {
 		free(ErrTruncated)
 		return errors.Wrap(ErrTruncated, err.Error())
 	}
-	if whole {
+	if a {
 		free(nil)
 		o.writeWhole(w, p, b)
 		return nil
--- a/serverconn/serverconn.go
+++ b/serverconn/serverconn.go
@@ -28,12 +28,6 @@
 	// headerCost is how many bytes a byte of a longer header occupies: net/http holds a line
 	// in the buffer that grew with it, and the header fields in strings.
 	headerCost = 3
-	// A client reads at least writePieceBytes, or the rest of a response, in each writeTime.
-	writePieceBytes = 32 << 10
-	writeTime       = 10 * time.Second
-	// maxSmallWriteBytes are written from net/http's own buffer, which is not given back sooner
-	// when the client is no longer waited for.
-	maxSmallWriteBytes = 4 << 10
 )
 
 var errNoMemory = errors.New("there is no memory for the request header")
@@ -301,56 +295,6 @@
 	}
 }
 
-// LimitBody limits the wait for the rest of the request's body.
-func (c *Serverconn) LimitBody(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != serving || c.bodyTimer != nil {
-		return
-	}
-	var t clockwork.Timer
-	t = c.Clock.AfterFunc(d, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.bodyTimer == t {
-			_ = c.SetReadDeadline(longAgo) // fails only on a closed connection
-		}
-	})
-	c.bodyTimer = t
-}
-
-// endBody removes the limit of LimitBody.
-func (c *Serverconn) endBody() {
-	if c.bodyTimer == nil {
-		return
-	}
-	if !c.bodyTimer.Stop() {
-		_ = c.SetReadDeadline(time.Time{}) // as above
-	}
-	c.bodyTimer = nil
-}
-
-// Write writes p for as long as the client makes progress in reading it.
-func (c *Serverconn) Write(p []byte) (int, error) {
-	n := 0
-	for {
-		m, err := c.writePiece(p[n:min(len(p), n+writePieceBytes)])
-		n += m
-		if err != nil || n == len(p) {
-			return n, err
-		}
-	}
-}
-
-func (c *Serverconn) writePiece(p []byte) (int, error) {
-	end := func() { _ = c.SetWriteDeadline(longAgo) } // fails only on a closed connection
-	defer c.Clock.AfterFunc(writeTime, end).Stop()
-	if c.Memory != nil && len(p) > maxSmallWriteBytes {
-		defer c.Memory.Stalled.Add(c.Clock.Now(), end)()
-	}
-	return c.Conn.Write(p)
-}
-
 func (c *Serverconn) enter(s state) {
 	c.state, c.since = s, c.Clock.Now()
 	if s != receiving {
