A late write of counts does not replace later ones

Counts of a host for the burn report could vanish.

Cause: after a write without an answer, the next one wrote the same row with more counts and without a condition. The store may perform the first one last.

The row must not exist when it is written; if it does, the host recognizes its earlier write by the hash and writes the rest to the next row.

TestLateWriteOfCounts failed before: one of three requests was left.

--- a/countstore/countstore.go
+++ b/countstore/countstore.go
@@ -24,6 +24,9 @@
 	finalWriteTimeout = 2 * time.Second
 	// retention is the longest window of the report.
 	retention = 6 * time.Hour
+	// maxWrites is how many rows one save writes at most: a second one if the first has the counts of
+	// an earlier save.
+	maxWrites = 2
 )
 
 // Countstore writes the new counts as one object and one row, at each interval and on
@@ -45,6 +48,9 @@
 	savedUntil   time.Time
 	nextSequence int
 	ownKeys      []string
+	// attempts are the writes of the next row so far, by hash, with the time until which they have
+	// counts. One without an answer may still take effect.
+	attempts map[string]time.Time
 }
 
 // entry is the content of a row.
@@ -74,19 +80,25 @@
 // save writes the counts before to. Counts that could not be written are
 // included in the next write.
 func (k *Countstore) save(ctx context.Context, to time.Time) {
-	s := between(k.Counts(), k.savedUntil, to)
-	if len(s.Tallies) == 0 && len(s.Drains) == 0 {
-		k.savedUntil = to
-		return
-	}
-	if err := k.write(ctx, s); err != nil {
-		k.Log.Warn("failed to store counts", "Error", err)
-		return
+	for range maxWrites {
+		s := between(k.Counts(), k.savedUntil, to)
+		if len(s.Tallies) == 0 && len(s.Drains) == 0 {
+			k.savedUntil = to
+			return
+		}
+		if err := k.write(ctx, s, to); err != nil {
+			k.Log.Warn("failed to store counts", "Error", err)
+			return
+		}
+		if !k.savedUntil.Before(to) {
+			return
+		}
 	}
-	k.savedUntil = to
 }
 
-func (k *Countstore) write(ctx context.Context, s hostcounts.Hostcounts) error {
+// write writes the counts up to a time to the next row. The row must not exist: an earlier write of
+// it, with fewer counts, may take effect late. If one has, write adopts it and writes nothing.
+func (k *Countstore) write(ctx context.Context, s hostcounts.Hostcounts, to time.Time) error {
 	b, err := codec.Marshal(s)
 	if err != nil {
 		return errors.Wrap(err, "counts")
@@ -100,15 +112,23 @@
 		return errors.Wrap(err, "counts")
 	}
 	r := row.Row{Key: fmt.Sprintf("%s%s/%016x/%06d", prefix, s.Host, s.Incarnation, k.nextSequence), Value: v}
-	c := commit.Commit{Put: []row.Row{r}}
-	n := int(retention / k.Interval)
-	if len(k.ownKeys) > n {
+	c := commit.Commit{Expect: []row.Row{{Key: r.Key}}, Put: []row.Row{r}}
+	if len(k.ownKeys) > int(retention/k.Interval) {
 		c.Delete = []string{k.ownKeys[0]}
 	}
-	// Writing the same row twice is harmless, so a lost answer needs no check.
-	if _, err := k.Store.Commit(ctx, c); err != nil {
+	if k.attempts == nil {
+		k.attempts = make(map[string]time.Time)
+	}
+	k.attempts[e.Hash] = to
+	switch ok, err := k.Store.Commit(ctx, c); {
+	case err != nil:
 		return err
+	case !ok:
+		if to, err = k.writtenUntil(ctx, r.Key); err != nil {
+			return err
+		}
 	}
+	k.savedUntil, k.attempts = to, nil
 	k.nextSequence++
 	k.ownKeys = append(k.ownKeys, r.Key)
 	if c.Delete != nil {
@@ -117,6 +137,26 @@
 	return nil
 }
 
+// writtenUntil returns until when an own row has counts.
+func (k *Countstore) writtenUntil(ctx context.Context, key string) (time.Time, error) {
+	l, err := k.Store.Scan(ctx, key)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if len(l) == 0 {
+		return time.Time{}, errors.New("counts: the row has vanished")
+	}
+	var e entry
+	if err := codec.Unmarshal(l[0].Value, &e); err != nil {
+		return time.Time{}, errors.Wrap(err, "own counts")
+	}
+	t, ok := k.attempts[e.Hash]
+	if !ok {
+		return time.Time{}, errors.New("counts: the row has another writer")
+	}
+	return t, nil
+}
+
 // Load returns the counts of processes that no longer run, and removes the rows
 // that are older than the longest window. Alive reports whether a process still
 // runs and therefore returns its counts itself.
