Answers of the platform without end don't fill the memory

Another operator reported a backend server that sends bytes without end, and a host that kept them all.

TestCrowdOfEndlessResponses measures a process, so it runs with TestCrowd.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	go test -race -timeout 40m -skip '$(CROWD)$(if $(RED),|$(RED))' ./...
 
 # They measure a process, so they run one at a time and beside no other test.
-CROWD := ^TestCrowd$$
+CROWD := ^TestCrowd(OfEndlessResponses)?$$
 
 crowd:
 	go test -race -count 1 -run '$(CROWD)' $(if $(RED),-skip '$(RED)') ./platform
--- a/callersim/callersim.go
+++ b/callersim/callersim.go
@@ -18,6 +18,7 @@
 	"celeryreach.example/celeryreach/counter"
 	"celeryreach.example/celeryreach/lookupanswer"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsebody"
 	"celeryreach.example/celeryreach/responsehead"
 )
 
@@ -27,6 +28,7 @@
 	enrolFraction     = 0.1
 	maxCancelDelay    = 30 * time.Millisecond
 	meanPause         = 50 * time.Millisecond
+	maxAnswerBytes    = 1 << 20
 )
 
 // NotRunPrefix is the prefix of outcomes for which the host guarantees that the
@@ -108,7 +110,7 @@
 		return transportFailure(ctx)
 	}
 	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxAnswerBytes)
 	if err != nil {
 		return transportFailure(ctx)
 	}
@@ -138,7 +140,7 @@
 		return "", false
 	}
 	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxAnswerBytes)
 	if err != nil {
 		return "", false
 	}
--- a/cmd/lookup.go
+++ b/cmd/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -13,6 +12,7 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/lookupanswer"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsebody"
 	"celeryreach.example/celeryreach/responsehead"
 )
 
@@ -62,6 +62,9 @@
 	})
 }
 
+// maxLookupBytes bounds the answer to a look-up.
+const maxLookupBytes = 1 << 20
+
 // fetchLookup sends a look-up request to a host.
 func fetchLookup(ctx context.Context, t http.RoundTripper, u string) (lookupanswer.Lookupanswer, error) {
 	var a lookupanswer.Lookupanswer
@@ -79,7 +82,7 @@
 	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
 		return a, errors.Wrap(err, "look-up")
 	}
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxLookupBytes)
 	if err != nil {
 		return a, errors.Wrap(err, "look-up")
 	}
--- a/operatorclient/operatorclient.go
+++ b/operatorclient/operatorclient.go
@@ -15,10 +15,14 @@
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/config"
 	"celeryreach.example/celeryreach/problem"
+	"celeryreach.example/celeryreach/responsebody"
 	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/status"
 )
 
+// maxAnswerBytes bounds an answer, which may be a configuration.
+const maxAnswerBytes = 64 << 20
+
 // Operatorclient sends requests to the operators' interface of one host.
 type Operatorclient struct {
 	// URL is the base URL of the host's operators' interface.
@@ -88,7 +92,7 @@
 	if err := responsehead.Check(p.StatusCode, p.Header); err != nil {
 		return errors.Wrap(err, "host")
 	}
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxAnswerBytes)
 	if err != nil {
 		return errors.Wrap(err, "answer")
 	}
--- a/stress/caller.go
+++ b/stress/caller.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -14,6 +13,7 @@
 	"celeryreach.example/celeryreach/backendstandin"
 	"celeryreach.example/celeryreach/codec"
 	"celeryreach.example/celeryreach/outcome"
+	"celeryreach.example/celeryreach/responsebody"
 	"celeryreach.example/celeryreach/responsehead"
 	"celeryreach.example/celeryreach/tickets"
 )
@@ -27,6 +27,7 @@
 	maxAttempts       = 3
 	attemptTimeout    = 10 * time.Second
 	pauseAfterRefusal = 20 * time.Millisecond
+	maxAnswerBytes    = 64 << 20
 )
 
 // callerRequest is one request of a caller. It may take several attempts.
@@ -111,7 +112,7 @@
 		return s.transportFailure(x, "NoAnswer"), attemptResult{}
 	}
 	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxAnswerBytes)
 	if err != nil {
 		return s.transportFailure(x, "BrokenAnswer"), attemptResult{}
 	}
@@ -157,7 +158,7 @@
 		return "", ""
 	}
 	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
+	b, err := responsebody.Read(p.Body, maxAnswerBytes)
 	var v tickets.Tickets
 	if err != nil || codec.Unmarshal(b, &v) != nil || len(v.Tickets) == 0 {
 		return "", ""
