Hosts tell others which processes were replaced while a late report stands

A host that starts while the store shows a late report of an earlier process takes it for the latest. Others that have read the later process know that it has ended, and tell it in heartbeats, as they do for one that drains.

--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -57,9 +57,9 @@
 }
 
 // Departures returns the processes that stated in recent responses to this host that they
-// leave, for heartbeats, and those that reported that they drain, while the store shows an
-// outdated report. Those that other hosts reported are left out: if passed on, they would never
-// be forgotten.
+// leave, for heartbeats, and those that have drained or started anew, while the store shows an
+// outdated report of them. Those that other hosts reported are left out: if passed on, they would
+// never be forgotten.
 func (d *Discovery) Departures() []*wire.LeavingBackend {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -71,7 +71,7 @@
 		}
 	}
 	for k, b := range d.outdated {
-		if d.order.IsDraining(k, b.Started) && d.departures[process{name: k, started: b.Started}] == nil {
+		if d.order.HasLeft(k, b.Started) && d.departures[process{name: k, started: b.Started}] == nil {
 			l = append(l, &wire.LeavingBackend{Backend: k, Started: b.Started})
 		}
 	}
--- a/reportorder/reportorder.go
+++ b/reportorder/reportorder.go
@@ -24,8 +24,8 @@
 
 // Reportorder remembers the latest report of each backend server. A start orders the processes of
 // one name, and a number the reports of one process. A removal has no number, so a process that
-// is listed again is believed when the report can't be one from before the removal. Reportorder
-// must not be used concurrently.
+// is listed again is believed when its report has stood for longer than one from before the
+// removal would. Reportorder must not be used concurrently.
 type Reportorder struct {
 	// Clock measures how long reports are in doubt.
 	Clock clockwork.Clock
@@ -78,7 +78,12 @@
 	if r.latest == nil {
 		r.latest = make(map[string]*latest)
 	}
-	r.latest[b.Name] = &latest{started: b.Started, sequence: b.Sequence, draining: b.Draining, seen: now}
+	v := r.latest[b.Name]
+	if v == nil {
+		v = new(latest)
+		r.latest[b.Name] = v
+	}
+	*v = latest{started: b.Started, sequence: b.Sequence, draining: b.Draining, seen: now}
 }
 
 // isDoubtful reports whether b may be older than the latest report or its removal.
@@ -124,10 +129,11 @@
 	return r.Clock.Since(deadline.Later(v.doubtedSince, r.steadySince()))
 }
 
-// IsDraining reports whether a process has reported that it drains.
-func (r *Reportorder) IsDraining(name string, started int64) bool {
+// HasLeft reports whether a process has reported that it drains, or another one has started in its
+// place.
+func (r *Reportorder) HasLeft(name string, started int64) bool {
 	v := r.latest[name]
-	return v != nil && v.started == started && v.draining
+	return v != nil && (v.started > started || v.started == started && v.draining)
 }
 
 // Forget forgets backend servers that were not listed for a long time.
