A body that nobody has read is sent to another backend server

Cause: only a body that can be rewound was sent again.

A body that is not buffered now records whether anybody reads it, and is sent as it is if nobody has. The attempt that ended can't read it later: its copy is sealed, also after a refusal; a sender that was asked for the body marks it before it reads.

Bodies of which a part was read are not sent again, as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -284,13 +284,13 @@
 }
 
 // mayRetry reports whether r may be sent again after attempt t. If it returns true,
-// mayRetry has rewound the body and, if t reached a backend server, taken the retry from
+// mayRetry has restored the body and, if t reached a backend server, taken the retry from
 // the budget.
 func (d *Dispatch) mayRetry(t attempt, r *request.Request) bool {
 	o := t.outcome
 	s := o.Outcome == outcome.NoCapacity && isAboutBackend(o.Message)
 	b := o.Outcome == outcome.BackendFailed && !r.NonIdempotent
-	if !s && !b || !d.mayStart(r) || !rewindBody(r) {
+	if !s && !b || !d.mayStart(r) || !restoreBody(r) {
 		return false
 	}
 	return t.sent == 0 || d.Budget.TakeRetry(r.Service.Name)
@@ -377,6 +377,12 @@
 	return true
 }
 
+// restoreBody rewinds the body for another attempt, when no other one is running, and reports
+// whether that was possible. A body that nobody has read can be sent as it is.
+func restoreBody(r *request.Request) bool {
+	return rewindBody(r) || r.BodyReadStarted != nil && !r.BodyReadStarted.Load()
+}
+
 // refuse returns the outcome of a request that was not run.
 func refuse(o, m string) outcome.Outcome {
 	return outcome.Outcome{Outcome: o, Ran: outcome.RanNo, Message: m}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -205,6 +205,9 @@
 				return a.endLost(ctx, errOutsideHomes)
 			}
 			w = true
+			if s := a.request.BodyReadStarted; s != nil {
+				s.Store(true) // before a refusal that may follow
+			}
 			go a.sendLongBody()
 		case *wire.Frame_Refusal:
 			return a.endRefused(v.Refusal)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,10 +196,12 @@
 	return b, i, o
 }
 
-// bufferBody buffers the body of r unless it is too long.
+// bufferBody buffers the body of r unless it is too long. A longer one can be sent again as long as
+// nobody has read it.
 func bufferBody(r *request.Request) outcome.Outcome {
 	switch err := r.BufferBody(maxBufferedBytes); {
 	case err == nil:
+		r.TrackBody()
 		return outcome.Outcome{}
 	case errors.Is(err, request.ErrNoMemory):
 		return refuse(outcome.NoCapacity, err.Error(), noMemoryRetryAfter)
--- a/request/request.go
+++ b/request/request.go
@@ -125,6 +125,27 @@
 	r.Fingerprint = string(h.Sum(nil)[:fingerprintBytes])
 }
 
+// TrackBody sets BodyReadStarted from now on when somebody reads a body that is not buffered.
+func (r *Request) TrackBody() {
+	if r.Body == nil || r.Rewind != nil {
+		return
+	}
+	r.BodyReadStarted = new(atomic.Bool)
+	r.Body = &trackedBody{reader: r.Body, started: r.BodyReadStarted}
+}
+
+// trackedBody is a body that records whether it is read.
+type trackedBody struct {
+	reader  io.Reader
+	started *atomic.Bool
+}
+
+// Read reads the body.
+func (t *trackedBody) Read(p []byte) (int, error) {
+	t.started.Store(true)
+	return t.reader.Read(p)
+}
+
 // BufferBody reads a body of up to limit bytes, so that Rewind can return it again. A
 // longer one stays to be read once. The error is ErrNoMemory if Memory has no room for it.
 func (r *Request) BufferBody(limit int64) error {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -172,6 +172,7 @@
 		u.OnResponse(b, s, p, err)
 	}
 	if err != nil {
+		y.seal()
 		p.Body.Close()
 		// It proves nothing on what an earlier connection delivered.
 		return nil, ran || c.written, err
