--- a/edge/late_reports_test.go
+++ b/edge/late_reports_test.go
@@ -19,7 +19,7 @@
 }
 
 // loseReport lets the store perform a report of a process that is about to leave late, at times, and
-// at times another one after that.
+// at times another one after that. At times it forgets its history then.
 func (p *removalPlay) loseReport(v *entryWriter) {
 	for p.late && p.rand.IntN(3) > 0 {
 		v.sequence++
@@ -31,6 +31,9 @@
 			}
 			p.reportEvent("performed late ", b.Name, " ", b.Started, " ", b.Sequence)
 			v.outdated = clock.Now()
+			if p.rand.IntN(4) == 0 {
+				p.backends.DropHistory()
+			}
 			if err := p.writeEntry(b); err != nil {
 				panic(err) // the entry is plain data
 			}
